workspace: add the crates, the common types and the design page

Cause: the project starts from nothing; the parts need one contract to be written in parallel.

Conclusion: the page fixes the interfaces; the parts can be written now.

--- /dev/null
+++ b/lib/src/offset.rs
@@ -0,0 +1,44 @@
+//! A position in the platform's log.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::result_code::ResultCode;
+
+/// The position of a record in the log; the log's order decides between operators.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// Returns the value that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Offset {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| {
+            Error::new(
+                ResultCode::BadNumber,
+                format!("`{}` is not a valid log offset", text.escape_debug()),
+                "use a whole number from 0 to 18446744073709551615",
+            )
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/region_id.rs
@@ -0,0 +1,7 @@
+//! The id of a region.
+
+crate::name_type!(
+    /// Names a region, which holds several failure domains.
+    RegionId,
+    "region"
+);
--- /dev/null
+++ b/lib/src/service_id.rs
@@ -0,0 +1,7 @@
+//! The id of a service.
+
+crate::name_type!(
+    /// Names a service, for which callers ask and which targets serve.
+    ServiceId,
+    "service id"
+);
--- /dev/null
+++ b/lib/src/version.rs
@@ -0,0 +1,44 @@
+//! The version of a service's configuration.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::result_code::ResultCode;
+
+/// Counts the confirmed changes of one service; a plan names the versions that it was built on.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// Returns the value that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Version {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| {
+            Error::new(
+                ResultCode::BadNumber,
+                format!("`{}` is not a valid version", text.escape_debug()),
+                "use a whole number from 0 to 18446744073709551615",
+            )
+        })
+    }
+}
--- /dev/null
+++ b/load/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,3 @@
+//! Helpers that the tests of every crate share.
+
+pub mod manual_clock;
