--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -1,19 +1,33 @@
 //! The types that nearly every module uses.
 
 pub use crate::byte_size::ByteSize;
+pub use crate::change::Change;
 pub use crate::clock::Clock;
 pub use crate::clock::SystemClock;
+pub use crate::config::Config;
 pub use crate::domain_id::DomainId;
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::fold::Applied;
+pub use crate::fold::Fold;
+pub use crate::intent::Intent;
 pub use crate::offset::Offset;
+pub use crate::operator_id::OperatorId;
 pub use crate::outcome::Outcome;
+pub use crate::plan_digest::PlanDigest;
+pub use crate::record::Body;
+pub use crate::record::Record;
 pub use crate::record_id::RecordId;
 pub use crate::region_id::RegionId;
 pub use crate::request_key::RequestKey;
 pub use crate::result_code::ResultCode;
+pub use crate::roster::Member;
+pub use crate::roster::Roster;
+pub use crate::service::Service;
 pub use crate::service_id::ServiceId;
 pub use crate::slots::Slots;
+pub use crate::target::Target;
+pub use crate::target::TargetState;
 pub use crate::target_id::TargetId;
 pub use crate::target_time::TargetTime;
 pub use crate::version::Version;
--- /dev/null
+++ b/lib/src/record.rs
@@ -0,0 +1,114 @@
+//! The records on the platform's log.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::domain_id::DomainId;
+use crate::error::Error;
+use crate::error::Result;
+use crate::intent::Intent;
+use crate::offset::Offset;
+use crate::operator_id::OperatorId;
+use crate::plan_digest::PlanDigest;
+use crate::record_id::RecordId;
+use crate::result_code::ResultCode;
+use crate::service_id::ServiceId;
+use crate::version::Version;
+use crate::vm_id::VmId;
+
+/// One record: an id that its writer chose, and what it says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The id by which duplicates are recognized.
+    pub id: RecordId,
+    /// What the record says.
+    pub body: Body,
+}
+
+/// What a record says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Body {
+    /// An operator wants to change the configuration.
+    Intent(Intent),
+    /// An operator puts an intent into force.
+    Confirm(Confirm),
+    /// A part of a snapshot of the fold.
+    Snapshot(Chunk),
+    /// A VM enters the roster.
+    Join(Join),
+    /// A VM leaves the roster after a planned stop.
+    Leave {
+        /// The VM that leaves.
+        vm: VmId,
+    },
+    /// A watcher removes a VM from the roster.
+    Displace {
+        /// The VM that is removed.
+        vm: VmId,
+        /// The watcher.
+        by: VmId,
+    },
+}
+
+/// Puts the plan of an intent into force if its bases are current.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirm {
+    /// Who confirms.
+    pub operator: OperatorId,
+    /// The intent's record id.
+    pub intent: RecordId,
+    /// The digest of the plan that the operator saw.
+    pub digest: PlanDigest,
+    /// The version of each service that the plan touches.
+    pub bases: BTreeMap<ServiceId, Version>,
+}
+
+/// One part of an encoded snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// The offset up to which the fold was applied.
+    pub upto: Offset,
+    /// The position of this chunk in the set, from 0.
+    pub index: u32,
+    /// The number of chunks in the set.
+    pub count: u32,
+    /// The SHA-256 digest of the whole encoded snapshot.
+    pub digest: PlanDigest,
+    /// This chunk's bytes in base64.
+    pub data: Box<str>,
+}
+
+/// Enters a VM into the roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Join {
+    /// The VM's id, new at each start.
+    pub vm: VmId,
+    /// The failure domain in which it runs.
+    pub domain: DomainId,
+    /// Where it answers its peers' control messages.
+    pub rpc: SocketAddr,
+    /// Where it accepts forwarded calls.
+    pub forward: SocketAddr,
+}
+
+impl Record {
+    /// Parses the text of a record.
+    pub fn parse(text: &str) -> Result<Self> {
+        serde_json::from_str(text).map_err(|error| {
+            Error::new(
+                ResultCode::BadRecord,
+                format!("the log record cannot be decoded: {error}"),
+                "look for a writer of another version; the record is skipped on every VM",
+            )
+        })
+    }
+
+    /// Returns the text that is appended to the log.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("records have string keys and no failing serializer")
+    }
+}
