--- /dev/null
+++ b/lib/src/canonical.rs
@@ -0,0 +1,122 @@
+//! The canonical encoding over which digests are computed.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::change::Change;
+use crate::plan_digest::PlanDigest;
+use crate::service::Service;
+use crate::target::Target;
+use crate::target::TargetState;
+
+/// Hashes values in an encoding that does not depend on a serializer.
+///
+/// A digest is compared between the operators' client and VMs that may run another release, so a
+/// new optional field in a JSON format must not change it. Texts carry their length, which keeps
+/// different sequences from having the same bytes.
+#[derive(Clone, Debug)]
+pub(crate) struct Canonical(Sha256);
+
+impl Canonical {
+    /// Starts an encoding; `format` separates the uses of the digest from each other.
+    pub(crate) fn new(format: &str) -> Self {
+        let mut this = Self(Sha256::new());
+        this.text(format);
+        this
+    }
+
+    /// Adds a text.
+    pub(crate) fn text(&mut self, text: &str) {
+        self.number(text.len() as u64);
+        self.0.update(text.as_bytes());
+    }
+
+    /// Adds a number.
+    pub(crate) fn number(&mut self, number: u64) {
+        self.0.update(number.to_be_bytes());
+    }
+
+    /// Adds a service, or its absence.
+    pub(crate) fn service(&mut self, service: Option<&Service>) {
+        let Some(service) = service else {
+            self.number(0);
+            return;
+        };
+        self.number(1);
+        self.number(service.version.0);
+        self.number(service.measuring.0);
+        self.number(u64::from(service.connections));
+        self.number(service.targets.len() as u64);
+        for (id, target) in &service.targets {
+            self.text(id.as_str());
+            self.target(target);
+        }
+    }
+
+    fn target(&mut self, target: &Target) {
+        self.text(&target.addr.to_string());
+        self.text(target.domain.as_str());
+        self.number(u64::from(target.slots.get()));
+        self.number(target.generation);
+        self.number(match target.state {
+            TargetState::Serving => 0,
+            TargetState::Leaving => 1,
+        });
+    }
+
+    /// Adds one change of an intent.
+    pub(crate) fn change(&mut self, change: &Change) {
+        self.text(change.service().as_str());
+        match change {
+            Change::AddService {
+                measuring,
+                connections,
+                ..
+            } => {
+                self.number(0);
+                self.number(measuring.0);
+                self.number(u64::from(*connections));
+            }
+            Change::RemoveService { .. } => self.number(1),
+            Change::SetMeasuring { measuring, .. } => {
+                self.number(2);
+                self.number(measuring.0);
+            }
+            Change::SetConnections { connections, .. } => {
+                self.number(3);
+                self.number(u64::from(*connections));
+            }
+            Change::AddTarget {
+                target,
+                addr,
+                domain,
+                slots,
+                ..
+            } => {
+                self.number(4);
+                self.text(target.as_str());
+                self.text(&addr.to_string());
+                self.text(domain.as_str());
+                self.number(u64::from(slots.get()));
+            }
+            Change::RemoveTarget { target, .. } => {
+                self.number(5);
+                self.text(target.as_str());
+            }
+            Change::MarkLeaving { target, .. } => {
+                self.number(6);
+                self.text(target.as_str());
+            }
+            Change::SetSlots { target, slots, .. } => {
+                self.number(7);
+                self.text(target.as_str());
+                self.number(u64::from(slots.get()));
+            }
+        }
+    }
+
+    /// Returns the digest of what was added.
+    pub(crate) fn finish(self) -> PlanDigest {
+        PlanDigest(self.0.finalize().into())
+    }
+}
--- /dev/null
+++ b/lib/src/draft.rs
@@ -0,0 +1,188 @@
+//! The services of a plan while the changes of its intent are applied to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::change::Change;
+use crate::config::Config;
+use crate::domain_id::DomainId;
+use crate::error::Error;
+use crate::error::Result;
+use crate::result_code::ResultCode;
+use crate::service::Service;
+use crate::service_id::ServiceId;
+use crate::slots::Slots;
+use crate::target::Target;
+use crate::target::TargetState;
+use crate::target_id::TargetId;
+use crate::target_time::TargetTime;
+use crate::version::Version;
+
+/// The largest connection budget of a target; a port pair per VM does not allow more.
+const MAX_CONNECTIONS: u32 = 65_535;
+
+/// The touched services, with `None` for one that does not exist.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Draft {
+    bases: BTreeMap<ServiceId, Version>,
+    services: BTreeMap<ServiceId, Option<Service>>,
+}
+
+impl Draft {
+    /// Applies one change on top of the earlier ones.
+    pub(crate) fn apply(&mut self, config: &Config, change: &Change) -> Result<()> {
+        let id = change.service();
+        let base = *self
+            .bases
+            .entry(id.clone())
+            .or_insert_with(|| config.version(id));
+        let slot = self
+            .services
+            .entry(id.clone())
+            .or_insert_with(|| config.service(id).cloned());
+        match change {
+            Change::AddService {
+                measuring,
+                connections,
+                ..
+            } => add_service(slot, id, *measuring, *connections)?,
+            Change::RemoveService { .. } => {
+                existing(slot, id)?;
+                *slot = None;
+            }
+            Change::SetMeasuring { measuring, .. } => {
+                existing(slot, id)?.measuring = checked_measuring(*measuring)?;
+            }
+            Change::SetConnections { connections, .. } => {
+                existing(slot, id)?.connections = checked_connections(*connections)?;
+            }
+            Change::AddTarget {
+                target,
+                addr,
+                domain,
+                slots,
+                ..
+            } => {
+                let service = existing(slot, id)?;
+                let new = new_target(*addr, domain, *slots, base.next());
+                add_target(service, id, target, new)?;
+            }
+            Change::RemoveTarget { target, .. } => {
+                let service = existing(slot, id)?;
+                existing_target(service, id, target)?;
+                service.targets.remove(target);
+            }
+            Change::MarkLeaving { target, .. } => {
+                existing_target(existing(slot, id)?, id, target)?.state = TargetState::Leaving;
+            }
+            Change::SetSlots { target, slots, .. } => {
+                existing_target(existing(slot, id)?, id, target)?.slots = *slots;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the base versions and the services after the changes, with their new versions.
+    pub(crate) fn finish(
+        mut self,
+    ) -> (
+        BTreeMap<ServiceId, Version>,
+        BTreeMap<ServiceId, Option<Service>>,
+    ) {
+        for (id, service) in &mut self.services {
+            if let Some(service) = service {
+                service.version = self.bases[id].next();
+            }
+        }
+        (self.bases, self.services)
+    }
+}
+
+fn bad(message: String, help: impl Into<Box<str>>) -> Error {
+    Error::new(ResultCode::BadIntent, message, help)
+}
+
+fn existing<'a>(slot: &'a mut Option<Service>, id: &ServiceId) -> Result<&'a mut Service> {
+    slot.as_mut().ok_or_else(|| {
+        bad(
+            format!("there is no service `{id}`"),
+            "add it with `add-service` in the same intent, or look up its name with \
+             `carobshore status`",
+        )
+    })
+}
+
+fn existing_target<'a>(
+    service: &'a mut Service,
+    id: &ServiceId,
+    target: &TargetId,
+) -> Result<&'a mut Target> {
+    service.targets.get_mut(target).ok_or_else(|| {
+        bad(
+            format!("service `{id}` has no target `{target}`"),
+            "look up the target with `carobshore status`, or add it with `add-target`",
+        )
+    })
+}
+
+fn add_service(
+    slot: &mut Option<Service>,
+    id: &ServiceId,
+    measuring: TargetTime,
+    connections: u32,
+) -> Result<()> {
+    if slot.is_some() {
+        return Err(bad(
+            format!("there already is a service `{id}`"),
+            "change it with `set-measuring`, `set-connections` or the target changes",
+        ));
+    }
+    *slot = Some(Service {
+        version: Version(0),
+        targets: BTreeMap::new(),
+        measuring: checked_measuring(measuring)?,
+        connections: checked_connections(connections)?,
+    });
+    Ok(())
+}
+
+fn new_target(addr: SocketAddr, domain: &DomainId, slots: Slots, version: Version) -> Target {
+    Target {
+        addr,
+        domain: domain.clone(),
+        slots,
+        generation: version.0,
+        state: TargetState::Serving,
+    }
+}
+
+fn add_target(service: &mut Service, id: &ServiceId, target: &TargetId, new: Target) -> Result<()> {
+    if service.targets.get(target).is_some_and(Target::is_serving) {
+        return Err(bad(
+            format!("service `{id}` already has the serving target `{target}`"),
+            "change its slots with `set-slots`, or mark it as leaving before it is added again",
+        ));
+    }
+    service.targets.insert(target.clone(), new);
+    Ok(())
+}
+
+fn checked_measuring(measuring: TargetTime) -> Result<TargetTime> {
+    if measuring <= TargetTime::MAX {
+        return Ok(measuring);
+    }
+    Err(bad(
+        format!("the measuring budget {measuring} is too large"),
+        format!("use at most {}", TargetTime::MAX),
+    ))
+}
+
+fn checked_connections(connections: u32) -> Result<u32> {
+    if (1..=MAX_CONNECTIONS).contains(&connections) {
+        return Ok(connections);
+    }
+    Err(bad(
+        format!("{connections} is not a valid connection budget"),
+        format!("use a whole number from 1 to {MAX_CONNECTIONS}"),
+    ))
+}
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -1,23 +1,42 @@
 //! The state that follows from the records of the log in their order.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::history::ConfirmRef;
+use crate::history::History;
+use crate::history::HistoryEntry;
+use crate::history::Verdict;
 use crate::intent::Intent;
 use crate::offset::Offset;
-use crate::operator_id::OperatorId;
+use crate::pending::Pending;
+use crate::pending::PendingIntent;
+use crate::plan;
+use crate::plan::Plan;
+use crate::recent_ids::RecentIds;
+use crate::record::Body;
+use crate::record::Confirm;
+use crate::record::Join;
+use crate::record::Record;
 use crate::record_id::RecordId;
 use crate::result_code::ResultCode;
+use crate::roster::Member;
 use crate::roster::Roster;
+use crate::service::Service;
 use crate::service_id::ServiceId;
+use crate::snapshot_marks::SnapshotMark;
+use crate::snapshot_marks::SnapshotMarks;
 use crate::version::Version;
+use crate::vm_id::VmId;
+
+/// The most services of a confirm that its history entry lists.
+const MAX_NAMED: usize = 32;
 
 /// What happened to a record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Applied {
     /// The record took effect.
     Applied,
@@ -37,69 +56,30 @@
     },
 }
 
-/// Names a confirm and who made it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfirmRef {
-    /// The confirm's offset, which decides who came first.
-    pub offset: Offset,
-    /// The confirm's record id.
-    pub id: RecordId,
-    /// Who confirmed.
-    pub operator: OperatorId,
-}
-
-/// The judgement of a confirm.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "verdict", rename_all = "kebab-case")]
-pub enum Verdict {
-    /// The plan is in force.
-    InForce {
-        /// The versions that the touched services got; removed services are absent.
-        versions: BTreeMap<ServiceId, Version>,
-    },
-    /// The confirm has no effect.
-    Rejected {
-        /// The number of the result code that says why.
-        code: u16,
-        /// The confirm that came first, if that is the reason.
-        by: Option<ConfirmRef>,
-    },
-}
-
-/// A judged confirm.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HistoryEntry {
-    /// The confirm.
-    pub confirm: ConfirmRef,
-    /// The intent that it names.
-    pub intent: RecordId,
-    /// The intent's note; empty when the intent is unknown.
-    pub note: Box<str>,
-    /// The services that the confirm names.
-    pub services: Vec<ServiceId>,
-    /// Whether it is in force.
-    pub verdict: Verdict,
-}
-
-/// An intent that waits for its confirm.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PendingIntent {
-    /// The intent's record id.
-    pub id: RecordId,
-    /// The intent's offset.
-    pub offset: Offset,
-    /// The intent.
-    pub intent: Intent,
+impl Applied {
+    fn rejected(code: ResultCode) -> Self {
+        Self::Rejected { code, by: None }
+    }
 }
 
 /// The state after all records below one offset.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+///
+/// Every VM and every client computes the same state from the same records, so each judgement
+/// depends on the records and their offsets only. All parts are bounded: by the configuration and
+/// the roster themselves, or by constants.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fold {
     config: Config,
     roster: Roster,
     applied: Offset,
-    pending: VecDeque<PendingIntent>,
-    history: VecDeque<HistoryEntry>,
+    pending: Pending,
+    history: History,
+    recent: RecentIds,
+    snapshots: SnapshotMarks,
+    /// The highest version that a removed service had. A service that is added starts above it, so
+    /// that no version and no target generation is ever used twice.
+    floor: Version,
+    confirms: u64,
     skipped: u64,
 }
 
@@ -126,7 +106,12 @@
 
     /// Returns the intent with the given record id if it still waits for a confirm.
     pub fn intent(&self, id: RecordId) -> Option<&PendingIntent> {
-        self.pending.iter().find(|pending| pending.id == id)
+        self.pending.get(id)
+    }
+
+    /// Returns the accepted confirm of the intent with the given record id.
+    pub fn confirm_of(&self, intent: RecordId) -> Option<&ConfirmRef> {
+        self.history.accepted_of(intent)
     }
 
     /// Returns the last confirms with their judgements, oldest first.
@@ -138,11 +123,207 @@
     pub fn judged(&self, confirm: RecordId) -> Option<&HistoryEntry> {
         self.history
             .iter()
+            .rev()
             .find(|entry| entry.confirm.id == confirm)
     }
 
+    /// Returns the complete snapshot on the log with the highest offset.
+    pub fn newest_snapshot(&self) -> Option<SnapshotMark> {
+        self.snapshots.newest()
+    }
+
+    /// Returns how many confirms were accepted; it tells whether the configuration has changed.
+    pub fn confirms(&self) -> u64 {
+        self.confirms
+    }
+
     /// Returns how many records were skipped because they are malformed or of an unknown kind.
     pub fn skipped(&self) -> u64 {
         self.skipped
     }
+
+    /// Applies the text of the record at the offset. A text that is no record is counted and
+    /// skipped, because it is the same text for every VM.
+    pub fn apply_text(&mut self, offset: Offset, text: &str) -> Applied {
+        match Record::parse(text) {
+            Ok(record) => self.apply(offset, &record),
+            Err(error) => match self.advance(offset) {
+                None => self.skip(error.code),
+                Some(applied) => applied,
+            },
+        }
+    }
+
+    /// Applies the record at the offset.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Applied {
+        if let Some(applied) = self.advance(offset) {
+            return applied;
+        }
+        // Chunks may be appended by several VMs under the same ids. They change no state but the
+        // marks, and a large snapshot must not push other ids out of the bounded memory.
+        if let Body::Snapshot(chunk) = &record.body {
+            return match self.snapshots.note(offset, chunk) {
+                true => Applied::Applied,
+                false => self.skip(ResultCode::BadRecord),
+            };
+        }
+        if !self.recent.insert(record.id) {
+            return Applied::Duplicate;
+        }
+        match &record.body {
+            Body::Intent(intent) => self.intent_record(offset, record.id, intent),
+            Body::Confirm(confirm) => self.confirm_record(offset, record.id, confirm),
+            Body::Join(join) => self.join(offset, join),
+            Body::Leave { vm } | Body::Displace { vm, .. } => self.remove_member(vm),
+            Body::Snapshot(_) => Applied::Applied,
+        }
+    }
+
+    /// Moves on to the next offset, or returns why the record at this offset cannot be applied.
+    fn advance(&mut self, offset: Offset) -> Option<Applied> {
+        if offset < self.applied {
+            return Some(Applied::Duplicate);
+        }
+        if offset > self.applied {
+            return Some(Applied::Gap {
+                expected: self.applied,
+            });
+        }
+        self.applied = offset.next();
+        None
+    }
+
+    fn skip(&mut self, code: ResultCode) -> Applied {
+        self.skipped = self.skipped.saturating_add(1);
+        Applied::rejected(code)
+    }
+
+    fn intent_record(&mut self, offset: Offset, id: RecordId, intent: &Intent) -> Applied {
+        if let Err(error) = plan::check_size(intent) {
+            return Applied::rejected(error.code);
+        }
+        self.pending.push(PendingIntent {
+            id,
+            offset,
+            intent: intent.clone(),
+        });
+        Applied::Applied
+    }
+
+    fn join(&mut self, offset: Offset, join: &Join) -> Applied {
+        if self.roster.contains(&join.vm) {
+            return Applied::rejected(ResultCode::DuplicateRecord);
+        }
+        let member = Member {
+            domain: join.domain.clone(),
+            rpc: join.rpc,
+            forward: join.forward,
+            joined: offset,
+        };
+        self.roster.members.insert(join.vm.clone(), member);
+        Applied::Applied
+    }
+
+    fn remove_member(&mut self, vm: &VmId) -> Applied {
+        match self.roster.members.remove(vm) {
+            Some(_) => Applied::Applied,
+            None => Applied::rejected(ResultCode::NotInRoster),
+        }
+    }
+
+    fn confirm_record(&mut self, offset: Offset, id: RecordId, confirm: &Confirm) -> Applied {
+        let named = ConfirmRef {
+            offset,
+            id,
+            operator: confirm.operator.clone(),
+        };
+        let note = self
+            .pending
+            .get(confirm.intent)
+            .map_or_else(|| Box::from(""), |pending| pending.intent.note.clone());
+        let (applied, verdict) = match self.judge(confirm) {
+            Ok(plan) => (Applied::Applied, self.put_in_force(&named, confirm, plan)),
+            Err((code, by)) => (
+                Applied::Rejected {
+                    code,
+                    by: by.as_ref().map(|first| first.offset),
+                },
+                Verdict::Rejected {
+                    code: code.number(),
+                    by,
+                },
+            ),
+        };
+        self.history.push(HistoryEntry {
+            confirm: named,
+            intent: confirm.intent,
+            note,
+            services: confirm.bases.keys().take(MAX_NAMED).cloned().collect(),
+            verdict,
+        });
+        applied
+    }
+
+    /// Returns the plan that the confirm puts into force, or why it does not.
+    fn judge(&self, confirm: &Confirm) -> Result<Plan, (ResultCode, Option<ConfirmRef>)> {
+        if let Some(first) = self.history.accepted_of(confirm.intent) {
+            return Err((ResultCode::StalePlan, Some(first.clone())));
+        }
+        let Some(pending) = self.pending.get(confirm.intent) else {
+            return Err((ResultCode::UnknownIntent, None));
+        };
+        if !confirm.bases.keys().eq(pending.intent.services()) {
+            return Err((ResultCode::DigestMismatch, None));
+        }
+        let stale = confirm
+            .bases
+            .iter()
+            .filter(|(id, base)| self.config.version(id) != **base);
+        let stale: Vec<_> = stale.map(|(id, _)| id).collect();
+        if !stale.is_empty() {
+            let first = stale.iter().filter_map(|id| self.history.last_of(id));
+            let first = first.max_by_key(|confirm| confirm.offset).cloned();
+            return Err((ResultCode::StalePlan, first));
+        }
+        let plan = Plan::new(&self.config, &pending.intent).map_err(|error| (error.code, None))?;
+        if plan.digest() != confirm.digest {
+            return Err((ResultCode::DigestMismatch, None));
+        }
+        Ok(plan)
+    }
+
+    fn put_in_force(&mut self, named: &ConfirmRef, confirm: &Confirm, plan: Plan) -> Verdict {
+        let mut versions = BTreeMap::new();
+        for (id, after) in plan.into_after() {
+            match after {
+                Some(service) => {
+                    versions.insert(id.clone(), self.put_service(id, service));
+                }
+                None => self.remove_service(&id),
+            }
+        }
+        self.confirms += 1;
+        self.pending.remove(confirm.intent);
+        self.history
+            .accepted(named, confirm.bases.keys(), &self.config);
+        Verdict::InForce { versions }
+    }
+
+    fn put_service(&mut self, id: ServiceId, mut service: Service) -> Version {
+        if !self.config.services.contains_key(&id) && service.version <= self.floor {
+            service.version = self.floor.next();
+            for target in service.targets.values_mut() {
+                target.generation = service.version.0;
+            }
+        }
+        let version = service.version;
+        self.config.services.insert(id, service);
+        version
+    }
+
+    fn remove_service(&mut self, id: &ServiceId) {
+        if let Some(removed) = self.config.services.remove(id) {
+            self.floor = self.floor.max(removed.version);
+        }
+    }
 }
--- /dev/null
+++ b/lib/src/follower.rs
@@ -0,0 +1,497 @@
+//! Follows the log and decides what a VM serves.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use crate::error::Error;
+use crate::fold::Applied;
+use crate::fold::Fold;
+use crate::follower_message::FollowerAction;
+use crate::follower_message::FollowerEvent;
+use crate::follower_message::FollowerSettings;
+use crate::log_page::LogPage;
+use crate::log_page::LogRecord;
+use crate::offset::Offset;
+use crate::peer_offers::PeerOffers;
+use crate::record::Record;
+use crate::result_code::ResultCode;
+use crate::snapshot::Snapshot;
+use crate::snapshot_scan::SnapshotScan;
+use crate::snapshot_schedule::SnapshotSchedule;
+use crate::vm_id::VmId;
+
+#[derive(Clone, Debug)]
+struct Scan {
+    at: Offset,
+    found: SnapshotScan,
+}
+
+/// Holds the fold and decides from where it is brought forward.
+///
+/// The fold only ever moves to higher offsets, whatever the log or a peer answers. The log is the
+/// first source; a peer is asked when the log does not answer or no longer has the records.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    settings: FollowerSettings,
+    fold: Fold,
+    /// Whether the fold follows from the beginning of the log or from a snapshot. Before that it is
+    /// empty and means nothing.
+    loaded: bool,
+    ready: bool,
+    scan: Option<Scan>,
+    /// Whether the log has lost records that the fold still needs.
+    gap: bool,
+    first: Offset,
+    started: Instant,
+    reading: Option<Instant>,
+    read_at: Instant,
+    read_ok: Option<Instant>,
+    current: Option<Instant>,
+    fetching: Option<(VmId, Instant)>,
+    offers: PeerOffers,
+    recent: VecDeque<LogRecord>,
+    schedule: SnapshotSchedule,
+}
+
+impl Follower {
+    /// Returns a follower with an empty fold that is not ready.
+    pub fn new(now: Instant, settings: FollowerSettings) -> Self {
+        let schedule = SnapshotSchedule::new(
+            now,
+            settings.snapshot_every,
+            settings.snapshot_age,
+            settings.rank_delay,
+        );
+        Self {
+            settings,
+            fold: Fold::default(),
+            loaded: false,
+            ready: false,
+            scan: None,
+            gap: false,
+            first: Offset(0),
+            started: now,
+            reading: None,
+            read_at: now,
+            read_ok: None,
+            current: None,
+            fetching: None,
+            offers: PeerOffers::default(),
+            recent: VecDeque::new(),
+            schedule,
+        }
+    }
+
+    /// Returns the fold, which is meaningful once the follower is ready.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Returns whether the VM may serve.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns when the fold last held everything that was on the log.
+    pub fn current(&self) -> Option<Instant> {
+        self.current
+    }
+
+    /// Returns the applied offset to tell peers, or nothing before there is a fold to give them.
+    pub fn offer(&self) -> Option<Offset> {
+        self.loaded.then(|| self.fold.applied())
+    }
+
+    /// Answers a peer's `snapshot`; nothing before there is a fold to give.
+    pub fn snapshot(&self) -> Option<Vec<Record>> {
+        self.loaded.then(|| Snapshot::encode(&self.fold))
+    }
+
+    /// Answers a peer's `records_since` from the records that were applied last; `first` of the
+    /// page is the oldest of them.
+    pub fn records_since(&self, from: Offset) -> LogPage {
+        let first = self
+            .recent
+            .front()
+            .map_or(self.fold.applied(), |record| record.offset);
+        let after = self.recent.iter().filter(|record| record.offset >= from);
+        LogPage {
+            first,
+            next: self.fold.applied(),
+            records: match from < first {
+                true => Vec::new(),
+                false => after.take(self.settings.page as usize).cloned().collect(),
+            },
+        }
+    }
+
+    /// Takes an event and adds what has to be done. A `Tick` every 100 ms is enough, because reads
+    /// that should follow at once are requested in answer to the event before.
+    pub fn handle(
+        &mut self,
+        now: Instant,
+        event: FollowerEvent,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        match event {
+            FollowerEvent::Tick => {}
+            FollowerEvent::Page { from, issued, page } => {
+                self.page(now, from, issued, page, actions);
+            }
+            FollowerEvent::Expired { first } => self.expired(now, first),
+            FollowerEvent::ReadFailed => self.read_failed(now),
+            FollowerEvent::Offer { vm, applied } => self.offers.note(vm, applied),
+            FollowerEvent::PeerRecords { vm, page } => self.peer_records(now, vm, page, actions),
+            FollowerEvent::PeerSnapshot { vm, records } => {
+                self.peer_snapshot(now, &vm, &records, actions);
+            }
+            FollowerEvent::PeerLost { vm } => self.peer_lost(&vm),
+        }
+        self.read_if_due(now, actions);
+        self.ask_peer(now, actions);
+        self.become_ready(now, actions);
+        self.append_snapshot(now, actions);
+    }
+
+    fn read_if_due(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        let timeout = self.settings.timeout;
+        if self.reading.is_some_and(|issued| now >= issued + timeout) {
+            self.reading = None;
+        }
+        if self.reading.is_some() || now < self.read_at {
+            return;
+        }
+        self.reading = Some(now);
+        self.read_at = now + self.settings.poll;
+        actions.push(FollowerAction::Read {
+            from: self
+                .scan
+                .as_ref()
+                .map_or(self.fold.applied(), |scan| scan.at),
+            max: self.settings.page,
+        });
+    }
+
+    fn read_failed(&mut self, now: Instant) {
+        self.reading = None;
+        self.read_at = self.read_at.max(now + self.settings.poll);
+    }
+
+    fn page(
+        &mut self,
+        now: Instant,
+        from: Offset,
+        issued: Instant,
+        page: LogPage,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        self.reading = None;
+        if page.first > from {
+            self.expired(now, page.first);
+            return;
+        }
+        self.first = self.first.max(page.first);
+        self.read_ok = Some(now);
+        if self.scan.is_some() {
+            self.scan_page(now, from, &page, actions);
+            return;
+        }
+        if page.next < from {
+            // The log held the records below `from` when they were applied.
+            actions.push(FollowerAction::Report(went_back(from, page.next)));
+            return;
+        }
+        if from > self.fold.applied() {
+            return;
+        }
+        if page.first <= self.fold.applied() {
+            self.loaded |= page.first == Offset(0);
+            self.gap = false;
+        }
+        let full = page.records.len() >= self.settings.page as usize;
+        let next = page.next;
+        let before = self.fold.applied();
+        if !self.apply(page.records, actions) {
+            return;
+        }
+        if self.fold.applied() >= next && !full {
+            self.current = self.current.max(Some(issued));
+            actions.push(FollowerAction::Current { issued });
+        } else if self.fold.applied() > before {
+            // Without progress the next read waits, so that a faulty log is not read in a loop.
+            self.read_at = now;
+        }
+    }
+
+    /// Applies records in their order; returns false if one is missing among them.
+    fn apply(&mut self, records: Vec<LogRecord>, actions: &mut Vec<FollowerAction>) -> bool {
+        let before = self.fold.applied();
+        let versions = self.versions();
+        let mut whole = true;
+        for record in records {
+            match self.fold.apply_text(record.offset, &record.data) {
+                Applied::Gap { expected } => {
+                    actions.push(FollowerAction::Report(hole(expected, record.offset)));
+                    whole = false;
+                    break;
+                }
+                Applied::Duplicate if record.offset.next() != self.fold.applied() => {}
+                Applied::Applied | Applied::Duplicate | Applied::Rejected { .. } => {
+                    self.keep_recent(record);
+                }
+            }
+        }
+        if self.fold.applied() > before {
+            self.advanced(&versions, actions);
+        }
+        whole
+    }
+
+    fn keep_recent(&mut self, record: LogRecord) {
+        let follows = |last: &LogRecord| last.offset.next() == record.offset;
+        if self.recent.back().is_some_and(|last| !follows(last)) {
+            return;
+        }
+        self.recent.push_back(record);
+        if self.recent.len() > self.settings.recent {
+            self.recent.pop_front();
+        }
+    }
+
+    fn versions(&self) -> (u64, Vec<Offset>) {
+        let roster = self.fold.roster().members.values();
+        (
+            self.fold.confirms(),
+            roster.map(|member| member.joined).collect(),
+        )
+    }
+
+    fn advanced(&mut self, before: &(u64, Vec<Offset>), actions: &mut Vec<FollowerAction>) {
+        let after = self.versions();
+        actions.push(FollowerAction::Advanced {
+            config: before.0 != after.0,
+            roster: before.1 != after.1,
+        });
+    }
+
+    fn expired(&mut self, now: Instant, first: Offset) {
+        self.reading = None;
+        self.read_ok = Some(now);
+        self.first = self.first.max(first);
+        if self.scan.is_none() && first <= self.fold.applied() {
+            return;
+        }
+        self.gap = true;
+        // Every retained record may be a chunk, so the scan starts at the oldest one. It starts
+        // again when the log has dropped records that it was about to read.
+        self.scan = Some(Scan {
+            at: first,
+            found: SnapshotScan::default(),
+        });
+        self.read_at = now;
+    }
+
+    fn scan_page(
+        &mut self,
+        now: Instant,
+        from: Offset,
+        page: &LogPage,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        let Some(scan) = self.scan.as_mut().filter(|scan| scan.at == from) else {
+            return;
+        };
+        for record in &page.records {
+            if record.offset != scan.at {
+                break;
+            }
+            scan.found.note(record.offset, &record.data);
+            scan.at = record.offset.next();
+        }
+        self.read_at = now;
+        if scan.at > from && scan.at < page.next {
+            return;
+        }
+        let found = std::mem::take(&mut scan.found);
+        self.scan = None;
+        let (fold, error) = found.finish();
+        actions.extend(error.map(FollowerAction::Report));
+        let usable = fold.filter(|fold| fold.applied() >= self.first);
+        if !usable.is_some_and(|fold| self.install(fold, actions)) {
+            actions.push(FollowerAction::Report(no_snapshot(
+                self.fold.applied(),
+                self.first,
+            )));
+            self.read_at = now + self.settings.rescan;
+        }
+    }
+
+    /// Takes over a fold from a snapshot if it is newer; returns whether it is.
+    fn install(&mut self, fold: Fold, actions: &mut Vec<FollowerAction>) -> bool {
+        let newer = fold.applied() > self.fold.applied();
+        if self.loaded && !newer {
+            return false;
+        }
+        let versions = self.versions();
+        self.fold = fold;
+        self.loaded = true;
+        self.gap = false;
+        self.scan = None;
+        self.recent.clear();
+        self.advanced(&versions, actions);
+        true
+    }
+
+    fn log_answers(&self, now: Instant) -> bool {
+        let since = self.read_ok.unwrap_or(self.started);
+        now.saturating_duration_since(since) < self.settings.patience
+    }
+
+    fn ask_peer(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        let timeout = self.settings.timeout;
+        if let Some((vm, asked)) = &self.fetching
+            && now >= *asked + timeout
+        {
+            let vm = vm.clone();
+            self.peer_lost(&vm);
+        }
+        // A peer that is ahead of the log's end keeps a starting VM from being ready until it has
+        // shown what it has.
+        let ahead = !self.ready && self.current.is_some();
+        let needed = self.gap || ahead || !self.log_answers(now);
+        if self.fetching.is_some() || !needed {
+            return;
+        }
+        let Some((vm, applied)) = self.offers.best() else {
+            return;
+        };
+        if self.loaded && applied <= self.fold.applied() {
+            return;
+        }
+        let vm = vm.clone();
+        self.fetching = Some((vm.clone(), now));
+        actions.push(match self.loaded && !self.gap {
+            true => FollowerAction::FetchRecords {
+                vm,
+                from: self.fold.applied(),
+            },
+            false => FollowerAction::FetchSnapshot { vm },
+        });
+    }
+
+    fn peer_records(
+        &mut self,
+        now: Instant,
+        vm: VmId,
+        page: LogPage,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        if self
+            .fetching
+            .as_ref()
+            .is_some_and(|(asked, _)| *asked == vm)
+        {
+            self.fetching = None;
+        }
+        let before = self.fold.applied();
+        if self.loaded && page.first <= before {
+            self.apply(page.records, actions);
+        }
+        if self.fold.applied() > before {
+            return;
+        }
+        if page.next > before && self.fetching.is_none() {
+            // The peer no longer keeps the records that are missing here.
+            self.fetching = Some((vm.clone(), now));
+            actions.push(FollowerAction::FetchSnapshot { vm });
+        } else {
+            self.offers.note(vm, page.next);
+        }
+    }
+
+    fn peer_snapshot(
+        &mut self,
+        now: Instant,
+        vm: &VmId,
+        records: &[Record],
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        match Snapshot::decode(records) {
+            Ok(fold) => {
+                let applied = fold.applied();
+                self.offers.note(vm.clone(), applied);
+                self.fetching = None;
+                if self.install(fold, actions) {
+                    self.read_at = now;
+                }
+            }
+            Err(error) => {
+                actions.push(FollowerAction::Report(error));
+                self.peer_lost(vm);
+            }
+        }
+    }
+
+    fn peer_lost(&mut self, vm: &VmId) {
+        self.offers.forget(vm);
+        if self.fetching.as_ref().is_some_and(|(asked, _)| asked == vm) {
+            self.fetching = None;
+        }
+    }
+
+    fn become_ready(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        if self.ready || !self.loaded || self.scan.is_some() {
+            return;
+        }
+        let waited = now.saturating_duration_since(self.started) >= self.settings.peer_wait;
+        let complete = self.current.is_some() || (waited && !self.log_answers(now));
+        if complete && self.offers.none_ahead_of(self.fold.applied()) {
+            self.ready = true;
+            actions.push(FollowerAction::Ready);
+        }
+    }
+
+    fn append_snapshot(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
+        let current = self
+            .current
+            .is_some_and(|current| now.saturating_duration_since(current) < self.settings.patience);
+        let rank = self.settings.vm.as_ref();
+        let Some(rank) = rank.and_then(|vm| self.fold.roster().rank(vm)) else {
+            return;
+        };
+        if current && self.schedule.check(now, &self.fold, self.first, rank) {
+            let records = Snapshot::encode(&self.fold);
+            actions.push(FollowerAction::AppendSnapshot { records });
+        }
+    }
+}
+
+fn went_back(from: Offset, next: Offset) -> Error {
+    Error::new(
+        ResultCode::LogGap,
+        format!("the log ends at offset {next}, but its records below {from} were applied"),
+        "the last configuration stays in force; check that the log's address is that of this \
+         installation",
+    )
+}
+
+fn hole(expected: Offset, found: Offset) -> Error {
+    Error::new(
+        ResultCode::LogGap,
+        format!("the log returned record {found} where record {expected} was expected"),
+        "the last configuration stays in force and the read is repeated; if it goes on, check \
+         the log service",
+    )
+}
+
+fn no_snapshot(applied: Offset, first: Offset) -> Error {
+    Error::new(
+        ResultCode::LogGap,
+        format!(
+            "the log retains records from offset {first} on, {applied} was expected, and there is \
+             no usable snapshot on it"
+        ),
+        "keep at least one VM running that is ready: it serves its configuration to the others \
+         and appends a snapshot",
+    )
+}
--- /dev/null
+++ b/lib/src/history.rs
@@ -0,0 +1,128 @@
+//! The last confirms and how they were judged.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::Config;
+use crate::offset::Offset;
+use crate::operator_id::OperatorId;
+use crate::record_id::RecordId;
+use crate::service_id::ServiceId;
+use crate::version::Version;
+
+/// The number of confirms that are remembered.
+pub const MAX_HISTORY: usize = 256;
+
+/// The number of removed services whose last confirm is remembered.
+const MAX_REMOVED: usize = 256;
+
+/// Names a confirm and who made it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmRef {
+    /// The confirm's offset, which decides who came first.
+    pub offset: Offset,
+    /// The confirm's record id.
+    pub id: RecordId,
+    /// Who confirmed.
+    pub operator: OperatorId,
+}
+
+/// The judgement of a confirm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "verdict", rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The plan is in force.
+    InForce {
+        /// The versions that the touched services got; removed services are absent.
+        versions: BTreeMap<ServiceId, Version>,
+    },
+    /// The confirm has no effect.
+    Rejected {
+        /// The number of the result code that says why.
+        code: u16,
+        /// The confirm that came first, if that is the reason.
+        by: Option<ConfirmRef>,
+    },
+}
+
+/// A judged confirm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// The confirm.
+    pub confirm: ConfirmRef,
+    /// The intent that it names.
+    pub intent: RecordId,
+    /// The intent's note; empty when the intent is unknown.
+    pub note: Box<str>,
+    /// The services that the confirm names.
+    pub services: Vec<ServiceId>,
+    /// Whether it is in force.
+    pub verdict: Verdict,
+}
+
+impl HistoryEntry {
+    /// Returns whether the confirm was accepted.
+    pub fn is_in_force(&self) -> bool {
+        matches!(self.verdict, Verdict::InForce { .. })
+    }
+}
+
+/// The last confirms, oldest first, and the last accepted one of each service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct History {
+    entries: VecDeque<HistoryEntry>,
+    last: BTreeMap<ServiceId, ConfirmRef>,
+}
+
+impl History {
+    /// Adds a judged confirm and drops the oldest one beyond the bound.
+    pub(crate) fn push(&mut self, entry: HistoryEntry) {
+        self.entries.push_back(entry);
+        if self.entries.len() > MAX_HISTORY {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Notes the accepted confirm as the last one of its services.
+    pub(crate) fn accepted<'a>(
+        &mut self,
+        confirm: &ConfirmRef,
+        services: impl Iterator<Item = &'a ServiceId>,
+        config: &Config,
+    ) {
+        for service in services {
+            self.last.insert(service.clone(), confirm.clone());
+        }
+        while self.last.len() > config.services.len() + MAX_REMOVED {
+            let oldest = self
+                .last
+                .iter()
+                .filter(|(id, _)| config.service(id).is_none())
+                .min_by_key(|(id, confirm)| (confirm.offset, (*id).clone()))
+                .map(|(id, _)| id.clone());
+            let Some(oldest) = oldest else { return };
+            self.last.remove(&oldest);
+        }
+    }
+
+    /// Returns the last accepted confirm of the service.
+    pub(crate) fn last_of(&self, service: &ServiceId) -> Option<&ConfirmRef> {
+        self.last.get(service)
+    }
+
+    /// Returns the accepted confirm of the intent.
+    pub(crate) fn accepted_of(&self, intent: RecordId) -> Option<&ConfirmRef> {
+        let mut accepted = self.entries.iter().filter(|entry| entry.is_in_force());
+        accepted
+            .find(|entry| entry.intent == intent)
+            .map(|entry| &entry.confirm)
+    }
+
+    /// Returns the confirms, oldest first.
+    pub(crate) fn iter(&self) -> impl DoubleEndedIterator<Item = &HistoryEntry> {
+        self.entries.iter()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,20 +4,32 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
+pub mod appender;
 pub mod byte_size;
+mod canonical;
 pub mod change;
 pub mod clock;
 pub mod config;
 pub mod domain_id;
+mod draft;
 pub mod error;
 pub mod fold;
+pub mod follower;
+pub mod follower_message;
+pub mod history;
 pub mod intent;
+pub mod log_page;
 pub mod name;
 pub mod offset;
 pub mod operator_id;
 pub mod outcome;
+mod peer_offers;
+pub mod pending;
+pub mod plan;
 pub mod plan_digest;
+pub mod plan_report;
 pub mod prelude;
+pub mod recent_ids;
 pub mod record;
 pub mod record_id;
 pub mod region_id;
@@ -27,6 +39,10 @@
 pub mod service;
 pub mod service_id;
 pub mod slots;
+pub mod snapshot;
+pub mod snapshot_marks;
+pub mod snapshot_scan;
+mod snapshot_schedule;
 pub mod target;
 pub mod target_id;
 pub mod target_time;
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -14,6 +14,7 @@
 pub use crate::offset::Offset;
 pub use crate::operator_id::OperatorId;
 pub use crate::outcome::Outcome;
+pub use crate::plan::Plan;
 pub use crate::plan_digest::PlanDigest;
 pub use crate::record::Body;
 pub use crate::record::Record;
--- /dev/null
+++ b/lib/src/snapshot.rs
@@ -0,0 +1,160 @@
+//! A fold as records, so that the records from which it follows may expire.
+
+use std::collections::BTreeMap;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use uuid::Builder;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::fold::Fold;
+use crate::plan_digest::PlanDigest;
+use crate::record::Body;
+use crate::record::Chunk;
+use crate::record::Record;
+use crate::record_id::RecordId;
+use crate::result_code::ResultCode;
+use crate::snapshot_marks::MAX_CHUNKS;
+
+/// The encoded bytes that one chunk carries. In base64 this gives records of about 86 KiB.
+pub const CHUNK_BYTES: usize = 64 * 1024;
+
+/// The format that this release writes, and the only one that it reads.
+const FORMAT: u32 = 1;
+
+const UUID_BYTES: usize = 16;
+
+/// Encodes and decodes folds.
+///
+/// The bytes depend on the fold only and the record ids on the bytes, so several VMs that append a
+/// snapshot of the same fold append the same records.
+#[derive(Clone, Copy, Debug)]
+pub struct Snapshot;
+
+#[derive(Serialize)]
+struct EncodedRef<'a> {
+    format: u32,
+    fold: &'a Fold,
+}
+
+#[derive(Deserialize)]
+struct Encoded {
+    fold: Fold,
+}
+
+#[derive(Deserialize)]
+struct Format {
+    format: u32,
+}
+
+impl Snapshot {
+    /// Returns the fold as chunks.
+    pub fn encode(fold: &Fold) -> Vec<Record> {
+        let encoded = EncodedRef {
+            format: FORMAT,
+            fold,
+        };
+        let bytes = serde_json::to_vec(&encoded).expect("a fold has no failing serializer");
+        let digest = PlanDigest(Sha256::digest(&bytes).into());
+        let parts: Vec<_> = bytes.chunks(CHUNK_BYTES).collect();
+        let count = parts.len() as u32;
+        let chunk = |(index, part): (usize, &&[u8])| Chunk {
+            upto: fold.applied(),
+            index: index as u32,
+            count,
+            digest,
+            data: STANDARD.encode(part).into(),
+        };
+        let chunks = parts.iter().enumerate().map(chunk);
+        chunks
+            .map(|chunk| Record {
+                id: chunk_id(&digest, chunk.index),
+                body: Body::Snapshot(chunk),
+            })
+            .collect()
+    }
+
+    /// Returns the fold of one complete set of chunks in any order.
+    pub fn decode(records: &[Record]) -> Result<Fold> {
+        let mut chunks = BTreeMap::new();
+        for record in records {
+            let Body::Snapshot(chunk) = &record.body else {
+                return Err(bad("a record is no chunk of a snapshot"));
+            };
+            chunks.insert(chunk.index, chunk);
+        }
+        let Some(head) = chunks.values().next().copied() else {
+            return Err(bad("there are no chunks"));
+        };
+        if records.len() > MAX_CHUNKS as usize * 2 {
+            return Err(bad("there are too many chunks"));
+        }
+        for record in records {
+            let Body::Snapshot(chunk) = &record.body else {
+                continue;
+            };
+            let same_set =
+                chunk.digest == head.digest && chunk.count == head.count && chunk.upto == head.upto;
+            if !same_set {
+                return Err(bad("the chunks belong to different snapshots"));
+            }
+        }
+        if !chunks.keys().copied().eq(0..head.count) {
+            return Err(bad(&format!(
+                "{} of {} chunks are there",
+                chunks.len(),
+                head.count
+            )));
+        }
+        let mut bytes = Vec::new();
+        for chunk in chunks.values() {
+            let part = STANDARD.decode(chunk.data.as_bytes());
+            bytes.extend(part.map_err(|_| bad("a chunk is not base64"))?);
+        }
+        let fold = decode_bytes(&bytes, &head.digest)?;
+        if fold.applied() != head.upto {
+            return Err(bad("the chunks name another offset than the fold"));
+        }
+        Ok(fold)
+    }
+}
+
+fn decode_bytes(bytes: &[u8], digest: &PlanDigest) -> Result<Fold> {
+    if Sha256::digest(bytes)[..] != digest.0 {
+        return Err(bad("the bytes do not match the digest"));
+    }
+    let format: Format =
+        serde_json::from_slice(bytes).map_err(|_| bad("the bytes name no format"))?;
+    if format.format != FORMAT {
+        return Err(bad(&format!(
+            "format {} is not known to this release, which reads format {FORMAT}",
+            format.format
+        )));
+    }
+    let encoded: Encoded =
+        serde_json::from_slice(bytes).map_err(|error| bad(&format!("the fold: {error}")))?;
+    Ok(encoded.fold)
+}
+
+fn chunk_id(digest: &PlanDigest, index: u32) -> RecordId {
+    let mut hash = Sha256::new();
+    hash.update(digest.0);
+    hash.update(index.to_be_bytes());
+    let mut bytes = [0; UUID_BYTES];
+    bytes.copy_from_slice(&hash.finalize()[..UUID_BYTES]);
+    RecordId(Builder::from_custom_bytes(bytes).into_uuid())
+}
+
+fn bad(reason: &str) -> Error {
+    Error::new(
+        ResultCode::BadSnapshot,
+        format!("the snapshot cannot be used: {reason}"),
+        "an older snapshot or a peer's is used instead; if there is none, start a VM of the \
+         release that wrote it",
+    )
+}
--- /dev/null
+++ b/lib/tests/config_support/mod.rs
@@ -0,0 +1,228 @@
+//! A simulated log and builders of records for the tests of the configuration.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use carobshore_lib::log_page::LogPage;
+use carobshore_lib::log_page::LogRecord;
+use carobshore_lib::prelude::*;
+use carobshore_lib::record::Confirm;
+use carobshore_lib::record::Join;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use uuid::Uuid;
+
+/// A log in memory whose old records can expire.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TestLog {
+    pub(crate) texts: Vec<String>,
+    pub(crate) first: u64,
+}
+
+impl TestLog {
+    pub(crate) fn append(&mut self, record: &Record) -> Offset {
+        self.append_text(record.to_json())
+    }
+
+    pub(crate) fn append_text(&mut self, text: String) -> Offset {
+        self.texts.push(text);
+        Offset(self.texts.len() as u64 - 1)
+    }
+
+    pub(crate) fn next(&self) -> Offset {
+        Offset(self.texts.len() as u64)
+    }
+
+    /// Returns a page, or the oldest retained offset if `from` has expired.
+    pub(crate) fn read(&self, from: Offset, max: u32) -> Result<LogPage, Offset> {
+        if from.0 < self.first {
+            return Err(Offset(self.first));
+        }
+        let texts = self.texts.iter().enumerate().skip(from.0 as usize);
+        Ok(LogPage {
+            first: Offset(self.first),
+            next: self.next(),
+            records: texts
+                .take(max as usize)
+                .map(|(offset, text)| LogRecord {
+                    offset: Offset(offset as u64),
+                    data: text.as_str().into(),
+                })
+                .collect(),
+        })
+    }
+
+    /// Folds the first `count` records.
+    pub(crate) fn fold(&self, count: u64) -> Fold {
+        let mut fold = Fold::default();
+        for (offset, text) in self.texts.iter().enumerate().take(count as usize) {
+            fold.apply_text(Offset(offset as u64), text);
+        }
+        fold
+    }
+}
+
+pub(crate) fn record_id(number: u128) -> RecordId {
+    RecordId(Uuid::from_u128(number))
+}
+
+pub(crate) fn random_id(rng: &mut StdRng) -> RecordId {
+    record_id(rng.random())
+}
+
+pub(crate) fn id<T: std::str::FromStr<Err = Error>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+pub(crate) fn add_service(service: &str) -> Change {
+    Change::AddService {
+        service: id(service),
+        measuring: TargetTime(30_000),
+        connections: 240,
+    }
+}
+
+pub(crate) fn add_target(service: &str, number: usize) -> Change {
+    Change::AddTarget {
+        service: id(service),
+        target: id(&format!("{service}-{number}")),
+        addr: format!("10.0.{}.{}:80", number / 250, number % 250 + 1)
+            .parse()
+            .unwrap(),
+        domain: id(&format!("domain-{}", number % 3)),
+        slots: Slots::try_from(2).unwrap(),
+    }
+}
+
+pub(crate) fn set_slots(service: &str, number: usize, slots: u32) -> Change {
+    Change::SetSlots {
+        service: id(service),
+        target: id(&format!("{service}-{number}")),
+        slots: Slots::try_from(slots).unwrap(),
+    }
+}
+
+pub(crate) fn mark_leaving(service: &str, number: usize) -> Change {
+    Change::MarkLeaving {
+        service: id(service),
+        target: id(&format!("{service}-{number}")),
+    }
+}
+
+/// A service with `targets` targets of two slots over three domains.
+pub(crate) fn whole_service(service: &str, targets: usize) -> Vec<Change> {
+    let mut changes = vec![add_service(service)];
+    changes.extend((1..=targets).map(|number| add_target(service, number)));
+    changes
+}
+
+pub(crate) fn intent(number: u128, operator: &str, changes: Vec<Change>) -> Record {
+    Record {
+        id: record_id(number),
+        body: Body::Intent(Intent {
+            operator: id(operator),
+            note: format!("intent {number}").into(),
+            changes,
+        }),
+    }
+}
+
+/// Confirms the intent as it would be planned on the configuration.
+pub(crate) fn confirm(number: u128, operator: &str, config: &Config, record: &Record) -> Record {
+    let Body::Intent(intent) = &record.body else {
+        panic!("only intents are confirmed");
+    };
+    let plan = Plan::new(config, intent).unwrap();
+    Record {
+        id: record_id(number),
+        body: Body::Confirm(Confirm {
+            operator: id(operator),
+            intent: record.id,
+            digest: plan.digest(),
+            bases: plan.bases().clone(),
+        }),
+    }
+}
+
+/// Appends an intent and its confirm to the log and the fold.
+pub(crate) fn put(log: &mut TestLog, fold: &mut Fold, number: u128, changes: Vec<Change>) {
+    let wanted = intent(number, "gwen", changes);
+    let confirmed = confirm(number + 1, "gwen", fold.config(), &wanted);
+    for record in [wanted, confirmed] {
+        let offset = log.append(&record);
+        assert_eq!(fold.apply(offset, &record), Applied::Applied);
+    }
+}
+
+pub(crate) fn join(number: u128, vm: &str) -> Record {
+    Record {
+        id: record_id(number),
+        body: Body::Join(Join {
+            vm: id(vm),
+            domain: id("domain-0"),
+            rpc: "10.1.0.1:7000".parse().unwrap(),
+            forward: "10.1.0.1:7001".parse().unwrap(),
+        }),
+    }
+}
+
+/// Appends a random record: joins, leaves, intents, confirms on a current or an old base,
+/// duplicates and texts that are no records.
+pub(crate) fn append_random(log: &mut TestLog, fold: &mut Fold, rng: &mut StdRng, old: &Config) {
+    let vm = format!(
+        "entry-{}.{:08x}",
+        rng.random_range(0..4),
+        rng.random_range(0..3)
+    );
+    let text = match rng.random_range(0..10) {
+        0 => join(rng.random(), &vm).to_json(),
+        1 => {
+            let body = Body::Leave { vm: id(&vm) };
+            let id = random_id(rng);
+            Record { id, body }.to_json()
+        }
+        2 if !log.texts.is_empty() => log.texts[rng.random_range(0..log.texts.len())].clone(),
+        3 => "{\"id\":\"no record\"".to_owned(),
+        4..=6 => random_confirm(fold, rng, old).unwrap_or_else(|| "[]".to_owned()),
+        _ => {
+            let changes = random_changes(rng);
+            intent(rng.random(), "salma", changes).to_json()
+        }
+    };
+    let offset = log.append_text(text.clone());
+    fold.apply_text(offset, &text);
+}
+
+fn random_changes(rng: &mut StdRng) -> Vec<Change> {
+    let service = ["status", "gallery", "rack"][rng.random_range(0..3)];
+    let number = rng.random_range(0..4);
+    let other = rng.random_range(0..4);
+    match rng.random_range(0..6) {
+        0 => whole_service(service, number),
+        1 => vec![Change::RemoveService {
+            service: id(service),
+        }],
+        2 => vec![add_target(service, number), mark_leaving(service, other)],
+        3 => vec![mark_leaving(service, number)],
+        4 => vec![set_slots(service, number, rng.random_range(1..9))],
+        _ => vec![add_target(service, number)],
+    }
+}
+
+fn random_confirm(fold: &Fold, rng: &mut StdRng, old: &Config) -> Option<String> {
+    let pending: Vec<_> = fold.pending().collect();
+    let chosen = pending.get(rng.random_range(0..pending.len().max(1)))?;
+    let base = if rng.random_bool(0.7) {
+        fold.config()
+    } else {
+        old
+    };
+    let plan = Plan::new(base, &chosen.intent).ok()?;
+    let body = Body::Confirm(Confirm {
+        operator: id(["gwen", "salma"][rng.random_range(0..2)]),
+        intent: chosen.id,
+        digest: plan.digest(),
+        bases: plan.bases().clone(),
+    });
+    let id = random_id(rng);
+    Some(Record { id, body }.to_json())
+}
