--- /dev/null
+++ b/standin/src/executions.rs
@@ -0,0 +1,90 @@
+//! What a target did, by request and in total.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The most request ids that are told apart.
+const MAX_IDS: usize = 2_000_000;
+
+/// How often a request began and ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCount {
+    /// How often the request got a slot.
+    pub started: u32,
+    /// How often the request was read whole and its work began.
+    pub ran: u32,
+}
+
+/// Counts of one target since its start.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Executions {
+    /// Counts by `Idempotency-Key`, or by `x-request-id` where there is no key.
+    pub counts: HashMap<Box<str>, RunCount>,
+    /// Requests that got a slot.
+    pub started: u64,
+    /// Requests that were read whole and whose work began.
+    pub ran: u64,
+    /// Requests whose caller closed the connection before the answer.
+    pub cancelled: u64,
+    /// Requests refused because the queue was full.
+    pub shed: u64,
+    /// Requests refused because the target drains.
+    pub drained: u64,
+    /// Requests refused because they could not start in time.
+    pub late: u64,
+    /// Requests that were not counted by id because there were too many ids.
+    pub untracked: u64,
+    /// Probes that were answered.
+    pub probes: u64,
+    /// The slot time spent on probes, in seconds, for each second since the start.
+    pub probe_seconds: Vec<f64>,
+}
+
+impl Executions {
+    /// Counts a request that got a slot.
+    pub fn start(&mut self, id: &str) {
+        self.started += 1;
+        if let Some(count) = self.entry(id) {
+            count.started += 1;
+        }
+    }
+
+    /// Counts a request whose work began.
+    pub fn run(&mut self, id: &str) {
+        self.ran += 1;
+        if let Some(count) = self.entry(id) {
+            count.ran += 1;
+        }
+    }
+
+    /// Counts a probe that ended `since` after the start of the target and took `cost`.
+    pub fn probe(&mut self, since: Duration, cost: Duration) {
+        let second = usize::try_from(since.as_secs()).unwrap_or(usize::MAX);
+        if self.probe_seconds.len() <= second {
+            self.probe_seconds.resize(second + 1, 0.0);
+        }
+        self.probe_seconds[second] += cost.as_secs_f64();
+        self.probes += 1;
+    }
+
+    /// Returns the highest number of runs of a single id.
+    pub fn most_runs(&self) -> u32 {
+        self.counts
+            .values()
+            .map(|count| count.ran)
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn entry(&mut self, id: &str) -> Option<&mut RunCount> {
+        let known = self.counts.contains_key(id);
+        if !known && self.counts.len() >= MAX_IDS {
+            self.untracked += 1;
+            return None;
+        }
+        Some(self.counts.entry(id.into()).or_default())
+    }
+}
--- /dev/null
+++ b/standin/src/slot_queue.rs
@@ -0,0 +1,88 @@
+//! The slots of a target and the queue behind them.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+/// Why a request did not get a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotRefusal {
+    /// The queue is full.
+    Shed,
+    /// No slot became free in time.
+    Deadline,
+}
+
+/// A slot, which is free again when this is dropped.
+#[derive(Debug)]
+pub struct SlotGuard {
+    _permit: OwnedSemaphorePermit,
+}
+
+/// Slots that are taken in the order of arrival.
+#[derive(Debug)]
+pub struct SlotQueue {
+    slots: usize,
+    free: Arc<Semaphore>,
+    queued: AtomicUsize,
+    limit: usize,
+}
+
+/// One place in the queue, which is left when this is dropped.
+struct Place<'a>(&'a AtomicUsize);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl SlotQueue {
+    /// Builds the queue of a target with `slots` slots that sheds above `limit` waiting requests.
+    pub fn new(slots: usize, limit: usize) -> Self {
+        Self {
+            slots,
+            free: Arc::new(Semaphore::new(slots)),
+            queued: AtomicUsize::new(0),
+            limit,
+        }
+    }
+
+    /// Returns how many slots are taken.
+    pub fn in_flight(&self) -> usize {
+        self.slots.saturating_sub(self.free.available_permits())
+    }
+
+    /// Returns how many requests wait.
+    pub fn queued(&self) -> usize {
+        self.queued.load(Ordering::Relaxed)
+    }
+
+    /// Waits for a slot, at most for `patience`.
+    pub async fn enter(&self, patience: Option<Duration>) -> Result<SlotGuard, SlotRefusal> {
+        if patience.is_some_and(|patience| patience.is_zero()) {
+            return Err(SlotRefusal::Deadline);
+        }
+        if let Ok(permit) = Arc::clone(&self.free).try_acquire_owned() {
+            return Ok(SlotGuard { _permit: permit });
+        }
+        if self.queued() >= self.limit {
+            return Err(SlotRefusal::Shed);
+        }
+        self.queued.fetch_add(1, Ordering::Relaxed);
+        let _place = Place(&self.queued);
+        let acquire = Arc::clone(&self.free).acquire_owned();
+        let acquired = match patience {
+            Some(patience) => tokio::time::timeout(patience, acquire).await.ok(),
+            None => Some(acquire.await),
+        };
+        let permit = acquired.and_then(Result::ok);
+        permit
+            .map(|permit| SlotGuard { _permit: permit })
+            .ok_or(SlotRefusal::Deadline)
+    }
+}
--- /dev/null
+++ b/standin/src/target.rs
@@ -0,0 +1,293 @@
+//! A simulator of a target.
+
+use std::future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::http::body::Body;
+use ntex::util::Bytes;
+use ntex::web;
+use ntex::web::App;
+use ntex::web::HttpRequest;
+use ntex::web::HttpResponse;
+use serde::Deserialize;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::executions::Executions;
+use crate::server::Server;
+use crate::slot_queue::SlotGuard;
+use crate::slot_queue::SlotRefusal;
+use crate::target_body::Echo;
+use crate::target_body::Source;
+use crate::target_body::TargetBody;
+use crate::target_faults::TargetFaults;
+use crate::target_settings::TargetSettings;
+use crate::target_state::TargetState;
+
+/// The largest blob, in bytes.
+const MAX_BLOB: u64 = 1 << 30;
+
+/// A running simulator of a target. It stops when it is dropped.
+#[derive(Debug)]
+pub struct TargetStandin {
+    server: Server,
+    state: Arc<TargetState>,
+}
+
+type Shared = web::types::State<Arc<TargetState>>;
+
+#[derive(Debug, Deserialize)]
+struct BlobQuery {
+    size: u64,
+}
+
+/// The request's body could not be read to its end.
+struct BrokenUpload;
+
+impl TargetStandin {
+    /// Starts a target.
+    pub fn start(settings: TargetSettings) -> io::Result<Self> {
+        let addr = settings.addr;
+        let state = Arc::new(TargetState::new(settings));
+        let shared = Arc::clone(&state);
+        let factory = async move || {
+            App::new()
+                .state(Arc::clone(&shared))
+                .service(
+                    web::resource("/faults")
+                        .route(web::put().to(put_faults))
+                        .route(web::get().to(get_faults)),
+                )
+                .service(web::resource("/executions").route(web::get().to(executions)))
+                .service(web::resource("/probe").route(web::get().to(probe)))
+                .default_service(web::to(serve))
+        };
+        let conns = Arc::clone(&state);
+        let server = Server::start(addr, factory, move |peer| conns.accept(peer))?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the address on which the target listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the faults; counts show what is left of them.
+    pub fn faults(&self) -> TargetFaults {
+        self.state.faults()
+    }
+
+    /// Returns what the target did.
+    pub fn executions(&self) -> Executions {
+        self.state.executions()
+    }
+
+    /// Returns how many requests hold a slot.
+    pub fn in_flight(&self) -> usize {
+        self.state.slots.in_flight()
+    }
+
+    /// Returns how many connections were accepted in all.
+    pub fn connections(&self) -> u64 {
+        self.state.connections()
+    }
+
+    /// Stops the target at once, as a crash does. Its counts stay readable.
+    pub fn stop(&mut self) {
+        self.server.stop();
+    }
+}
+
+/// Returns a request header as text.
+fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+/// Returns the id by which executions of the request are counted.
+fn execution_id(request: &HttpRequest) -> &str {
+    let key = header(request, "idempotency-key").map(|key| key.trim_matches('"'));
+    key.or(header(request, "x-request-id")).unwrap_or("")
+}
+
+/// Waits until the peer closes the connection.
+async fn disconnected(request: &HttpRequest) {
+    match request.io() {
+        Some(io) => io.on_disconnect().await,
+        None => future::pending().await,
+    }
+}
+
+async fn serve(state: Shared, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
+    if state.is_silent(request.peer_addr()) {
+        disconnected(&request).await;
+    }
+    tokio::select! {
+        response = respond(&state, &request, payload) => {
+            if state.is_silent(request.peer_addr()) {
+                disconnected(&request).await;
+            }
+            response
+        }
+        () = disconnected(&request) => {
+            state.count(|executions| executions.cancelled += 1);
+            HttpResponse::ServiceUnavailable().finish()
+        }
+    }
+}
+
+async fn respond(
+    state: &Arc<TargetState>,
+    request: &HttpRequest,
+    payload: web::types::Payload,
+) -> HttpResponse {
+    let id = execution_id(request);
+    if state.fires(|faults| &mut faults.fail) {
+        state.count(|executions| executions.start(id));
+        state.count(|executions| executions.run(id));
+        return HttpResponse::InternalServerError().finish();
+    }
+    let slot = match admit(state, request).await {
+        Ok(slot) => slot,
+        Err(response) => return response,
+    };
+    state.count(|executions| executions.start(id));
+    let Ok((bytes, digest)) = read_body(payload).await else {
+        return HttpResponse::BadRequest().finish();
+    };
+    state.count(|executions| executions.run(id));
+    tokio::time::sleep(state.service_time()).await;
+    answer(state, request, slot, bytes, digest)
+}
+
+/// Gives the request a slot or refuses it before it starts.
+async fn admit(state: &TargetState, request: &HttpRequest) -> Result<SlotGuard, HttpResponse> {
+    if state.faults().refuse_drain {
+        state.count(|executions| executions.drained += 1);
+        return Err(refuse(state, "drain"));
+    }
+    if state.fires(|faults| &mut faults.shed) {
+        state.count(|executions| executions.shed += 1);
+        return Err(refuse(state, "shed"));
+    }
+    let deadline = header(request, "carobshore-deadline-ms");
+    let patience = deadline
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis);
+    state
+        .slots
+        .enter(patience)
+        .await
+        .map_err(|refusal| match refusal {
+            SlotRefusal::Shed => {
+                state.count(|executions| executions.shed += 1);
+                refuse(state, "shed")
+            }
+            SlotRefusal::Deadline => {
+                state.count(|executions| executions.late += 1);
+                refuse(state, "deadline")
+            }
+        })
+}
+
+fn refuse(state: &TargetState, reason: &str) -> HttpResponse {
+    HttpResponse::ServiceUnavailable()
+        .header("target-refused", reason)
+        .header("target-load", state.reported_load().to_string())
+        .header("target-id", &*state.settings.id)
+        .finish()
+}
+
+/// Reads the body and returns its length and digest.
+async fn read_body(mut payload: web::types::Payload) -> Result<(u64, u64), BrokenUpload> {
+    let mut bytes = 0;
+    let mut digest = Xxh3::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| BrokenUpload)?;
+        bytes += chunk.len() as u64;
+        digest.update(&chunk);
+    }
+    Ok((bytes, digest.digest()))
+}
+
+fn answer(
+    state: &Arc<TargetState>,
+    request: &HttpRequest,
+    slot: SlotGuard,
+    bytes: u64,
+    digest: u64,
+) -> HttpResponse {
+    let id = header(request, "x-request-id").unwrap_or("");
+    let (source, length) = if request.path() == "/blob" {
+        let query = web::types::Query::<BlobQuery>::from_query(request.query_string());
+        let size = query.map_or(0, |query| query.size.min(MAX_BLOB));
+        (Source::Blob(id.into()), size)
+    } else {
+        let echo = Echo {
+            target: state.settings.id.clone(),
+            id: id.into(),
+            bytes,
+            digest: format!("{digest:016x}").into(),
+        };
+        let json = serde_json::to_vec(&echo).unwrap_or_default();
+        let length = json.len() as u64;
+        (Source::Ready(Bytes::from(json)), length)
+    };
+    let is_cut = state.fires(|faults| &mut faults.cut);
+    let mut builder = HttpResponse::Ok();
+    builder
+        .header("x-request-id", id)
+        .header("target-id", &*state.settings.id)
+        .header("target-load", state.reported_load().to_string());
+    if state.faults().drain {
+        builder.header("target-drain", "yes");
+    }
+    let body = TargetBody::new(source, length, is_cut, request, Arc::clone(state), slot);
+    builder.body(Body::from_message(body))
+}
+
+async fn probe(state: Shared, request: HttpRequest) -> HttpResponse {
+    if state.is_silent(request.peer_addr()) {
+        disconnected(&request).await;
+    }
+    if state.fires(|faults| &mut faults.probe_fail) {
+        return HttpResponse::InternalServerError().finish();
+    }
+    let slot = match admit(&state, &request).await {
+        Ok(slot) => slot,
+        Err(response) => return response,
+    };
+    let cost = state.probe_time();
+    tokio::time::sleep(cost).await;
+    state.count_probe(cost);
+    let load = state.reported_load();
+    drop(slot);
+    let mut builder = HttpResponse::build(StatusCode::OK);
+    builder
+        .header("target-load", load.to_string())
+        .header("target-id", &*state.settings.id);
+    if state.faults().drain {
+        builder.header("target-drain", "yes");
+    }
+    builder.finish()
+}
+
+async fn executions(state: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&state.executions())
+}
+
+async fn put_faults(state: Shared, faults: web::types::Json<TargetFaults>) -> HttpResponse {
+    state.set_faults(*faults);
+    HttpResponse::NoContent().finish()
+}
+
+async fn get_faults(state: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&state.faults())
+}
