--- /dev/null
+++ b/lib/src/pool_settings.rs
@@ -0,0 +1,44 @@
+//! The settings of a slot pool.
+
+use std::time::Duration;
+
+use crate::policy::Policy;
+
+/// The settings of a slot pool. The defaults suit requests of a few to a few hundred milliseconds.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// How targets are picked.
+    pub policy: Policy,
+    /// Seed of the pool's random numbers.
+    pub seed: u64,
+    /// Requests that may wait at the same time.
+    pub queue: usize,
+    /// Service time that is assumed before the first response.
+    pub initial: Duration,
+    /// Target time that one probe costs.
+    pub probe_cost: Duration,
+    /// Divisor of the largest share of targets that may be ejected: 3 stands for one third.
+    pub eject_divisor: u32,
+    /// How long a report of another home's free slots is used.
+    pub report_age: Duration,
+    /// Extra delay of a request that is spilled, to the other home and back.
+    pub spill_delay: Duration,
+    /// Slot time that hedges may take, in thousandths of the pool's slot time.
+    pub hedge_permille: u32,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Homes,
+            seed: 1,
+            queue: 1024,
+            initial: Duration::from_millis(20),
+            probe_cost: Duration::from_millis(6),
+            eject_divisor: 3,
+            report_age: Duration::from_millis(100),
+            spill_delay: Duration::from_millis(2),
+            hedge_permille: 20,
+        }
+    }
+}
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -96,6 +96,8 @@
     BodyNotReplayable = 4011,
     /// The caller went away before the request started.
     CallerGone = 4012,
+    /// The home that has to run the request cannot be reached.
+    HomeUnreachable = 4013,
     /// The connection broke after the request was handed over.
     ConnectionBroken = 5001,
     /// The deadline passed after the request was handed over.
--- /dev/null
+++ b/lib/src/router.rs
@@ -0,0 +1,258 @@
+//! Where an entry VM takes a call of one service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::domain_id::DomainId;
+use crate::homes::Homes;
+use crate::peer_load::PeerLoad;
+use crate::policy::Policy;
+use crate::request_key::RequestKey;
+use crate::result_code::ResultCode;
+use crate::vm_id::VmId;
+
+/// First pause after a home could not be reached; it doubles up to `MAX_PAUSE`.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause between two attempts to reach a home.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// The routing policy.
+    pub policy: Policy,
+    /// Queue length at which a home counts as full.
+    pub full: u32,
+    /// How long a home's report is used.
+    pub report_age: Duration,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Homes,
+            full: 1024,
+            report_age: Duration::from_millis(100),
+        }
+    }
+}
+
+/// What the router needs to know of a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Call {
+    /// The key of a non-idempotent request.
+    pub key: Option<RequestKey>,
+    /// Whether an entry VM or home has forwarded the call to this VM.
+    pub forwarded: bool,
+}
+
+/// The router's decision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// This VM is the home: submit to its slot pool.
+    Local,
+    /// Forward to the home.
+    Forward {
+        /// The home.
+        vm: VmId,
+    },
+    /// Submit to this VM's pool over all targets of the service.
+    Fallback,
+    /// Answer "not run" with the code.
+    Refuse {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// The routing state of one service on one entry VM.
+#[derive(Clone, Debug)]
+pub struct Router {
+    me: VmId,
+    domain: DomainId,
+    settings: RouterSettings,
+    homes: Homes,
+    peers: BTreeMap<VmId, Peer>,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+struct Peer {
+    free: u32,
+    queued: u32,
+    #[serde(skip)]
+    seen: Option<Instant>,
+    #[serde(skip)]
+    down_until: Option<Instant>,
+    #[serde(skip)]
+    pause: Duration,
+}
+
+impl Peer {
+    fn fresh(&self, now: Instant, limit: Duration) -> bool {
+        self.seen
+            .is_some_and(|seen| now.saturating_duration_since(seen) < limit)
+    }
+
+    fn is_up(&self, now: Instant) -> bool {
+        self.down_until.is_none_or(|until| now >= until)
+    }
+}
+
+impl Router {
+    /// Makes a router that knows no homes yet.
+    pub fn new(me: VmId, domain: DomainId, settings: RouterSettings) -> Self {
+        Self {
+            me,
+            domain,
+            settings,
+            homes: Homes::default(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a new set of homes. What is known of homes that stay is kept.
+    pub fn set_homes(&mut self, homes: Homes) {
+        self.peers.retain(|vm, _| homes.contains(vm));
+        self.homes = homes;
+    }
+
+    /// Returns the homes in use.
+    pub fn homes(&self) -> &Homes {
+        &self.homes
+    }
+
+    /// Decides where a call goes.
+    pub fn route(&mut self, now: Instant, call: &Call) -> Route {
+        if let Some(key) = &call.key {
+            return self.route_key(now, key, call.forwarded);
+        }
+        if self.settings.policy != Policy::Homes {
+            return Route::Fallback;
+        }
+        if call.forwarded {
+            // The sender's view may be newer or older. The call has used its hop, so it ends here.
+            let home = self.homes.contains(&self.me);
+            return if home { Route::Local } else { Route::Fallback };
+        }
+        let Some(vm) = self.choose(now) else {
+            return Route::Fallback;
+        };
+        self.hold_trial(now, &vm);
+        self.forward(vm)
+    }
+
+    fn route_key(&mut self, now: Instant, key: &RequestKey, forwarded: bool) -> Route {
+        if forwarded {
+            // The key table checks whether this VM owns the key.
+            return Route::Local;
+        }
+        let Some(vm) = self.homes.key_owner(key).cloned() else {
+            return Route::Refuse {
+                code: ResultCode::NoTarget,
+            };
+        };
+        if vm != self.me && !self.is_up(now, &vm) {
+            return Route::Refuse {
+                code: ResultCode::HomeUnreachable,
+            };
+        }
+        self.hold_trial(now, &vm);
+        self.forward(vm)
+    }
+
+    fn forward(&self, vm: VmId) -> Route {
+        if vm == self.me {
+            Route::Local
+        } else {
+            Route::Forward { vm }
+        }
+    }
+
+    fn is_up(&self, now: Instant, vm: &VmId) -> bool {
+        self.peers.get(vm).is_none_or(|peer| peer.is_up(now))
+    }
+
+    fn is_full(&self, now: Instant, vm: &VmId) -> bool {
+        self.peers.get(vm).is_some_and(|peer| {
+            peer.fresh(now, self.settings.report_age) && peer.queued >= self.settings.full
+        })
+    }
+
+    /// Picks this VM when it is a home, then a home in the own failure domain, then the other home
+    /// with the most free slots. Homes that are down are skipped; a full one is the last resort,
+    /// because its report may be outdated.
+    fn choose(&self, now: Instant) -> Option<VmId> {
+        if self.homes.contains(&self.me) && !self.is_full(now, &self.me) {
+            return Some(self.me.clone());
+        }
+        let near = self.homes.homes_in(&self.domain);
+        let near = near.filter(|vm| self.usable(now, vm));
+        if let Some(vm) = near.max_by_key(|vm| self.rank(vm)) {
+            return Some(vm.clone());
+        }
+        let far = self.homes.vms().filter(|vm| self.usable(now, vm));
+        if let Some(vm) = far.max_by_key(|vm| (self.fresh_free(now, vm), self.rank(vm))) {
+            return Some(vm.clone());
+        }
+        let up = self.homes.vms().filter(|vm| self.is_up(now, vm));
+        up.max_by_key(|vm| self.rank(vm)).cloned()
+    }
+
+    fn usable(&self, now: Instant, vm: &VmId) -> bool {
+        self.is_up(now, vm) && !self.is_full(now, vm)
+    }
+
+    /// Divides the entry VMs among equal homes.
+    fn rank(&self, vm: &VmId) -> u64 {
+        let seed = xxh3_64_with_seed(self.me.as_str().as_bytes(), 0);
+        xxh3_64_with_seed(vm.as_str().as_bytes(), seed)
+    }
+
+    fn fresh_free(&self, now: Instant, vm: &VmId) -> u32 {
+        let peer = self.peers.get(vm);
+        let fresh = peer.filter(|peer| peer.fresh(now, self.settings.report_age));
+        fresh.map_or(0, |peer| peer.free)
+    }
+
+    /// After a pause one call tries the home again; until it succeeds, all others go elsewhere.
+    fn hold_trial(&mut self, now: Instant, vm: &VmId) {
+        if let Some(peer) = self.peers.get_mut(vm)
+            && peer.down_until.is_some()
+        {
+            peer.down_until = Some(now + peer.pause);
+        }
+    }
+
+    /// Takes in a load report. It also proves that the home can be reached.
+    pub fn observe(&mut self, now: Instant, load: &PeerLoad) {
+        if !self.homes.contains(&load.vm) {
+            return;
+        }
+        let peer = self.peers.entry(load.vm.clone()).or_default();
+        *peer = Peer {
+            free: load.free,
+            queued: load.queued,
+            seen: Some(now),
+            down_until: None,
+            pause: Duration::ZERO,
+        };
+    }
+
+    /// Notes that the home refused a connection, did not answer in time or missed heartbeats.
+    pub fn unreachable(&mut self, now: Instant, vm: &VmId) {
+        if !self.homes.contains(vm) || *vm == self.me {
+            return;
+        }
+        let peer = self.peers.entry(vm.clone()).or_default();
+        if !peer.is_up(now) {
+            // Calls that were under way together fail together; they are one failure.
+            return;
+        }
+        peer.pause = (peer.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+        peer.down_until = Some(now + peer.pause);
+    }
+}
