--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -45,6 +45,9 @@
     started: Instant,
     reading: Option<Instant>,
     read_at: Instant,
+    /// The most records of the next read. Failures halve it, because records may be too large to
+    /// arrive within the time of one read; successes restore it.
+    page: u32,
     read_ok: Option<Instant>,
     current: Option<Instant>,
     fetching: Option<(VmId, Instant)>,
@@ -63,6 +66,7 @@
             settings.rank_delay,
         );
         Self {
+            page: settings.page,
             settings,
             fold: Fold::default(),
             loaded: false,
@@ -156,7 +160,7 @@
     fn read_if_due(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
         let timeout = self.settings.timeout;
         if self.reading.is_some_and(|issued| now >= issued + timeout) {
-            self.reading = None;
+            self.read_failed(now);
         }
         if self.reading.is_some() || now < self.read_at {
             return;
@@ -168,12 +172,13 @@
                 .scan
                 .as_ref()
                 .map_or(self.fold.applied(), |scan| scan.at),
-            max: self.settings.page,
+            max: self.page,
         });
     }
 
     fn read_failed(&mut self, now: Instant) {
         self.reading = None;
+        self.page = (self.page / 2).max(1);
         self.read_at = self.read_at.max(now + self.settings.poll);
     }
 
@@ -191,6 +196,7 @@
             return;
         }
         self.first = self.first.max(page.first);
+        self.page = (self.page * 2).min(self.settings.page);
         self.read_ok = Some(now);
         if self.scan.is_some() {
             self.scan_page(now, from, &page, actions);
@@ -208,13 +214,12 @@
             self.loaded |= page.first == Offset(0);
             self.gap = false;
         }
-        let full = page.records.len() >= self.settings.page as usize;
         let next = page.next;
         let before = self.fold.applied();
         if !self.apply(page.records, actions) {
             return;
         }
-        if self.fold.applied() >= next && !full {
+        if self.fold.applied() >= next {
             self.current = self.current.max(Some(issued));
             actions.push(FollowerAction::Current { issued });
         } else if self.fold.applied() > before {
