--- /dev/null
+++ b/cli/src/commands/confirm.rs
@@ -0,0 +1,195 @@
+//! `carobshore confirm`
+
+use carobshore_lib::history::ConfirmRef;
+use carobshore_lib::history::HistoryEntry;
+use carobshore_lib::history::Verdict;
+use carobshore_lib::prelude::*;
+use carobshore_lib::record::Confirm;
+use clap::Args as ClapArgs;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::commands::Context;
+use crate::commands::plan;
+use crate::commands::plan_view::PlanView;
+use crate::exit::Exit;
+use crate::log_append;
+use crate::log_follow;
+use crate::output;
+
+/// The fewest digits of a digest that are taken as a sign that the operator has seen the plan.
+const MIN_DIGEST: usize = 12;
+
+/// Put an intent into force as its plan showed it.
+#[derive(Debug, ClapArgs)]
+pub(crate) struct ConfirmArgs {
+    /// The intent's record id.
+    intent: RecordId,
+
+    /// The digest that `carobshore plan` printed, or its first 12 digits at least.
+    #[arg(long, value_name = "HEX")]
+    digest: String,
+
+    /// Your operator id.
+    #[arg(long, env = "CAROBSHORE_OPERATOR", value_name = "ID")]
+    operator: OperatorId,
+}
+
+#[derive(Debug, Serialize)]
+struct Outcome<'a> {
+    in_force: bool,
+    confirm: &'a ConfirmRef,
+    intent: RecordId,
+    #[serde(flatten)]
+    verdict: &'a Verdict,
+    fresh: Option<PlanView>,
+}
+
+/// Confirms a plan, reads back, and tells whether it is in force.
+pub(crate) async fn run(context: &Context, args: ConfirmArgs) -> eyre::Result<Exit> {
+    check_digest(&args.digest)?;
+    let mut follower = log_follow::follow(&context.log, context.timeout).await?;
+    let seen = seen_plan(follower.fold(), &args)?;
+    let id = RecordId(Uuid::now_v7());
+    let record = Record {
+        id,
+        body: Body::Confirm(Confirm {
+            operator: args.operator,
+            intent: args.intent,
+            digest: seen.digest(),
+            bases: seen.bases().clone(),
+        }),
+    };
+    let known = follower.fold().applied();
+    let offset = log_append::append(&context.log, record, known, context.timeout).await?;
+    let read_back = log_follow::catch_up(&context.log, &mut follower, context.timeout).await;
+    read_back.map_err(|error| unread(offset, &error))?;
+    let after = follower.fold();
+    let Some(entry) = after.judged(id) else {
+        return Err(unjudged(offset).into());
+    };
+    report(context, after, entry)
+}
+
+fn check_digest(digest: &str) -> Result<()> {
+    let hex = digest.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if hex && (MIN_DIGEST..=64).contains(&digest.len()) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ResultCode::BadUsage,
+        format!("`{}` is not a digest", digest.escape_debug()),
+        "copy the digest, or at least its first 12 digits, from `carobshore plan`",
+    ))
+}
+
+/// Returns the plan if it is still the one that the operator has seen.
+fn seen_plan(fold: &Fold, args: &ConfirmArgs) -> Result<Plan> {
+    plan::fresh(fold, args.intent)?;
+    let Some(pending) = fold.intent(args.intent) else {
+        return Err(unjudged(fold.applied()));
+    };
+    let current = Plan::new(fold.config(), &pending.intent)?;
+    if current
+        .digest()
+        .to_string()
+        .starts_with(&args.digest.to_ascii_lowercase())
+    {
+        return Ok(current);
+    }
+    let last = current
+        .bases()
+        .keys()
+        .filter_map(|id| fold.last_confirm(id));
+    let first = last.max_by_key(|confirm| confirm.offset);
+    let first = first.map_or_else(String::new, |confirm| {
+        format!(
+            "; the last confirm of its services is that of {} at offset {}",
+            confirm.operator, confirm.offset
+        )
+    });
+    Err(Error::new(
+        ResultCode::StalePlan,
+        format!("the digest is not that of the present plan{first}"),
+        format!(
+            "nothing was published; look at the fresh plan with `carobshore plan {}` and confirm \
+             its digest",
+            args.intent
+        ),
+    ))
+}
+
+fn report(context: &Context, after: &Fold, entry: &HistoryEntry) -> eyre::Result<Exit> {
+    let fresh = match entry.is_in_force() {
+        true => None,
+        false => plan::fresh(after, entry.intent).ok(),
+    };
+    let text = text(entry, fresh.as_ref());
+    let outcome = Outcome {
+        in_force: entry.is_in_force(),
+        confirm: &entry.confirm,
+        intent: entry.intent,
+        verdict: &entry.verdict,
+        fresh,
+    };
+    output::print(context.json, &outcome, &text)?;
+    Ok(match entry.is_in_force() {
+        true => Exit::Done,
+        false => Exit::Refused,
+    })
+}
+
+fn text(entry: &HistoryEntry, fresh: Option<&PlanView>) -> String {
+    let offset = entry.confirm.offset;
+    match &entry.verdict {
+        Verdict::InForce { versions } => {
+            let versions: Vec<_> = versions
+                .iter()
+                .map(|(id, version)| format!("{id} version {version}"))
+                .collect();
+            let versions = match versions.is_empty() {
+                true => "the services are removed".to_owned(),
+                false => versions.join(", "),
+            };
+            format!("in force since offset {offset}: {versions}")
+        }
+        Verdict::Rejected { code, by } => {
+            let cause = by.as_ref().map_or_else(
+                || "the plan no longer fits".to_owned(),
+                |first| {
+                    format!(
+                        "the confirm of {} at offset {} came first",
+                        first.operator, first.offset
+                    )
+                },
+            );
+            let next = fresh.map_or_else(
+                || {
+                    "next: look at `carobshore history`; publish a new intent if it is still needed"
+                        .to_owned()
+                },
+                |plan| format!("fresh plan:\n\n{}", plan.text()),
+            );
+            format!("not in force [{code}]: {cause} (yours is at offset {offset})\n{next}")
+        }
+    }
+}
+
+fn unread(offset: Offset, error: &Error) -> Error {
+    Error::new(
+        error.code,
+        format!(
+            "the confirm is on the log at offset {offset}, but it could not be read back: {}",
+            error.message
+        ),
+        "do not repeat it; `carobshore history` shows whether it is in force once the log answers",
+    )
+}
+
+fn unjudged(offset: Offset) -> Error {
+    Error::new(
+        ResultCode::LogUnavailable,
+        format!("the log does not show the confirm at offset {offset} yet"),
+        "do not repeat it; run `carobshore history` in a few seconds",
+    )
+}
--- /dev/null
+++ b/cli/src/commands/history.rs
@@ -0,0 +1,63 @@
+//! `carobshore history`
+
+use carobshore_lib::history::HistoryEntry;
+use carobshore_lib::history::Verdict;
+use clap::Args as ClapArgs;
+
+use crate::commands::Context;
+use crate::exit::Exit;
+use crate::log_follow;
+use crate::output;
+use crate::table::table;
+
+/// Show the last confirms and whether they are in force.
+#[derive(Debug, ClapArgs)]
+pub(crate) struct HistoryArgs {
+    /// The most confirms to show.
+    #[arg(long, env = "CAROBSHORE_HISTORY_MAX", default_value_t = 20)]
+    max: usize,
+}
+
+/// Prints the last confirms, newest last.
+pub(crate) async fn run(context: &Context, args: &HistoryArgs) -> eyre::Result<Exit> {
+    let follower = log_follow::follow(&context.log, context.timeout).await?;
+    let fold = follower.fold();
+    let mut entries: Vec<_> = fold.history().rev().take(args.max).collect();
+    entries.reverse();
+    if entries.is_empty() && !context.json {
+        println!("nothing was confirmed yet; publish a change with `carobshore intent`");
+        return Ok(Exit::Done);
+    }
+    let mut rows = table(&["offset", "operator", "result", "services", "intent", "note"]);
+    for entry in &entries {
+        rows.add_row(row(entry));
+    }
+    output::print(context.json, &entries, &rows.trim_fmt())?;
+    Ok(Exit::Done)
+}
+
+fn row(entry: &HistoryEntry) -> [String; 6] {
+    let services: Vec<_> = entry.services.iter().map(|id| id.as_str()).collect();
+    [
+        entry.confirm.offset.to_string(),
+        entry.confirm.operator.to_string(),
+        result(&entry.verdict),
+        services.join(" "),
+        entry.intent.to_string(),
+        entry.note.to_string(),
+    ]
+}
+
+fn result(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::InForce { .. } => "in force".to_owned(),
+        Verdict::Rejected { code, by: None } => format!("rejected [{code}]"),
+        Verdict::Rejected {
+            code,
+            by: Some(first),
+        } => format!(
+            "rejected [{code}], {} at offset {} came first",
+            first.operator, first.offset
+        ),
+    }
+}
--- /dev/null
+++ b/cli/src/commands/plan.rs
@@ -0,0 +1,106 @@
+//! `carobshore plan`
+
+use carobshore_lib::history::ConfirmRef;
+use carobshore_lib::prelude::*;
+use clap::Args as ClapArgs;
+use serde::Serialize;
+
+use crate::commands::Context;
+use crate::commands::plan_view::PlanView;
+use crate::exit::Exit;
+use crate::log_follow;
+use crate::output;
+use crate::table::table;
+
+/// Show what an intent changes, or list the intents that wait for a confirm.
+#[derive(Debug, ClapArgs)]
+pub(crate) struct PlanArgs {
+    /// The intent's record id; all waiting intents are listed without it.
+    intent: Option<RecordId>,
+}
+
+#[derive(Debug, Serialize)]
+struct Waiting<'a> {
+    intent: RecordId,
+    offset: Offset,
+    operator: &'a OperatorId,
+    note: &'a str,
+    services: Vec<&'a ServiceId>,
+}
+
+/// Prints the plan of an intent, or the waiting intents.
+pub(crate) async fn run(context: &Context, args: &PlanArgs) -> eyre::Result<Exit> {
+    let follower = log_follow::follow(&context.log, context.timeout).await?;
+    let fold = follower.fold();
+    match args.intent {
+        None => list(context, fold)?,
+        Some(id) => {
+            let view = fresh(fold, id)?;
+            output::print(context.json, &view, &view.text())?;
+        }
+    }
+    Ok(Exit::Done)
+}
+
+/// Computes the plan of a waiting intent, or says why there is none.
+pub(crate) fn fresh(fold: &Fold, id: RecordId) -> Result<PlanView> {
+    if let Some(first) = fold.confirm_of(id) {
+        return Err(in_force(id, first));
+    }
+    let Some(pending) = fold.intent(id) else {
+        return Err(Error::new(
+            ResultCode::UnknownIntent,
+            format!("no intent {id} waits for a confirm"),
+            "list the waiting intents with `carobshore plan`, or publish it again with \
+             `carobshore intent`",
+        ));
+    };
+    PlanView::new(fold.config(), pending).map_err(|error| {
+        let help = format!(
+            "the configuration has changed since the intent was published (see `carobshore \
+             history`); publish one that fits; the cause was: {}",
+            error.help
+        );
+        Error::new(error.code, error.message, help)
+    })
+}
+
+fn in_force(id: RecordId, first: &ConfirmRef) -> Error {
+    Error::new(
+        ResultCode::StalePlan,
+        format!(
+            "intent {id} is already in force by the confirm of {} at offset {}",
+            first.operator, first.offset
+        ),
+        "nothing is left to do for it; `carobshore history` shows the confirm",
+    )
+}
+
+fn list(context: &Context, fold: &Fold) -> eyre::Result<()> {
+    let waiting: Vec<_> = fold
+        .pending()
+        .map(|pending| Waiting {
+            intent: pending.id,
+            offset: pending.offset,
+            operator: &pending.intent.operator,
+            note: &pending.intent.note,
+            services: pending.intent.services().into_iter().collect(),
+        })
+        .collect();
+    if waiting.is_empty() && !context.json {
+        println!("no intent waits for a confirm; publish one with `carobshore intent`");
+        return Ok(());
+    }
+    let mut rows = table(&["intent", "offset", "operator", "services", "note"]);
+    for row in &waiting {
+        let services: Vec<_> = row.services.iter().map(|id| id.as_str()).collect();
+        rows.add_row([
+            row.intent.to_string(),
+            row.offset.to_string(),
+            row.operator.to_string(),
+            services.join(" "),
+            row.note.to_owned(),
+        ]);
+    }
+    output::print(context.json, &waiting, &rows.trim_fmt())
+}
--- /dev/null
+++ b/cli/src/commands/plan_view.rs
@@ -0,0 +1,62 @@
+//! A plan as it is printed.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use carobshore_lib::pending::PendingIntent;
+use carobshore_lib::prelude::*;
+use serde::Serialize;
+
+/// The plan of an intent.
+#[derive(Debug, Serialize)]
+pub(crate) struct PlanView {
+    intent: RecordId,
+    operator: OperatorId,
+    note: Box<str>,
+    digest: PlanDigest,
+    bases: BTreeMap<ServiceId, Version>,
+    lines: Vec<String>,
+    warnings: Vec<String>,
+    next: String,
+}
+
+impl PlanView {
+    /// Computes the plan of a waiting intent on the configuration.
+    pub(crate) fn new(config: &Config, pending: &PendingIntent) -> Result<Self> {
+        Self::of(config, pending.id, &pending.intent)
+    }
+
+    /// Computes the plan of an intent with the given id.
+    pub(crate) fn of(config: &Config, id: RecordId, intent: &Intent) -> Result<Self> {
+        let plan = Plan::new(config, intent)?;
+        let digest = plan.digest();
+        Ok(Self {
+            intent: id,
+            operator: intent.operator.clone(),
+            note: intent.note.clone(),
+            digest,
+            bases: plan.bases().clone(),
+            lines: plan.lines(),
+            warnings: plan.warnings(),
+            next: format!("carobshore confirm {id} --digest {digest}"),
+        })
+    }
+
+    /// Returns the plan as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        let _ = writeln!(text, "intent {} by {}", self.intent, self.operator);
+        if !self.note.is_empty() {
+            let _ = writeln!(text, "note   {}", self.note);
+        }
+        let _ = writeln!(text, "digest {}\n", self.digest);
+        for line in &self.lines {
+            let _ = writeln!(text, "{line}");
+        }
+        for warning in &self.warnings {
+            let _ = writeln!(text, "warning: {warning}");
+        }
+        let _ = writeln!(text, "\nnext: {}", self.next);
+        text
+    }
+}
--- /dev/null
+++ b/cli/src/commands/status.rs
@@ -0,0 +1,206 @@
+//! `carobshore status`
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::net::SocketAddr;
+
+use carobshore_lib::prelude::*;
+use clap::Args as ClapArgs;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::commands::Context;
+use crate::dump_view;
+use crate::dump_view::ServiceView;
+use crate::dump_view::VmView;
+use crate::exit::Exit;
+use crate::output;
+use crate::table::table;
+use crate::vm_client;
+use crate::vm_client::VmDump;
+
+/// The most targets that are listed without `--service`.
+const MAX_TARGETS: usize = 100;
+
+/// Show entry VMs, services, targets and budgets.
+#[derive(Debug, ClapArgs)]
+pub(crate) struct StatusArgs {
+    /// Control address of a VM; may be repeated, or be a list with commas.
+    #[arg(
+        long = "vm",
+        env = "CAROBSHORE_VMS",
+        value_name = "IP:PORT",
+        value_delimiter = ',',
+        required = true
+    )]
+    vms: Vec<SocketAddr>,
+
+    /// Show only this service.
+    #[arg(long)]
+    service: Option<ServiceId>,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Status {
+    vms: Vec<VmView>,
+    services: BTreeMap<String, ServiceView>,
+}
+
+/// Prints the status that the VMs' dumps give.
+pub(crate) async fn run(context: &Context, args: &StatusArgs) -> eyre::Result<Exit> {
+    let dumps = vm_client::dumps(&args.vms, context.timeout).await;
+    let mut status = collect(dumps);
+    if let Some(wanted) = &args.service {
+        status.services.retain(|id, _| id == wanted.as_str());
+        if status.services.is_empty() && status.vms.iter().any(|vm| vm.error.is_none()) {
+            return Err(unknown(wanted).into());
+        }
+    }
+    let text = text(&status, args.service.is_some());
+    output::print(context.json, &status, &text)?;
+    Ok(match status.vms.iter().all(|vm| vm.error.is_none()) {
+        true => Exit::Done,
+        false => Exit::Unreachable,
+    })
+}
+
+fn unknown(service: &ServiceId) -> Error {
+    Error::new(
+        ResultCode::UnknownService,
+        format!("the VMs know no service `{service}`"),
+        "run `carobshore status` without --service for the names, or `carobshore history` for \
+         recent changes",
+    )
+}
+
+/// Takes the services from the VM that is furthest ahead.
+fn collect(dumps: Vec<VmDump>) -> Status {
+    let mut status = Status::default();
+    let mut ahead: Option<(u64, Value)> = None;
+    for vm in dumps {
+        let addr = vm.addr.to_string();
+        match vm.dump {
+            Ok(dump) => {
+                let view = VmView::new(addr, &dump);
+                let applied = view.applied.unwrap_or(0);
+                if ahead.as_ref().is_none_or(|(best, _)| applied > *best) {
+                    ahead = Some((applied, dump));
+                }
+                status.vms.push(view);
+            }
+            Err(error) => status.vms.push(VmView {
+                addr,
+                error: Some(error),
+                ..VmView::default()
+            }),
+        }
+    }
+    if let Some((best, dump)) = ahead {
+        for vm in &mut status.vms {
+            vm.lag = vm.applied.map(|applied| best - applied);
+        }
+        status.services = dump_view::services(&dump);
+    }
+    status
+}
+
+fn text(status: &Status, all: bool) -> String {
+    let mut parts = vec![vms(status)];
+    if !status.services.is_empty() {
+        parts.push(services(status));
+        parts.push(targets(status, all));
+    }
+    let errors = status.vms.iter().filter_map(|vm| vm.error.as_ref());
+    parts.extend(errors.map(|error| {
+        format!(
+            "warning [{}]: {}\n  next: {}",
+            error.code, error.message, error.help
+        )
+    }));
+    parts.join("\n\n")
+}
+
+fn shown(value: Option<impl Display>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+fn vms(status: &Status) -> String {
+    let mut rows = table(&["vm", "address", "domain", "ready", "applied", "lag"]);
+    for vm in &status.vms {
+        let ready = vm.ready.map(|ready| if ready { "yes" } else { "no" });
+        rows.add_row([
+            shown(vm.vm.as_ref()),
+            vm.addr.clone(),
+            shown(vm.domain.as_ref()),
+            match vm.error {
+                Some(_) => "unreachable".to_owned(),
+                None => shown(ready),
+            },
+            shown(vm.applied),
+            shown(vm.lag),
+        ]);
+    }
+    rows.trim_fmt()
+}
+
+fn services(status: &Status) -> String {
+    let header = [
+        "service",
+        "version",
+        "targets",
+        "leaving",
+        "slots",
+        "measuring",
+        "connections",
+    ];
+    let mut rows = table(&header);
+    for (id, service) in &status.services {
+        let leaving = |state: &Option<String>| state.as_deref() == Some("leaving");
+        let targets = service.targets.values();
+        let slots: u64 = targets
+            .clone()
+            .filter(|target| !leaving(&target.state))
+            .filter_map(|target| target.slots)
+            .sum();
+        rows.add_row([
+            id.clone(),
+            shown(service.version),
+            targets.len().to_string(),
+            targets
+                .filter(|target| leaving(&target.state))
+                .count()
+                .to_string(),
+            slots.to_string(),
+            shown(service.measuring),
+            shown(service.connections),
+        ]);
+    }
+    rows.trim_fmt()
+}
+
+fn targets(status: &Status, all: bool) -> String {
+    let mut rows = table(&["target", "address", "domain", "slots", "state"]);
+    let listed = status.services.iter().flat_map(|(service, view)| {
+        let targets = view.targets.iter();
+        targets.map(move |(id, target)| (format!("{service}/{id}"), target))
+    });
+    let count = listed.clone().count();
+    let shown_count = if all { count } else { count.min(MAX_TARGETS) };
+    for (name, target) in listed.take(shown_count) {
+        rows.add_row([
+            name,
+            shown(target.addr.as_ref()),
+            shown(target.domain.as_ref()),
+            shown(target.slots),
+            shown(target.state.as_ref()),
+        ]);
+    }
+    let mut text = rows.trim_fmt();
+    if shown_count < count {
+        let more = count - shown_count;
+        text.push_str(&format!(
+            "\n{more} more targets; use --service to list those of one service"
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/cli/src/dump_view.rs
@@ -0,0 +1,139 @@
+//! What the status shows of a VM's dump.
+//!
+//! Dumps come from daemons of any release, so each field is optional and may be missing.
+
+use std::collections::BTreeMap;
+
+use carobshore_lib::prelude::*;
+use serde::Serialize;
+use serde_json::Value;
+
+const VM: &[&str] = &["/vm", "/id", "/vm_id", "/self/vm"];
+const DOMAIN: &[&str] = &["/domain", "/self/domain"];
+const READY: &[&str] = &[
+    "/ready",
+    "/configuration/ready",
+    "/config/ready",
+    "/state/ready",
+];
+const APPLIED: &[&str] = &[
+    "/applied",
+    "/configuration/applied",
+    "/configuration/offset",
+    "/config/applied",
+    "/config/offset",
+    "/fold/applied",
+];
+const SERVICES: &[&str] = &[
+    "/configuration/services",
+    "/config/services",
+    "/fold/config/services",
+    "/services",
+];
+
+/// One VM.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct VmView {
+    /// The address that was asked.
+    pub(crate) addr: String,
+    /// The VM's id.
+    pub(crate) vm: Option<String>,
+    /// The VM's failure domain.
+    pub(crate) domain: Option<String>,
+    /// Whether the VM is ready.
+    pub(crate) ready: Option<bool>,
+    /// The VM's applied offset.
+    pub(crate) applied: Option<u64>,
+    /// How many records the VM is behind the one that is furthest ahead.
+    pub(crate) lag: Option<u64>,
+    /// Why there is no dump.
+    pub(crate) error: Option<Error>,
+}
+
+/// One target.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct TargetView {
+    /// The target's address.
+    pub(crate) addr: Option<String>,
+    /// The target's failure domain.
+    pub(crate) domain: Option<String>,
+    /// The target's slots.
+    pub(crate) slots: Option<u64>,
+    /// Whether the target serves or leaves.
+    pub(crate) state: Option<String>,
+}
+
+/// One service.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ServiceView {
+    /// The version.
+    pub(crate) version: Option<u64>,
+    /// The measuring budget.
+    pub(crate) measuring: Option<TargetTime>,
+    /// The connection budget per target.
+    pub(crate) connections: Option<u64>,
+    /// The targets.
+    pub(crate) targets: BTreeMap<String, TargetView>,
+}
+
+impl VmView {
+    /// Reads what is known about the VM.
+    pub(crate) fn new(addr: String, dump: &Value) -> Self {
+        Self {
+            addr,
+            vm: first(dump, VM).and_then(text),
+            domain: first(dump, DOMAIN).and_then(text),
+            ready: first(dump, READY).and_then(Value::as_bool),
+            applied: first(dump, APPLIED).and_then(Value::as_u64),
+            lag: None,
+            error: None,
+        }
+    }
+}
+
+/// Reads the services of a dump.
+pub(crate) fn services(dump: &Value) -> BTreeMap<String, ServiceView> {
+    let found = SERVICES.iter().filter_map(|path| dump.pointer(path));
+    let Some(services) = found.filter_map(Value::as_object).next() else {
+        return BTreeMap::new();
+    };
+    services
+        .iter()
+        .map(|(id, service)| (id.clone(), service_view(service)))
+        .collect()
+}
+
+fn service_view(service: &Value) -> ServiceView {
+    let targets = service.get("targets").and_then(Value::as_object);
+    let targets = targets.into_iter().flatten();
+    ServiceView {
+        version: service.get("version").and_then(Value::as_u64),
+        measuring: service
+            .get("measuring")
+            .and_then(Value::as_u64)
+            .map(TargetTime),
+        connections: service.get("connections").and_then(Value::as_u64),
+        targets: targets
+            .map(|(id, target)| (id.clone(), target_view(target)))
+            .collect(),
+    }
+}
+
+fn target_view(target: &Value) -> TargetView {
+    let field = |name| target.get(name);
+    TargetView {
+        addr: field("addr").and_then(text),
+        domain: field("domain").and_then(text),
+        slots: field("slots").and_then(Value::as_u64),
+        state: field("state").and_then(text),
+    }
+}
+
+/// Returns the value at the first path that exists.
+fn first<'a>(dump: &'a Value, paths: &[&str]) -> Option<&'a Value> {
+    paths.iter().find_map(|path| dump.pointer(path))
+}
+
+fn text(value: &Value) -> Option<String> {
+    value.as_str().map(str::to_owned)
+}
--- /dev/null
+++ b/cli/src/log_append.rs
@@ -0,0 +1,60 @@
+//! Appends one record, although answers may be lost.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::appender::AppendAction;
+use carobshore_lib::appender::AppendEvent;
+use carobshore_lib::appender::Appender;
+use carobshore_lib::prelude::*;
+use ntex::time::Millis;
+use ntex::time::sleep;
+
+use crate::log_client::AppendAnswer;
+use crate::log_client::LogClient;
+use crate::log_client::ReadAnswer;
+
+/// The pause after which the appender is asked again whether a repeat is due.
+const TICK: Millis = Millis(50);
+
+/// Appends the record and returns its offset; `known` is an offset before which it cannot be.
+pub(crate) async fn append(
+    log: &LogClient,
+    record: Record,
+    known: Offset,
+    limit: Duration,
+) -> Result<Offset> {
+    let mut appender = Appender::new(limit);
+    let mut event = AppendEvent::Submit { record, known };
+    loop {
+        let mut actions = Vec::new();
+        appender.handle(Instant::now(), event, &mut actions);
+        event = AppendEvent::Tick;
+        match actions.pop() {
+            Some(AppendAction::Append(record)) => event = send(log, &record).await,
+            Some(AppendAction::Read { id, from, max }) => {
+                event = read(log, id, from, max).await;
+            }
+            Some(AppendAction::Done { offset, .. }) => return Ok(offset),
+            Some(AppendAction::Failed { error, .. }) => return Err(error),
+            None => sleep(TICK).await,
+        }
+    }
+}
+
+async fn send(log: &LogClient, record: &Record) -> AppendEvent {
+    let id = record.id;
+    match log.append(record).await {
+        AppendAnswer::Appended(offset) => AppendEvent::Appended { id, offset },
+        AppendAnswer::Refused(message) => AppendEvent::Refused { id, message },
+        AppendAnswer::Lost => AppendEvent::Lost { id },
+    }
+}
+
+async fn read(log: &LogClient, id: RecordId, from: Offset, max: u32) -> AppendEvent {
+    match log.read(from, max).await {
+        ReadAnswer::Page(page) => AppendEvent::Page { id, from, page },
+        ReadAnswer::Expired(_) => AppendEvent::Expired { id },
+        ReadAnswer::Failed => AppendEvent::ReadFailed { id },
+    }
+}
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -114,6 +114,11 @@
         self.history.accepted_of(intent)
     }
 
+    /// Returns the last accepted confirm that touched the service.
+    pub fn last_confirm(&self, service: &ServiceId) -> Option<&ConfirmRef> {
+        self.history.last_of(service)
+    }
+
     /// Returns the last confirms with their judgements, oldest first.
     pub fn history(&self) -> impl DoubleEndedIterator<Item = &HistoryEntry> {
         self.history.iter()
--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -96,7 +96,7 @@
         self.ready
     }
 
-    /// Returns when the fold last held everything that was on the log.
+    /// Returns when the last read was issued after which the fold held everything on the log.
     pub fn current(&self) -> Option<Instant> {
         self.current
     }
