--- a/lib/src/appender.rs
+++ b/lib/src/appender.rs
@@ -136,6 +136,9 @@
     give_up: Duration,
     current: Option<Job>,
     queue: VecDeque<(Record, Offset)>,
+    /// The offset after the last record that was appended. Records that were sent later cannot be
+    /// before it.
+    end: Offset,
 }
 
 impl Appender {
@@ -145,6 +148,7 @@
             give_up,
             current: None,
             queue: VecDeque::new(),
+            end: Offset::default(),
         }
     }
 
@@ -200,6 +204,7 @@
         let Some((record, known)) = self.queue.pop_front() else {
             return;
         };
+        let known = known.max(self.end);
         actions.push(AppendAction::Append(record.clone()));
         self.current = Some(Job {
             record,
@@ -273,6 +278,7 @@
         if job.known.0 - job.start.0 > MAX_DISTANCE {
             self.fail(too_far(), true, actions);
         } else if job.known < page.next {
+            job.backoff = MIN_BACKOFF;
             job.read(actions);
         } else {
             job.step = Step::Appending;
@@ -283,6 +289,7 @@
     fn done(&mut self, offset: Offset, actions: &mut Vec<AppendAction>) {
         if let Some(job) = self.current.take() {
             let id = job.record.id;
+            self.end = self.end.max(offset.next());
             actions.push(AppendAction::Done { id, offset });
         }
     }
--- a/lib/src/snapshot_schedule.rs
+++ b/lib/src/snapshot_schedule.rs
@@ -76,7 +76,7 @@
         let behind = applied.saturating_sub(needed);
         let retained = applied.saturating_sub(first.0);
         let margin = needed.saturating_sub(first.0);
-        let expiring = first.0 > 0 && margin < retained / OLDEST_PART;
+        let expiring = first.0 > 0 && margin.saturating_mul(OLDEST_PART) < retained;
         let old = now.saturating_duration_since(self.since) >= self.age;
         applied > 0 && (behind >= self.every || old || expiring)
     }
--- a/lib/tests/config_support/mod.rs
+++ b/lib/tests/config_support/mod.rs
@@ -209,17 +209,19 @@
 }
 
 fn random_confirm(fold: &Fold, rng: &mut StdRng, old: &Config) -> Option<String> {
-    let pending: Vec<_> = fold.pending().collect();
-    let chosen = pending.get(rng.random_range(0..pending.len().max(1)))?;
-    let base = if rng.random_bool(0.7) {
-        fold.config()
-    } else {
-        old
+    let base = match rng.random_bool(0.7) {
+        true => fold.config(),
+        false => old,
     };
-    let plan = Plan::new(base, &chosen.intent).ok()?;
+    let skip = rng.random_range(0..4);
+    let mut plans = fold.pending().rev().filter_map(|pending| {
+        let plan = Plan::new(base, &pending.intent).ok()?;
+        Some((pending.id, plan))
+    });
+    let (intent, plan) = plans.nth(skip)?;
     let body = Body::Confirm(Confirm {
         operator: id(["gwen", "salma"][rng.random_range(0..2)]),
-        intent: chosen.id,
+        intent,
         digest: plan.digest(),
         bases: plan.bases().clone(),
     });
--- /dev/null
+++ b/lib/tests/test_follower.rs
@@ -0,0 +1,410 @@
+//! Tests of the follower: whatever the log and the peers answer, the fold is that of the log at
+//! some offset, never an older one than before, and a gap is an error.
+
+mod config_support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::follower::Follower;
+use carobshore_lib::follower_message::FollowerAction;
+use carobshore_lib::follower_message::FollowerEvent;
+use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::log_page::LogPage;
+use carobshore_lib::prelude::*;
+use carobshore_lib::snapshot::Snapshot;
+use config_support::*;
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// A follower with its time and the actions that it has asked for.
+struct Vm {
+    follower: Follower,
+    now: Instant,
+    actions: Vec<FollowerAction>,
+    /// The highest offset that the follower has shown.
+    shown: Option<Offset>,
+}
+
+impl Vm {
+    fn new(settings: FollowerSettings) -> Self {
+        let now = Instant::now();
+        Self {
+            follower: Follower::new(now, settings),
+            now,
+            actions: Vec::new(),
+            shown: None,
+        }
+    }
+
+    fn handle(&mut self, event: FollowerEvent) {
+        self.follower.handle(self.now, event, &mut self.actions);
+        let offer = self.follower.offer();
+        assert!(
+            offer >= self.shown,
+            "from {:?} back to {offer:?}",
+            self.shown
+        );
+        self.shown = offer;
+    }
+
+    fn tick(&mut self) {
+        self.now += STEP;
+        self.handle(FollowerEvent::Tick);
+    }
+
+    fn offer(&mut self, vm: &str, applied: Offset) {
+        let vm = id(vm);
+        self.handle(FollowerEvent::Offer { vm, applied });
+    }
+
+    fn read(&mut self) -> Option<(Offset, u32)> {
+        let is_read = |action: &FollowerAction| matches!(action, FollowerAction::Read { .. });
+        let index = self.actions.iter().position(is_read)?;
+        match self.actions.remove(index) {
+            FollowerAction::Read { from, max } => Some((from, max)),
+            _ => None,
+        }
+    }
+
+    /// Answers reads as a healthy log does.
+    fn run(&mut self, log: &TestLog, ticks: usize) {
+        for _ in 0..ticks {
+            self.tick();
+            while let Some((from, max)) = self.read() {
+                let event = answer(log, self.now, from, max);
+                self.handle(event);
+            }
+        }
+    }
+
+    fn error(&self) -> Option<&Error> {
+        self.actions.iter().find_map(|action| match action {
+            FollowerAction::Report(error) => Some(error),
+            _ => None,
+        })
+    }
+
+    fn was_current(&self) -> bool {
+        let current = |action: &FollowerAction| matches!(action, FollowerAction::Current { .. });
+        self.actions.iter().any(current)
+    }
+
+    fn snapshot_due(&self) -> bool {
+        let due = |action: &FollowerAction| matches!(action, FollowerAction::AppendSnapshot { .. });
+        self.actions.iter().any(due)
+    }
+
+    fn fetches(&mut self, wanted: &FollowerAction) -> bool {
+        let found = self.actions.contains(wanted);
+        self.actions.clear();
+        found
+    }
+}
+
+fn answer(log: &TestLog, issued: Instant, from: Offset, max: u32) -> FollowerEvent {
+    match log.read(from, max) {
+        Ok(page) => FollowerEvent::Page { from, issued, page },
+        Err(first) => FollowerEvent::Expired { first },
+    }
+}
+
+fn settings(vm: Option<&str>) -> FollowerSettings {
+    FollowerSettings {
+        vm: vm.map(id),
+        page: 7,
+        ..FollowerSettings::default()
+    }
+}
+
+fn grow(log: &mut TestLog, fold: &mut Fold, rng: &mut StdRng, count: usize) {
+    let old = fold.config().clone();
+    for _ in 0..count {
+        append_random(log, fold, rng, &old);
+    }
+}
+
+/// Damages an answer of the log.
+fn damage(rng: &mut StdRng, page: &mut LogPage) {
+    let length = page.records.len();
+    match rng.random_range(0..6) {
+        0 => page.records.truncate(rng.random_range(0..=length)),
+        1 if length > 0 => drop(page.records.remove(rng.random_range(0..length))),
+        2 => page.records.shuffle(rng),
+        3 => page.records.extend(page.records.clone()),
+        4 => page.next = Offset(rng.random_range(0..page.next.0 + 2)),
+        _ => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Guards against any interleaving, duplication, truncation, hole or expiry giving another
+    /// configuration than the log's, an older one, or an empty one in place of an error.
+    #[test]
+    fn a_follower_shows_the_logs_configuration_or_an_error(seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut log, mut fold) = (TestLog::default(), Fold::default());
+        let mut vm = Vm::new(settings(None));
+        let mut late: Vec<FollowerEvent> = Vec::new();
+        let mut compared = None;
+        for _ in 0..60 {
+            let count = rng.random_range(0..4);
+            grow(&mut log, &mut fold, &mut rng, count);
+            if rng.random_bool(0.1) {
+                for record in Snapshot::encode(&fold) {
+                    fold.apply(log.append(&record), &record);
+                }
+            }
+            if rng.random_bool(0.05) {
+                log.first = rng.random_range(log.first..=log.next().0);
+            }
+            vm.tick();
+            if let Some((from, max)) = vm.read() {
+                let mut event = answer(&log, vm.now, from, max);
+                if let FollowerEvent::Page { page, .. } = &mut event {
+                    damage(&mut rng, page);
+                }
+                late.push(event);
+            }
+            if rng.random_bool(0.1) {
+                vm.handle(FollowerEvent::ReadFailed);
+            }
+            for _ in 0..rng.random_range(0..3) {
+                if !late.is_empty() {
+                    let event = late[rng.random_range(0..late.len())].clone();
+                    vm.handle(event);
+                }
+            }
+            if rng.random_bool(0.3) {
+                late.clear();
+            }
+            if let Some(offset) = vm.shown.filter(|offset| compared != Some(*offset)) {
+                prop_assert_eq!(vm.follower.fold(), &log.fold(offset.0));
+                compared = Some(offset);
+            }
+        }
+        vm.actions.clear();
+        vm.run(&log, 120);
+        if vm.follower.offer() == Some(log.next()) {
+            prop_assert!(vm.follower.is_ready());
+            prop_assert_eq!(vm.follower.fold(), &fold);
+            prop_assert!(vm.was_current());
+        } else {
+            prop_assert!(log.first > 0, "nothing has expired");
+            prop_assert_eq!(vm.error().map(|error| error.code), Some(ResultCode::LogGap));
+            prop_assert!(!vm.was_current());
+        }
+    }
+}
+
+/// Guards against the property above passing because its random logs never change anything.
+#[test]
+fn random_logs_have_accepted_and_rejected_confirms() {
+    let (mut log, mut fold) = (TestLog::default(), Fold::default());
+    let mut rng = StdRng::seed_from_u64(3);
+    grow(&mut log, &mut fold, &mut rng, 1_000);
+    let rejected = fold.history().filter(|entry| !entry.is_in_force()).count();
+    assert!(fold.confirms() > 20, "{}", fold.confirms());
+    assert!(rejected > 20, "{rejected}");
+    assert!(fold.skipped() > 0 && !fold.roster().members.is_empty());
+}
+
+/// A log with some services and a member, and its fold.
+fn sample() -> (TestLog, Fold) {
+    let (mut log, mut fold) = (TestLog::default(), Fold::default());
+    put(&mut log, &mut fold, 1, whole_service("status", 3));
+    for record in [join(5, "entry-1.00000001"), join(6, "entry-2.00000001")] {
+        fold.apply(log.append(&record), &record);
+    }
+    (log, fold)
+}
+
+/// Guards against a VM that starts while the log is down serving nothing, or serving less than a
+/// reachable peer has.
+#[test]
+fn without_a_log_a_vm_starts_from_the_peer_that_is_furthest_ahead() {
+    let (mut log, older) = sample();
+    let mut newer = older.clone();
+    put(&mut log, &mut newer, 10, vec![set_slots("status", 1, 5)]);
+    let mut vm = Vm::new(settings(Some("entry-3.00000001")));
+    for _ in 0..40 {
+        vm.tick();
+        vm.handle(FollowerEvent::ReadFailed);
+    }
+    assert!(!vm.follower.is_ready(), "neither log nor peers");
+    let peer = |vm: &str, fold: &Fold| FollowerEvent::PeerSnapshot {
+        vm: id(vm),
+        records: Snapshot::encode(fold),
+    };
+    vm.offer("entry-1.00000001", older.applied());
+    vm.handle(peer("entry-1.00000001", &older));
+    assert!(vm.follower.is_ready(), "no reachable peer has more");
+
+    let mut vm = Vm::new(settings(Some("entry-3.00000001")));
+    vm.handle(FollowerEvent::ReadFailed);
+    vm.offer("entry-1.00000001", older.applied());
+    vm.offer("entry-2.00000001", newer.applied());
+    vm.handle(peer("entry-1.00000001", &older));
+    for _ in 0..30 {
+        vm.tick();
+    }
+    assert!(!vm.follower.is_ready(), "a reachable peer has more");
+    vm.actions.clear();
+    vm.handle(peer("entry-2.00000001", &newer));
+    assert!(vm.follower.is_ready());
+    vm.handle(peer("entry-1.00000001", &older));
+    assert_eq!(
+        vm.follower.fold(),
+        &newer,
+        "an older snapshot changes nothing"
+    );
+    vm.run(&log, 10);
+    assert_eq!(vm.follower.fold(), &newer);
+    assert!(vm.error().is_none());
+}
+
+/// Guards against a fault of the log on one VM delaying a change there for more than 4 s, and
+/// against records from a peer renewing the read lease.
+#[test]
+fn a_vm_that_cannot_read_the_log_asks_a_peer_for_records() {
+    let (mut log, mut fold) = sample();
+    let mut peer = Vm::new(settings(None));
+    let mut vm = Vm::new(settings(None));
+    vm.run(&log, 10);
+    put(&mut log, &mut fold, 10, vec![set_slots("status", 1, 5)]);
+    peer.run(&log, 10);
+    let start = vm.now;
+    let asked = FollowerAction::FetchRecords {
+        vm: id("entry-1.00000001"),
+        from: vm.follower.fold().applied(),
+    };
+    vm.actions.clear();
+    while !vm.fetches(&asked) {
+        vm.offer("entry-1.00000001", fold.applied());
+        vm.tick();
+        vm.handle(FollowerEvent::ReadFailed);
+        assert!(vm.now < start + Duration::from_secs(2), "asks too late");
+    }
+    let from = vm.follower.fold().applied();
+    let page = peer.follower.records_since(from);
+    let peer_id: VmId = id("entry-1.00000001");
+    vm.handle(FollowerEvent::PeerRecords { vm: peer_id, page });
+    assert_eq!(vm.follower.fold(), &fold);
+    assert!(!vm.was_current());
+}
+
+/// Guards against a VM that missed records being stuck: the peer's snapshot or that on the log
+/// closes the gap, and without either the old configuration stays with an error.
+#[test]
+fn a_gap_after_expiry_is_closed_by_a_snapshot_only() {
+    let (mut log, mut fold) = sample();
+    let mut vm = Vm::new(settings(None));
+    vm.run(&log, 10);
+    let before = vm.follower.fold().clone();
+    put(&mut log, &mut fold, 10, vec![set_slots("status", 1, 5)]);
+    log.first = log.next().0;
+    put(&mut log, &mut fold, 20, vec![set_slots("status", 1, 6)]);
+    vm.run(&log, 100);
+    assert_eq!(vm.error().unwrap().code, ResultCode::LogGap);
+    assert_eq!(vm.follower.fold(), &before);
+
+    let mut by_peer = Vm {
+        follower: vm.follower.clone(),
+        actions: Vec::new(),
+        ..vm
+    };
+    by_peer.offer("entry-1.00000001", fold.applied());
+    let peer: VmId = id("entry-1.00000001");
+    assert!(by_peer.fetches(&FollowerAction::FetchSnapshot { vm: peer.clone() }));
+    let records = Snapshot::encode(&fold);
+    by_peer.handle(FollowerEvent::PeerSnapshot { vm: peer, records });
+    assert_eq!(by_peer.follower.fold(), &fold);
+
+    let mut by_log = Vm {
+        actions: Vec::new(),
+        ..vm
+    };
+    for record in Snapshot::encode(&fold) {
+        fold.apply(log.append(&record), &record);
+    }
+    by_log.run(&log, 100);
+    assert_eq!(by_log.follower.fold(), &fold);
+}
+
+/// Guards against a log of another installation, or one that was emptied, taking a VM back.
+#[test]
+fn a_log_that_went_back_is_reported() {
+    let (log, fold) = sample();
+    let mut vm = Vm::new(settings(None));
+    vm.run(&log, 10);
+    vm.actions.clear();
+    vm.run(&TestLog::default(), 10);
+    assert_eq!(vm.error().unwrap().code, ResultCode::LogGap);
+    assert_eq!(vm.follower.fold(), &fold);
+}
+
+/// Guards against records that are too large for one answer stopping the follower for good.
+#[test]
+fn failed_reads_ask_for_less() {
+    let (log, fold) = sample();
+    let mut vm = Vm::new(FollowerSettings::default());
+    for _ in 0..2_000 {
+        vm.tick();
+        while let Some((from, max)) = vm.read() {
+            let fits = max <= 2;
+            let event = match fits {
+                true => answer(&log, vm.now, from, max),
+                false => FollowerEvent::ReadFailed,
+            };
+            vm.handle(event);
+        }
+    }
+    assert_eq!(vm.follower.fold(), &fold);
+}
+
+/// Guards against every VM appending a snapshot, and against none doing so: because records are
+/// many, because time passes on a quiet log, or because the oldest VM is gone.
+#[test]
+fn a_snapshot_is_due_by_count_and_age_and_the_first_rank_appends_it() {
+    let (mut log, mut fold) = sample();
+    let eager = |vm: &str| FollowerSettings {
+        snapshot_every: 2,
+        ..settings(Some(vm))
+    };
+    let mut first = Vm::new(eager("entry-1.00000001"));
+    let mut second = Vm::new(eager("entry-2.00000001"));
+    first.run(&log, 5);
+    second.run(&log, 5);
+    assert!(first.snapshot_due());
+    assert!(!second.snapshot_due(), "the second rank waits");
+    let mut alone = Vm::new(eager("entry-2.00000001"));
+    alone.run(&log, 40);
+    assert!(alone.snapshot_due(), "the first rank is gone");
+    for record in Snapshot::encode(&fold) {
+        fold.apply(log.append(&record), &record);
+    }
+    second.run(&log, 60);
+    assert!(!second.snapshot_due(), "the first rank has appended it");
+
+    let mut quiet = Vm::new(settings(Some("entry-1.00000001")));
+    quiet.run(&log, 5);
+    assert!(!quiet.snapshot_due());
+    quiet.now += FollowerSettings::default().snapshot_age;
+    quiet.run(&log, 5);
+    assert!(quiet.snapshot_due());
+    log.first = fold.newest_snapshot().unwrap().upto.0;
+    let mut expiring = Vm::new(settings(Some("entry-1.00000001")));
+    expiring.run(&log, 5);
+    assert_eq!(expiring.follower.fold(), &fold);
+    assert!(
+        expiring.snapshot_due(),
+        "the snapshot is the oldest that is retained"
+    );
+}
--- /dev/null
+++ b/lib/tests/test_snapshot.rs
@@ -0,0 +1,118 @@
+//! Tests of snapshots: equal bytes for equal folds, and an error for anything incomplete.
+
+mod config_support;
+
+use carobshore_lib::prelude::*;
+use carobshore_lib::snapshot::Snapshot;
+use config_support::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+
+/// A fold of several chunks.
+fn large() -> Fold {
+    let (mut log, mut fold) = (TestLog::default(), Fold::default());
+    for number in 0..6 {
+        let service = format!("service-{number}");
+        put(
+            &mut log,
+            &mut fold,
+            10 * number + 1,
+            whole_service(&service, 400),
+        );
+    }
+    fold
+}
+
+fn code(records: &[Record]) -> Option<ResultCode> {
+    Snapshot::decode(records).err().map(|error| error.code)
+}
+
+/// Guards against two VMs with the same fold appending different snapshots, and against a decode
+/// that depends on the order of the chunks or on duplicates.
+#[test]
+fn equal_folds_have_equal_bytes_and_survive_shuffled_duplicates() {
+    let fold = large();
+    let mut records = Snapshot::encode(&fold);
+    assert!(records.len() > 3);
+    assert_eq!(Snapshot::encode(&large()), records);
+    records.extend(records.clone());
+    records.shuffle(&mut StdRng::seed_from_u64(1));
+    let decoded = Snapshot::decode(&records).unwrap();
+    assert_eq!(decoded, fold);
+    let texts: Vec<_> = records.iter().map(Record::to_json).collect();
+    let parsed: Vec<_> = texts
+        .iter()
+        .map(|text| Record::parse(text).unwrap())
+        .collect();
+    assert_eq!(Snapshot::decode(&parsed).unwrap(), fold);
+}
+
+/// Guards against a part of a configuration being taken for all of it.
+#[test]
+fn incomplete_mixed_or_corrupted_sets_are_refused() {
+    let bad = Some(ResultCode::BadSnapshot);
+    let records = Snapshot::encode(&large());
+    assert_eq!(code(&[]), bad);
+    for missing in 0..records.len() {
+        let mut rest = records.clone();
+        rest.remove(missing);
+        assert_eq!(code(&rest), bad, "chunk {missing} is missing");
+    }
+    let other = Snapshot::encode(&Fold::default());
+    assert_eq!(code(&[&records[..], &other].concat()), bad);
+    assert_eq!(
+        code(&[records.clone(), vec![join(1, "entry-1.00000001")]].concat()),
+        bad
+    );
+    let mut rng = StdRng::seed_from_u64(7);
+    for _ in 0..200 {
+        let mut damaged = records.clone();
+        let index = rng.random_range(0..damaged.len());
+        let Body::Snapshot(chunk) = &mut damaged[index].body else {
+            panic!("a snapshot has only chunks");
+        };
+        let mut data = chunk.data.to_string().into_bytes();
+        let at = rng.random_range(0..data.len());
+        data[at] = if data[at] == b'A' { b'B' } else { b'A' };
+        chunk.data = String::from_utf8(data).unwrap().into();
+        assert_eq!(code(&damaged), bad);
+    }
+    for edit in [
+        |chunk: &mut carobshore_lib::record::Chunk| chunk.count += 1,
+        |chunk: &mut carobshore_lib::record::Chunk| chunk.upto = chunk.upto.next(),
+        |chunk: &mut carobshore_lib::record::Chunk| chunk.digest.0[0] ^= 1,
+    ] {
+        let mut damaged = records.clone();
+        for record in &mut damaged {
+            if let Body::Snapshot(chunk) = &mut record.body {
+                edit(chunk);
+            }
+        }
+        assert_eq!(code(&damaged), bad);
+    }
+}
+
+/// Guards against a VM that started from a snapshot accepting what the others know as a duplicate
+/// or as a late confirm.
+#[test]
+fn duplicates_and_late_confirms_are_judged_alike_after_a_snapshot() {
+    let (mut log, mut fold) = (TestLog::default(), Fold::default());
+    put(&mut log, &mut fold, 1, whole_service("status", 3));
+    let gwen = intent(10, "gwen", vec![set_slots("status", 1, 4)]);
+    let salma = intent(20, "salma", vec![set_slots("status", 1, 6)]);
+    let second = confirm(21, "salma", fold.config(), &salma);
+    let first = confirm(11, "gwen", fold.config(), &gwen);
+    for record in [&gwen, &salma, &first] {
+        fold.apply(fold.applied(), record);
+    }
+    let mut restored = Snapshot::decode(&Snapshot::encode(&fold)).unwrap();
+    for record in [&first, &gwen, &second, &second] {
+        let applied = fold.apply(fold.applied(), record);
+        assert_eq!(restored.apply(restored.applied(), record), applied);
+    }
+    assert_eq!(restored, fold);
+    assert_eq!(fold.judged(record_id(21)), restored.judged(record_id(21)));
+    assert!(!fold.judged(record_id(21)).unwrap().is_in_force());
+}
