--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -210,10 +210,10 @@
         if from > self.fold.applied() {
             return;
         }
-        if page.first <= self.fold.applied() {
-            self.loaded |= page.first == Offset(0);
-            self.gap = false;
-        }
+        // The log still has every record that the fold lacks. An empty fold gets here only when
+        // nothing has expired yet.
+        self.loaded = true;
+        self.gap = false;
         let next = page.next;
         let before = self.fold.applied();
         if !self.apply(page.records, actions) {
@@ -445,7 +445,7 @@
     }
 
     fn become_ready(&mut self, now: Instant, actions: &mut Vec<FollowerAction>) {
-        if self.ready || !self.loaded || self.scan.is_some() {
+        if self.ready || !self.loaded || self.gap {
             return;
         }
         let waited = now.saturating_duration_since(self.started) >= self.settings.peer_wait;
--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -338,6 +338,28 @@
     assert_eq!(by_log.follower.fold(), &fold);
 }
 
+/// Guards against a snapshot whose following records have expired being served: changes that were
+/// confirmed after it would be undone.
+#[test]
+fn a_snapshot_without_the_records_after_it_is_not_served() {
+    let (mut log, mut fold) = sample();
+    let records = Snapshot::encode(&fold);
+    put(&mut log, &mut fold, 10, vec![set_slots("status", 1, 5)]);
+    log.first = log.next().0;
+    for record in &records {
+        log.append(record);
+    }
+    let mut vm = Vm::new(settings(None));
+    vm.run(&log, 100);
+    assert_eq!(vm.error().unwrap().code, ResultCode::LogGap);
+    for _ in 0..100 {
+        vm.tick();
+        vm.handle(FollowerEvent::ReadFailed);
+    }
+    assert!(!vm.follower.is_ready());
+    assert_eq!(vm.follower.offer(), None);
+}
+
 /// Guards against a log of another installation, or one that was emptied, taking a VM back.
 #[test]
 fn a_log_that_went_back_is_reported() {
