--- a/cli/src/commands/confirm.rs
+++ b/cli/src/commands/confirm.rs
@@ -45,19 +45,31 @@
     fresh: Option<PlanView>,
 }
 
+#[derive(Debug, Serialize)]
+struct Stale<'a> {
+    in_force: bool,
+    code: ResultCode,
+    by: Option<&'a ConfirmRef>,
+    fresh: PlanView,
+}
+
 /// Confirms a plan, reads back, and tells whether it is in force.
-pub(crate) async fn run(context: &Context, args: ConfirmArgs) -> eyre::Result<Exit> {
+pub(crate) async fn run(context: &Context, mut args: ConfirmArgs) -> eyre::Result<Exit> {
     check_digest(&args.digest)?;
+    args.digest.make_ascii_lowercase();
     let mut follower = log_follow::follow(&context.log, context.timeout).await?;
-    let seen = seen_plan(follower.fold(), &args)?;
+    let current = current_plan(follower.fold(), args.intent)?;
+    if !current.digest().to_string().starts_with(&args.digest) {
+        return report_stale(context, follower.fold(), &current, args.intent);
+    }
     let id = RecordId(Uuid::now_v7());
     let record = Record {
         id,
         body: Body::Confirm(Confirm {
             operator: args.operator,
             intent: args.intent,
-            digest: seen.digest(),
-            bases: seen.bases().clone(),
+            digest: current.digest(),
+            bases: current.bases().clone(),
         }),
     };
     let known = follower.fold().applied();
@@ -83,40 +95,51 @@
     ))
 }
 
-/// Returns the plan if it is still the one that the operator has seen.
-fn seen_plan(fold: &Fold, args: &ConfirmArgs) -> Result<Plan> {
-    plan::fresh(fold, args.intent)?;
-    let Some(pending) = fold.intent(args.intent) else {
-        return Err(unjudged(fold.applied()));
-    };
-    let current = Plan::new(fold.config(), &pending.intent)?;
-    if current
-        .digest()
-        .to_string()
-        .starts_with(&args.digest.to_ascii_lowercase())
-    {
-        return Ok(current);
-    }
+/// Returns the plan of the intent on the present configuration.
+fn current_plan(fold: &Fold, intent: RecordId) -> Result<Plan> {
+    plan::fresh(fold, intent)?;
+    let pending = fold
+        .intent(intent)
+        .ok_or_else(|| unjudged(fold.applied()))?;
+    Plan::new(fold.config(), &pending.intent)
+}
+
+/// Tells that the operator has seen another plan, so that nothing was published.
+fn report_stale(
+    context: &Context,
+    fold: &Fold,
+    current: &Plan,
+    intent: RecordId,
+) -> eyre::Result<Exit> {
     let last = current
         .bases()
         .keys()
         .filter_map(|id| fold.last_confirm(id));
     let first = last.max_by_key(|confirm| confirm.offset);
-    let first = first.map_or_else(String::new, |confirm| {
-        format!(
-            "; the last confirm of its services is that of {} at offset {}",
-            confirm.operator, confirm.offset
-        )
-    });
-    Err(Error::new(
-        ResultCode::StalePlan,
-        format!("the digest is not that of the present plan{first}"),
-        format!(
-            "nothing was published; look at the fresh plan with `carobshore plan {}` and confirm \
-             its digest",
-            args.intent
-        ),
-    ))
+    let fresh = plan::fresh(fold, intent)?;
+    let cause = first.map_or_else(
+        || "check that the digest was copied whole".to_owned(),
+        |first| {
+            format!(
+                "the last confirm of its services is that of {} at offset {}",
+                first.operator, first.offset
+            )
+        },
+    );
+    let code = ResultCode::StalePlan;
+    let text = format!(
+        "not published [{code}]: the digest is not that of the present plan; {cause}\nfresh \
+         plan:\n\n{}",
+        fresh.text()
+    );
+    let outcome = Stale {
+        in_force: false,
+        code,
+        by: first,
+        fresh,
+    };
+    output::print(context.json, &outcome, &text)?;
+    Ok(Exit::Refused)
 }
 
 fn report(context: &Context, after: &Fold, entry: &HistoryEntry) -> eyre::Result<Exit> {
--- a/cli/src/commands/intent.rs
+++ b/cli/src/commands/intent.rs
@@ -29,7 +29,8 @@
     #[arg(long, default_value = "")]
     note: String,
 
-    /// Read further changes from a file, one a line; `-` is the standard input.
+    /// Read changes from a file, one a line, before those given as arguments; `-` is the standard
+    /// input.
     #[arg(long, value_name = "FILE")]
     file: Option<PathBuf>,
 
@@ -47,9 +48,13 @@
 
 /// Publishes an intent after checking that it fits the present configuration.
 pub(crate) async fn run(context: &Context, args: IntentArgs) -> eyre::Result<Exit> {
-    let mut changes: Vec<_> = args.changes.into_iter().map(|change| change.0).collect();
-    if let Some(file) = &args.file {
-        changes.extend(file_changes(file)?);
+    let mut changes = match &args.file {
+        Some(file) => file_changes(file)?,
+        None => Vec::new(),
+    };
+    changes.extend(args.changes.into_iter().map(|change| change.0));
+    if changes.is_empty() {
+        return Err(no_changes().into());
     }
     let intent = Intent {
         operator: args.operator,
@@ -98,3 +103,11 @@
         })
         .collect()
 }
+
+fn no_changes() -> Error {
+    Error::new(
+        ResultCode::BadUsage,
+        "no change is given",
+        "give changes as arguments or with --file; `carobshore intent --help` lists their forms",
+    )
+}
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -185,6 +185,9 @@
         targets.map(move |(id, target)| (format!("{service}/{id}"), target))
     });
     let count = listed.clone().count();
+    if count == 0 {
+        return "no targets".to_owned();
+    }
     let shown_count = if all { count } else { count.min(MAX_TARGETS) };
     for (name, target) in listed.take(shown_count) {
         rows.add_row([
