entry: add the settings and the exchange on one chosen connection

Cause: the proxy has to know on which connection a request was sent and whether any byte of it was handed over; the pool of ntex's client hides both. Change: each client gets exactly one connection, opened before, through a connector that hands it out once. A filter below the codec counts the bytes. Responses whose end cannot be proved are malformed, since their truncation would look like their end. Conclusion: 'not sent' is proved by the byte count, not by the client's error.

--- /dev/null
+++ b/entry/src/answer.rs
@@ -0,0 +1,161 @@
+//! The response to a request that was sent over a [`Connection`].
+
+use std::rc::Rc;
+
+use ntex::client::ClientResponse;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::Payload;
+use ntex::http::StatusCode;
+use ntex::http::Version;
+use ntex::http::header::CONNECTION;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::header::TRANSFER_ENCODING;
+use ntex::util::Bytes;
+
+use crate::connection::Connection;
+use crate::connection::SendFailure;
+
+/// How the end of a body is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The last chunk marks the end.
+    Chunked,
+}
+
+/// The body broke off before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+/// A response whose head has arrived.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// The body of a response, read from the connection part by part.
+#[derive(Debug)]
+pub struct AnswerBody {
+    payload: Payload,
+    connection: Rc<Connection>,
+    framing: Framing,
+    received: u64,
+    ended: bool,
+    reusable: bool,
+}
+
+impl Answer {
+    pub(crate) fn new(
+        connection: Rc<Connection>,
+        method: &Method,
+        response: ClientResponse,
+    ) -> Result<Self, SendFailure> {
+        let status = response.status();
+        let framing = framing(method, &response)?;
+        let closing = response.version() != Version::HTTP_11 || says_close(response.headers());
+        let payload = response.take_payload();
+        // A 204 or 304 with a Content-Length leaves the client waiting for a body that is not sent.
+        let stray = framing == Framing::Empty && !matches!(payload, Payload::None);
+        if framing == Framing::Chunked && matches!(payload, Payload::None) {
+            return Err(SendFailure::Malformed("unknown transfer encoding".into()));
+        }
+        let body = AnswerBody {
+            payload: if stray { Payload::None } else { payload },
+            connection,
+            framing,
+            received: 0,
+            ended: false,
+            reusable: !closing && !stray,
+        };
+        Ok(Self {
+            status,
+            headers: response.headers().clone(),
+            body,
+        })
+    }
+}
+
+impl AnswerBody {
+    /// Returns how the end of the body is recognised.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the next part, or `None` at the proven end of the body.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        if self.ended || self.framing == Framing::Empty {
+            self.ended = true;
+            return Ok(None);
+        }
+        match self.payload.recv().await {
+            Some(Ok(bytes)) => {
+                self.received += bytes.len() as u64;
+                Ok(Some(bytes))
+            }
+            // The client reports the end of a broken HTTP/1.0 body as its regular end.
+            None if self.is_short() => Err(Cut),
+            None => {
+                self.ended = true;
+                Ok(None)
+            }
+            Some(Err(_)) => Err(Cut),
+        }
+    }
+
+    /// Returns the connection when it can carry another exchange.
+    ///
+    /// A connection whose response has not ended is never reused: the rest of the response would
+    /// be taken for the response to the next request.
+    pub fn into_reusable(self) -> Option<Rc<Connection>> {
+        let usable = self.ended && self.reusable && !self.connection.is_closed();
+        usable.then_some(self.connection)
+    }
+
+    fn is_short(&self) -> bool {
+        matches!(self.framing, Framing::Length(length) if self.received < length)
+    }
+}
+
+fn framing(method: &Method, response: &ClientResponse) -> Result<Framing, SendFailure> {
+    let status = response.status();
+    if status.is_informational() {
+        // The client takes an interim response for the final one.
+        return Err(SendFailure::Malformed("interim response".into()));
+    }
+    let headers = response.headers();
+    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if *method == Method::HEAD || bodiless {
+        return Ok(Framing::Empty);
+    }
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return match response.version() {
+            Version::HTTP_11 => Ok(Framing::Chunked),
+            _ => Err(SendFailure::Malformed("chunked HTTP/1.0 response".into())),
+        };
+    }
+    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+    match length.and_then(|text| text.trim().parse().ok()) {
+        Some(0) => Ok(Framing::Empty),
+        Some(length) => Ok(Framing::Length(length)),
+        // The end of the connection would be the end of the body, and a broken connection could
+        // not be told from it.
+        None => Err(SendFailure::Malformed("response without a length".into())),
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
--- /dev/null
+++ b/entry/src/connection.rs
@@ -0,0 +1,186 @@
+//! One connection to a target or to another entry VM, and one exchange on it.
+//!
+//! The HTTP client of ntex keeps a pool of its own and opens connections when it needs one. Here
+//! each client has exactly one connection, which is opened before the client is built. The
+//! client's connector hands that connection out once and fails afterwards, so that the client can
+//! neither retry nor reconnect, and it is always known on which connection a request was sent.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ntex::SharedCfg;
+use ntex::client::Client;
+use ntex::client::Connector;
+use ntex::client::error::ClientError;
+use ntex::connect::ConnectError;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::Uri;
+use ntex::http::body::Body;
+use ntex::io::IoBoxed;
+use ntex::io::IoRef;
+use ntex::service::ServiceFactory;
+use ntex::service::fn_service;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::answer::Answer;
+use crate::socket_options;
+use crate::wire::Wire;
+use crate::wire::WireFilter;
+
+/// Longest lifetime of a connection inside the client, in seconds; the pool closes it earlier.
+const CLIENT_LIFETIME_S: u16 = u16::MAX;
+
+/// A request as it is sent to a target or forwarded.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Box<str>,
+    /// All header fields, except those that frame the message.
+    pub headers: HeaderMap,
+    /// The body; its size decides the framing.
+    pub body: Body,
+}
+
+/// Why no response head arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SendFailure {
+    /// The connection was closed before any byte of the request was handed to it.
+    NotSent,
+    /// The connection broke after the first byte of the request.
+    Broken(Box<str>),
+    /// What came back is not an HTTP response.
+    Malformed(Box<str>),
+    /// The body that was being sent broke off at its source.
+    BodyCut,
+}
+
+/// An open connection that carries one exchange at a time.
+pub struct Connection {
+    addr: SocketAddr,
+    client: Client,
+    io: IoRef,
+    wire: Rc<Wire>,
+    mark: Cell<u64>,
+    opened: Instant,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = timeout(limit, TcpStream::connect(addr))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        socket_options::set(&stream)?;
+        let wire = Rc::new(Wire::default());
+        let io = ntex::rt::from_tcp_stream(stream.into_std()?, SharedCfg::default())?;
+        let io = io.add_filter(WireFilter(Rc::clone(&wire)));
+        let io_ref = io.get_ref();
+        let client = client_of(io.into()).await?;
+        Ok(Self {
+            addr,
+            client,
+            io: io_ref,
+            wire,
+            mark: Cell::new(0),
+            opened: Instant::now(),
+        })
+    }
+
+    /// Returns when the connection was opened.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
+    /// Returns whether the connection is known to be closed.
+    pub fn is_closed(&self) -> bool {
+        self.io.is_closed()
+    }
+
+    /// Returns whether any byte of the current request was handed to the connection.
+    pub fn handed_over(&self) -> bool {
+        self.wire.written() > self.mark.get()
+    }
+
+    /// Returns the observer of the connection's bytes.
+    pub fn wire(&self) -> &Rc<Wire> {
+        &self.wire
+    }
+
+    /// Returns whether bytes of a response are waiting to be read.
+    pub fn answered(&self) -> bool {
+        self.io.with_read_buf(|buf| !buf.is_empty())
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// Dropping the future closes the connection, which is how an attempt is cancelled.
+    pub async fn send(self: Rc<Self>, request: Outgoing) -> Result<Answer, SendFailure> {
+        self.mark.set(self.wire.written());
+        let uri = self.uri(&request.path)?;
+        let method = request.method.clone();
+        let mut builder = self.client.request(request.method, uri);
+        *builder.headers_mut() = request.headers;
+        match builder.send_body(request.body).await {
+            Ok(response) => Answer::new(self, &method, response),
+            Err(error) => Err(self.failure(&error)),
+        }
+    }
+
+    fn uri(&self, path: &str) -> Result<Uri, SendFailure> {
+        format!("http://{}{path}", self.addr)
+            .parse()
+            .map_err(|_| SendFailure::NotSent)
+    }
+
+    fn failure(&self, error: &ClientError) -> SendFailure {
+        if !self.handed_over() {
+            return SendFailure::NotSent;
+        }
+        match error {
+            ClientError::Response(error) => SendFailure::Malformed(error.to_string().into()),
+            ClientError::Error(_) => SendFailure::BodyCut,
+            error => SendFailure::Broken(error.to_string().into()),
+        }
+    }
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("addr", &self.addr)
+            .field("wire", &self.wire)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Builds the client whose only connection is `io`.
+async fn client_of(io: IoBoxed) -> io::Result<Client> {
+    let once = Rc::new(RefCell::new(Some(io)));
+    let connector = fn_service(move |_: ntex::connect::Connect<Uri>| {
+        let io = once.borrow_mut().take();
+        async move { io.ok_or_else(|| ConnectError::Io(io::ErrorKind::NotConnected.into())) }
+    });
+    let connector = Connector::default()
+        .limit(1)
+        .keep_alive(ntex::time::Seconds(CLIENT_LIFETIME_S))
+        .lifetime(ntex::time::Seconds(CLIENT_LIFETIME_S))
+        .connector(connector.map_init_err(|()| io::Error::other("unreachable")));
+    Client::builder()
+        .connector::<()>(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .build(SharedCfg::default())
+        .await
+        .map_err(io::Error::other)
+}
--- /dev/null
+++ b/entry/src/settings.rs
@@ -0,0 +1,233 @@
+//! The checked settings of `carobshore-entry`.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use carobshore_lib::prelude::ByteSize;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::Error;
+use carobshore_lib::prelude::Result;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_lib::prelude::VmId;
+use log::LevelFilter;
+
+use crate::flags::Flags;
+
+/// The longest deadline that a caller may ask for.
+pub const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
+/// How targets are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyName {
+    /// Any target, by chance.
+    Random,
+    /// The better of two targets that are drawn by chance.
+    TwoChoices,
+    /// The home VM of the target decides.
+    Homes,
+}
+
+/// Limits that protect this VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest header section of a request.
+    pub header: ByteSize,
+    /// Largest body of a request.
+    pub body: ByteSize,
+    /// Most connections at the same time, on each of the two ports.
+    pub connections: usize,
+}
+
+/// Times after which this VM gives up waiting.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// For a whole header section of a caller; whole seconds.
+    pub header: Duration,
+    /// For the next request on an idle connection; whole seconds.
+    pub keep_alive: Duration,
+    /// For opening a connection.
+    pub connect: Duration,
+    /// For the next part of a body.
+    pub body: Duration,
+    /// For the whole request when the caller names no deadline.
+    pub deadline: Duration,
+}
+
+/// The checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm_name: Box<str>,
+    /// Failure domain of this VM.
+    pub domain: DomainId,
+    /// Where callers are served.
+    pub listen: SocketAddr,
+    /// Where other entry VMs forward calls to.
+    pub forward: SocketAddr,
+    /// Where peers and operators call procedures.
+    pub rpc: SocketAddr,
+    /// Where the admin endpoints are.
+    pub admin: SocketAddr,
+    /// The platform's log.
+    pub log: SocketAddr,
+    /// The platform's list of VMs.
+    pub vm_list: SocketAddr,
+    /// Peers that are asked at start.
+    pub peers: Vec<SocketAddr>,
+    /// How targets are chosen.
+    pub policy: PolicyName,
+    /// Number of home VMs of a service in each failure domain.
+    pub homes: u32,
+    /// Limits that protect this VM.
+    pub limits: Limits,
+    /// Times after which this VM gives up waiting.
+    pub timeouts: Timeouts,
+    /// Time for which a stopping VM still accepts requests.
+    pub notice: Duration,
+    /// Least severe level that is logged.
+    pub level: LevelFilter,
+}
+
+impl TryFrom<Flags> for Settings {
+    type Error = Error;
+
+    fn try_from(flags: Flags) -> Result<Self> {
+        let limits = Limits {
+            header: size("max-header", &flags.max_header, 1 << 10..=1 << 20)?,
+            body: size("max-body", &flags.max_body, 1 << 10..=1 << 40)?,
+            connections: number("max-connections", &flags.max_connections, 1..=1_000_000)? as usize,
+        };
+        let timeouts = Timeouts {
+            header: seconds("header-timeout-s", &flags.header_timeout_s, 1..=600)?,
+            keep_alive: seconds("keep-alive-s", &flags.keep_alive_s, 1..=3_600)?,
+            connect: millis("connect-timeout-ms", &flags.connect_timeout_ms, 1..=60_000)?,
+            body: millis("body-timeout-ms", &flags.body_timeout_ms, 10..=600_000)?,
+            deadline: millis("deadline-ms", &flags.deadline_ms, 1..=600_000)?,
+        };
+        Ok(Self {
+            vm_name: vm_name(&flags.vm_name)?,
+            domain: checked("domain", &flags.domain)?,
+            listen: address("listen", &flags.listen)?,
+            forward: address("forward", &flags.forward)?,
+            rpc: address("rpc", &flags.rpc)?,
+            admin: address("admin", &flags.admin)?,
+            log: address("log", &flags.log)?,
+            vm_list: address("vm-list", &flags.vm_list)?,
+            peers: peers(&flags.peers)?,
+            policy: policy(&flags.policy)?,
+            homes: number("homes-per-domain", &flags.homes_per_domain, 1..=100)? as u32,
+            limits,
+            timeouts,
+            notice: millis("drain-notice-ms", &flags.drain_notice_ms, 0..=600_000)?,
+            level: level(&flags.log_level)?,
+        })
+    }
+}
+
+fn bad(name: &str, value: &str, allowed: impl Display) -> Error {
+    let variable = name.replace('-', "_").to_uppercase();
+    Error::new(
+        ResultCode::BadSetting,
+        format!(
+            "--{name} (CAROBSHORE_{variable}) has the value `{}`",
+            value.escape_debug()
+        ),
+        format!("use {allowed}"),
+    )
+}
+
+fn checked<T: FromStr<Err = Error>>(name: &str, value: &str) -> Result<T> {
+    value
+        .parse()
+        .map_err(|error: Error| bad(name, value, error.help.trim_start_matches("use ")))
+}
+
+/// Checks that ids of this VM can be built from its name.
+fn vm_name(value: &str) -> Result<Box<str>> {
+    const MAX_BYTES: usize = 54;
+    let id = VmId::with_incarnation(value, 0);
+    if value.contains('.') || id.is_err() {
+        let allowed = format!(
+            "1 to {MAX_BYTES} lower-case letters, digits and `-`, starting with a letter or digit"
+        );
+        return Err(bad("vm-name", value, allowed));
+    }
+    Ok(value.into())
+}
+
+fn address(name: &str, value: &str) -> Result<SocketAddr> {
+    value.parse().map_err(|_| {
+        bad(
+            name,
+            value,
+            "an IP address and a port, such as 10.0.0.7:8080",
+        )
+    })
+}
+
+fn peers(values: &[String]) -> Result<Vec<SocketAddr>> {
+    let given = values.iter().filter(|value| !value.is_empty());
+    given
+        .map(|value| {
+            value.parse().map_err(|_| {
+                let allowed = "IP addresses with ports, such as 10.0.0.7:8082, separated by commas";
+                let mut error = bad("peer", value, allowed);
+                error.message = error.message.replace("_PEER)", "_PEERS)").into();
+                error
+            })
+        })
+        .collect()
+}
+
+fn policy(value: &str) -> Result<PolicyName> {
+    match value {
+        "random" => Ok(PolicyName::Random),
+        "two-choices" => Ok(PolicyName::TwoChoices),
+        "homes" => Ok(PolicyName::Homes),
+        _ => Err(bad("policy", value, "`random`, `two-choices` or `homes`")),
+    }
+}
+
+fn level(value: &str) -> Result<LevelFilter> {
+    let allowed = "`error`, `warn`, `info`, `debug` or `trace`";
+    match value.parse() {
+        Ok(LevelFilter::Off) | Err(_) => Err(bad("log-level", value, allowed)),
+        Ok(level) => Ok(level),
+    }
+}
+
+fn number(name: &str, value: &str, allowed: RangeInclusive<u64>) -> Result<u64> {
+    let number = value.parse().ok().filter(|number| allowed.contains(number));
+    number.ok_or_else(|| {
+        let range = format!(
+            "a whole number from {} to {}",
+            allowed.start(),
+            allowed.end()
+        );
+        bad(name, value, range)
+    })
+}
+
+fn millis(name: &str, value: &str, allowed: RangeInclusive<u64>) -> Result<Duration> {
+    number(name, value, allowed).map(Duration::from_millis)
+}
+
+fn seconds(name: &str, value: &str, allowed: RangeInclusive<u64>) -> Result<Duration> {
+    number(name, value, allowed).map(Duration::from_secs)
+}
+
+fn size(name: &str, value: &str, allowed: RangeInclusive<u64>) -> Result<ByteSize> {
+    let size = value.parse::<ByteSize>().ok();
+    let fitting = size.filter(|size| allowed.contains(&size.0));
+    fitting.ok_or_else(|| {
+        let range = format!(
+            "a size from {} to {}",
+            ByteSize(*allowed.start()),
+            ByteSize(*allowed.end())
+        );
+        bad(name, value, range)
+    })
+}
--- /dev/null
+++ b/entry/tests/test_connection.rs
@@ -0,0 +1,270 @@
+//! One exchange on one connection: what is known when it fails.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use carobshore_entry::answer::Answer;
+use carobshore_entry::answer::Cut;
+use carobshore_entry::connection::Connection;
+use carobshore_entry::connection::Outgoing;
+use carobshore_entry::connection::SendFailure;
+use common::PATIENCE;
+use common::raw_server;
+use common::read_head;
+use common::refused_addr;
+use common::reset;
+use common::soon;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::body::Body;
+use ntex::http::body::BodySize;
+use ntex::http::body::MessageBody;
+use ntex::util::Bytes;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+async fn open(addr: SocketAddr) -> Rc<Connection> {
+    Rc::new(Connection::open(addr, PATIENCE).await.unwrap())
+}
+
+fn request(method: Method, body: Body) -> Outgoing {
+    Outgoing {
+        method,
+        path: "/path?query".into(),
+        headers: HeaderMap::new(),
+        body,
+    }
+}
+
+fn get() -> Outgoing {
+    request(Method::GET, Body::None)
+}
+
+async fn read_all(answer: &mut Answer) -> Result<Vec<u8>, Cut> {
+    let mut all = Vec::new();
+    while let Some(part) = answer.body.next().await? {
+        all.extend_from_slice(&part);
+    }
+    Ok(all)
+}
+
+/// A body of 10 bytes that breaks off after 4.
+struct BreakingBody(usize);
+
+impl MessageBody for BreakingBody {
+    fn size(&self) -> BodySize {
+        BodySize::Sized(10)
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn std::error::Error>>>> {
+        self.0 += 1;
+        Poll::Ready(Some(match self.0 {
+            1 => Ok(Bytes::from_static(b"part")),
+            _ => Err(Rc::new(std::io::Error::other("the caller left"))),
+        }))
+    }
+}
+
+/// Guards against a refused connect being taken for a request that may have run.
+#[ntex::test]
+async fn refused_connect_is_an_error_of_open() {
+    let error = Connection::open(refused_addr(), PATIENCE)
+        .await
+        .unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+}
+
+/// Guards against a reset after the request being reported as not sent.
+#[ntex::test]
+async fn reset_after_the_request_is_broken_and_handed_over() {
+    let addr = raw_server(|mut stream| {
+        read_head(&mut stream);
+        reset(stream);
+    });
+    let connection = open(addr).await;
+    let failure = Rc::clone(&connection).send(get()).await.unwrap_err();
+    assert!(matches!(failure, SendFailure::Broken(_)), "{failure:?}");
+    assert!(connection.handed_over());
+}
+
+/// Guards against a request on a connection that closed while idle being reported as possibly run.
+#[ntex::test]
+async fn closed_idle_connection_is_not_sent() {
+    let addr = raw_server(|mut stream| {
+        read_head(&mut stream);
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            .unwrap();
+    });
+    let connection = open(addr).await;
+    let mut answer = Rc::clone(&connection).send(get()).await.unwrap();
+    assert_eq!(read_all(&mut answer).await.unwrap(), b"ok");
+    sleep(Duration::from_millis(100)).await;
+    assert!(connection.is_closed());
+    assert!(answer.body.into_reusable().is_none());
+    let failure = Rc::clone(&connection).send(get()).await.unwrap_err();
+    assert_eq!(failure, SendFailure::NotSent);
+    assert!(!connection.handed_over());
+}
+
+/// Guards against the client opening a second connection by itself.
+#[ntex::test]
+async fn failed_exchange_opens_no_second_connection() {
+    let (accepted, connections) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        accepted.send(()).unwrap();
+        read_head(&mut stream);
+    });
+    let connection = open(addr).await;
+    for _ in 0..3 {
+        Rc::clone(&connection).send(get()).await.unwrap_err();
+    }
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(connections.try_iter().count(), 1);
+}
+
+/// Guards against a silent target being taken for one that did not get the request, and against a
+/// cancelled attempt that leaves its connection open.
+#[ntex::test]
+async fn silent_connection_is_handed_over_and_closed_by_cancelling() {
+    let (closed, seen) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        read_head(&mut stream);
+        let mut rest = [0];
+        closed.send(stream.read(&mut rest).unwrap_or(0)).unwrap();
+    });
+    let connection = open(addr).await;
+    let sent = Rc::clone(&connection).send(get());
+    assert!(timeout(Duration::from_millis(100), sent).await.is_err());
+    assert!(connection.handed_over());
+    assert_eq!(soon(&seen).await, 0);
+    assert!(connection.is_closed());
+}
+
+/// Guards against a truncated response being taken for a whole one, whatever its framing.
+#[ntex::test]
+async fn cut_responses_are_never_whole() {
+    let cases: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        b"HTTP/1.0 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nUpgrade: websocket\r\n\r\nshort",
+    ];
+    for case in cases {
+        let addr = raw_server(move |mut stream| {
+            read_head(&mut stream);
+            stream.write_all(case).unwrap();
+        });
+        let mut answer = open(addr).await.send(get()).await.unwrap();
+        let text = String::from_utf8_lossy(case);
+        assert_eq!(read_all(&mut answer).await, Err(Cut), "{text}");
+        assert!(answer.body.into_reusable().is_none(), "{text}");
+    }
+}
+
+/// Guards against a body whose end cannot be proved, which would hide a truncation or let the rest
+/// of it run into the next response.
+#[ntex::test]
+async fn responses_without_a_provable_end_are_malformed() {
+    let cases: [&[u8]; 5] = [
+        b"HTTP/1.1 200 OK\r\n\r\nuntil the end of the connection",
+        b"HTTP/1.0 200 OK\r\n\r\nuntil the end of the connection",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nuntil the end",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"not HTTP at all\r\n\r\n",
+    ];
+    for case in cases {
+        let addr = raw_server(move |mut stream| {
+            read_head(&mut stream);
+            stream.write_all(case).unwrap();
+        });
+        let failure = open(addr).await.send(get()).await.unwrap_err();
+        let text = String::from_utf8_lossy(case);
+        assert!(
+            matches!(failure, SendFailure::Malformed(_)),
+            "{text}: {failure:?}"
+        );
+    }
+}
+
+/// Guards against waiting for the body of a response that has none by definition.
+#[ntex::test]
+async fn bodiless_responses_end_at_once() {
+    let cases: [(Method, &[u8]); 3] = [
+        (
+            Method::HEAD,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+        ),
+        (
+            Method::GET,
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n\r\n",
+        ),
+        (Method::GET, b"HTTP/1.1 204 No Content\r\n\r\n"),
+    ];
+    for (method, case) in cases {
+        let addr = raw_server(move |mut stream| {
+            read_head(&mut stream);
+            stream.write_all(case).unwrap();
+            read_head(&mut stream);
+        });
+        let sent = open(addr).await.send(request(method, Body::None));
+        let mut answer = timeout(PATIENCE, sent).await.unwrap().unwrap();
+        let body = timeout(Duration::from_secs(1), read_all(&mut answer)).await;
+        assert_eq!(
+            body.unwrap().unwrap(),
+            b"",
+            "{}",
+            String::from_utf8_lossy(case)
+        );
+    }
+}
+
+/// Guards against losing the reuse of a healthy connection.
+#[ntex::test]
+async fn whole_response_leaves_a_reusable_connection() {
+    let addr = raw_server(|mut stream| {
+        while !read_head(&mut stream).is_empty() {
+            stream
+                .write_all(
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                )
+                .unwrap();
+        }
+    });
+    let mut connection = open(addr).await;
+    for _ in 0..3 {
+        let mut answer = connection.send(get()).await.unwrap();
+        assert_eq!(read_all(&mut answer).await.unwrap(), b"ok");
+        connection = answer.body.into_reusable().unwrap();
+    }
+}
+
+/// Guards against an upload that breaks off at its source being completed towards the target.
+#[ntex::test]
+async fn body_that_breaks_off_is_never_completed() {
+    let (tell, told) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        let mut all = Vec::new();
+        let _ = stream.read_to_end(&mut all);
+        tell.send(all).unwrap();
+    });
+    let failure = open(addr)
+        .await
+        .send(request(Method::POST, Body::from_message(BreakingBody(0))))
+        .await;
+    assert_eq!(failure.unwrap_err(), SendFailure::BodyCut);
+    let all = String::from_utf8(soon(&told).await).unwrap();
+    let (_, body) = all.split_once("\r\n\r\n").unwrap();
+    assert!("part".starts_with(body), "{all}");
+}
