--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -57,10 +57,10 @@
     pub(crate) fn new(
         connection: Rc<Connection>,
         method: &Method,
-        response: ClientResponse,
+        response: &ClientResponse,
     ) -> Result<Self, SendFailure> {
         let status = response.status();
-        let framing = framing(method, &response)?;
+        let framing = framing(method, response)?;
         let closing = response.version() != Version::HTTP_11 || says_close(response.headers());
         let payload = response.take_payload();
         // A 204 or 304 with a Content-Length leaves the client waiting for a body that is not sent.
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -131,7 +131,7 @@
         let mut builder = self.client.request(request.method, uri);
         *builder.headers_mut() = request.headers;
         match builder.send_body(request.body).await {
-            Ok(response) => Answer::new(self, &method, response),
+            Ok(response) => Answer::new(self, &method, &response),
             Err(error) => Err(self.failure(&error)),
         }
     }
