--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -116,7 +116,8 @@
     /// A connection whose response has not ended is never reused: the rest of the response would
     /// be taken for the response to the next request.
     pub fn into_reusable(self) -> Option<Rc<Connection>> {
-        let usable = self.ended && self.reusable && !self.connection.is_closed();
+        let muted = self.connection.wire().is_muted();
+        let usable = self.ended && self.reusable && !muted && !self.connection.is_closed();
         usable.then_some(self.connection)
     }
 
--- /dev/null
+++ b/entry/src/call_head.rs
@@ -0,0 +1,233 @@
+//! What a request asks for, read from its head.
+
+use std::net::IpAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::prelude::Error;
+use carobshore_lib::prelude::RequestKey;
+use carobshore_lib::prelude::Result;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_lib::prelude::ServiceId;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::RequestHead;
+use ntex::http::body::BodySize;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::header::TRANSFER_ENCODING;
+
+use crate::field;
+use crate::headers;
+use crate::settings::MAX_DEADLINE;
+use crate::settings::Settings;
+
+/// The most entry VMs that a call passes: one that took it, its home, and one more home.
+pub const MAX_HOPS: u32 = 2;
+
+/// On which port a request arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// The port of the callers.
+    Callers,
+    /// The port of the other entry VMs. Only there the fields between entry VMs are believed.
+    Peers,
+}
+
+impl Port {
+    /// Returns the name for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+/// The classified head of a request.
+#[derive(Debug)]
+pub struct CallHead {
+    /// On which port the request arrived.
+    pub port: Port,
+    /// The service.
+    pub service: ServiceId,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Box<str>,
+    /// The value of `Host`.
+    pub host: Box<str>,
+    /// The fields that are passed on.
+    pub headers: HeaderMap,
+    /// The size of the body.
+    pub size: BodySize,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// The key of a run-once request.
+    pub key: Option<RequestKey>,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// Who calls, for fair queueing.
+    pub caller: Box<str>,
+    /// How many entry VMs have forwarded the call.
+    pub hops: u32,
+    /// The peer's address.
+    pub peer: Option<IpAddr>,
+}
+
+impl CallHead {
+    /// Classifies a request.
+    pub fn parse(
+        head: &RequestHead,
+        peer: Option<IpAddr>,
+        port: Port,
+        settings: &Settings,
+        now: Instant,
+    ) -> Result<Self> {
+        let fields = &head.headers;
+        let host = host(fields)?;
+        let key = key(fields)?;
+        let repeatable = repeatable(&head.method, fields, key)?;
+        let mut kept = headers::end_to_end(fields);
+        headers::remove_all(&mut kept, &field::ENTRY_ONLY);
+        Ok(Self {
+            port,
+            service: service(fields, &host)?,
+            method: head.method.clone(),
+            path: path(head)?,
+            host,
+            headers: kept,
+            size: size(fields, settings)?,
+            repeatable,
+            key,
+            deadline: now + deadline(fields, settings)?,
+            caller: caller(fields, peer)?,
+            hops: hops(fields, port)?,
+            peer,
+        })
+    }
+
+    /// Returns the time until the deadline.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+fn bad(name: &str, value: &str, allowed: &str) -> Error {
+    Error::new(
+        ResultCode::BadHeader,
+        format!("the field `{name}` has the value `{}`", value.escape_debug()),
+        format!("use {allowed}"),
+    )
+}
+
+fn single<'a>(fields: &'a HeaderMap, name: &str, allowed: &str) -> Result<Option<&'a str>> {
+    headers::single(fields, name).map_err(|value| bad(name, &value, allowed))
+}
+
+fn host(fields: &HeaderMap) -> Result<Box<str>> {
+    let allowed = "one host name";
+    let host = single(fields, "host", allowed)?;
+    host.map(Box::from)
+        .ok_or_else(|| Error::new(ResultCode::BadRequest, "the field `host` is missing", allowed))
+}
+
+/// Returns the service that the field or the first label of the host names.
+fn service(fields: &HeaderMap, host: &str) -> Result<ServiceId> {
+    let allowed = "the id of one service";
+    if let Some(text) = single(fields, field::SERVICE, allowed)? {
+        return text.parse().map_err(|_| bad(field::SERVICE, text, allowed));
+    }
+    let label = host.split(['.', ':']).next().unwrap_or_default();
+    label.to_ascii_lowercase().parse().map_err(|_| {
+        Error::new(
+            ResultCode::UnknownService,
+            format!("the host `{}` names no service", host.escape_debug()),
+            format!("send `{}` or a host whose first label is a service", field::SERVICE),
+        )
+    })
+}
+
+fn path(head: &RequestHead) -> Result<Box<str>> {
+    let refused = |what: &str| {
+        Error::new(
+            ResultCode::BadRequest,
+            format!("{what} is not supported"),
+            "send a path, such as `GET /status HTTP/1.1`",
+        )
+    };
+    if head.method == Method::CONNECT {
+        return Err(refused("the method CONNECT"));
+    }
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    match path.starts_with('/') {
+        true => Ok(path.into()),
+        false => Err(refused("a request target without a path")),
+    }
+}
+
+fn size(fields: &HeaderMap, settings: &Settings) -> Result<BodySize> {
+    if fields.contains_key(TRANSFER_ENCODING) {
+        return Ok(BodySize::Stream);
+    }
+    let length = fields.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+    let length = length.and_then(|text| text.trim().parse().ok());
+    match length {
+        // Methods that expect a body need `content-length: 0`; the others get no field.
+        Some(0) => Ok(BodySize::Empty),
+        Some(length) if length > settings.limits.body.0 => Err(too_large(settings)),
+        Some(length) => Ok(BodySize::Sized(length)),
+        None => Ok(BodySize::None),
+    }
+}
+
+/// Builds the error for a body above the limit.
+pub fn too_large(settings: &Settings) -> Error {
+    Error::new(
+        ResultCode::TooLarge,
+        format!("the body is larger than {}", settings.limits.body),
+        "send a smaller body",
+    )
+}
+
+fn key(fields: &HeaderMap) -> Result<Option<RequestKey>> {
+    let allowed = "one UUIDv7";
+    let text = single(fields, field::KEY, allowed)?;
+    text.map(str::parse).transpose()
+}
+
+fn repeatable(method: &Method, fields: &HeaderMap, key: Option<RequestKey>) -> Result<bool> {
+    let allowed = "`yes` or `no`";
+    let marked = match single(fields, field::REPEATABLE, allowed)? {
+        None => matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS),
+        Some("yes") => true,
+        Some("no") => false,
+        Some(other) => return Err(bad(field::REPEATABLE, other, allowed)),
+    };
+    Ok(marked && key.is_none())
+}
+
+fn deadline(fields: &HeaderMap, settings: &Settings) -> Result<Duration> {
+    let allowed = "whole milliseconds from 1 to 600000";
+    let Some(text) = single(fields, field::DEADLINE, allowed)? else {
+        return Ok(settings.timeouts.deadline);
+    };
+    let millis = text.parse().ok().map(Duration::from_millis);
+    let valid = millis.filter(|time| !time.is_zero() && *time <= MAX_DEADLINE);
+    valid.ok_or_else(|| bad(field::DEADLINE, text, allowed))
+}
+
+fn caller(fields: &HeaderMap, peer: Option<IpAddr>) -> Result<Box<str>> {
+    let named = single(fields, field::CALLER, "one caller")?;
+    let address = || peer.map(|ip| ip.to_string()).unwrap_or_default();
+    Ok(named.map_or_else(|| address().into(), Box::from))
+}
+
+fn hops(fields: &HeaderMap, port: Port) -> Result<u32> {
+    if port == Port::Callers {
+        return Ok(0);
+    }
+    let allowed = "1 or 2";
+    let text = single(fields, field::HOPS, allowed)?.unwrap_or_default();
+    let hops = text.parse().ok().filter(|hops| (1..=MAX_HOPS).contains(hops));
+    hops.ok_or_else(|| bad(field::HOPS, text, allowed))
+}
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -116,9 +116,11 @@
         &self.wire
     }
 
-    /// Returns whether bytes of a response are waiting to be read.
-    pub fn answered(&self) -> bool {
-        self.io.with_read_buf(|buf| !buf.is_empty())
+    /// Returns whether the head of an error response waits to be read.
+    pub fn refused_early(&self) -> bool {
+        const STATUS_AT: usize = "HTTP/1.1 ".len();
+        self.io
+            .with_read_buf(|buf| matches!(buf.get(STATUS_AT), Some(b'4' | b'5')))
     }
 
     /// Sends a request and waits for the head of its response.
--- a/entry/src/wire.rs
+++ b/entry/src/wire.rs
@@ -22,6 +22,11 @@
         self.written.get()
     }
 
+    /// Returns whether writes are dropped.
+    pub fn is_muted(&self) -> bool {
+        self.muted.get()
+    }
+
     /// Drops everything that is written from now on.
     pub fn mute(&self) {
         self.muted.set(true);
