--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,477 @@
+//! Who is alive, who watches whom, and when a VM is removed from the roster.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::domain_id::DomainId;
+use crate::heartbeat::Heartbeat;
+use crate::heartbeat::rotate;
+use crate::leaving::LeavingTarget;
+use crate::offset::Offset;
+use crate::peer_load::PeerLoad;
+use crate::read_lease::LEASE;
+use crate::record::Body;
+use crate::record::Join;
+use crate::roster::Roster;
+use crate::service_id::ServiceId;
+use crate::vm_id::VmId;
+use crate::watch_ring::WatchRing;
+
+/// How often a VM sends heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// After how long without a heartbeat routing avoids a watched VM.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(2_500);
+
+/// After how long without a heartbeat a VM that the platform does not list as live is displaced.
+pub const DISPLACE_AFTER: Duration = Duration::from_secs(5);
+
+/// After how long without a heartbeat a VM is displaced whatever the list says. A watcher that
+/// hears none of several VMs, all listed as live, waits twice as long: it is more likely cut off
+/// itself, and by then its own watchers have displaced it.
+pub const DISPLACE_ANYWAY: Duration = Duration::from_secs(15);
+
+/// How long a copy of the platform's list counts as evidence. An empty or old one is none.
+pub const LIST_AGE: Duration = Duration::from_secs(10);
+
+/// By how much later the second and third watcher act, so that one record is enough.
+pub const RANK_DELAY: Duration = Duration::from_secs(1);
+
+/// The longest time between two ticks that counts as silence of others. A watcher that was itself
+/// paused heard nobody, which says nothing about them.
+pub const MAX_TICK: Duration = Duration::from_secs(1);
+
+/// How long an append may take before it is asked for again.
+pub const APPEND_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The longest delay before a displaced VM joins again. It doubles from one second.
+pub const MAX_REJOIN_DELAY: Duration = Duration::from_secs(30);
+
+/// The VM whose membership is decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SelfInfo {
+    /// The `join` record that enters this VM, with the id of this run.
+    pub join: Join,
+    /// Seeds the choice of random peers.
+    pub seed: u64,
+}
+
+/// A VM on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedVm {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Whether the list shows it as live, otherwise as leaving.
+    pub live: bool,
+}
+
+/// What membership is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipEvent {
+    /// This VM may enter the roster: it has the configuration.
+    Ready,
+    /// The roster changed.
+    Roster {
+        /// The new roster.
+        roster: Roster,
+    },
+    /// The offset of the record that this VM applies next.
+    Applied(Offset),
+    /// A log read that was issued at this time reached the end of the log.
+    LogRead {
+        /// When the read was issued.
+        issued: Instant,
+    },
+    /// A heartbeat arrived.
+    Heard(Heartbeat),
+    /// A call to a peer failed to connect.
+    Unreachable(VmId),
+    /// The platform's list arrived.
+    Listed(Vec<ListedVm>),
+    /// The log acknowledged a `join` or `displace` of this VM.
+    Appended {
+        /// The record's offset.
+        offset: Offset,
+        /// What was appended.
+        body: Body,
+    },
+    /// An append was given up.
+    AppendFailed {
+        /// What was not appended.
+        body: Body,
+    },
+    /// This VM got a new id, as asked by `NeedNewId`.
+    NewId(VmId),
+    /// A planned stop wrote `leave`, or is about to: this VM joins and displaces no more.
+    Stopping,
+    /// Time passed. Expected at least once per [`MAX_TICK`].
+    Tick,
+}
+
+/// What membership wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipAction {
+    /// Send a heartbeat to these VMs.
+    Heartbeat {
+        /// The watchers and one random peer.
+        to: Vec<VmId>,
+        /// The number of the round, by which long lists are rotated.
+        round: u64,
+    },
+    /// Append a record.
+    Append(Body),
+    /// Routing avoids the VM from now on.
+    Suspect(VmId),
+    /// Routing may use the VM again.
+    Recovered(VmId),
+    /// A peer has applied more records than this VM.
+    PeerAhead {
+        /// The peer.
+        vm: VmId,
+        /// The offset of the record that the peer applies next.
+        applied: Offset,
+    },
+    /// A peer says that targets leave.
+    PeerLeaving(Vec<LeavingTarget>),
+    /// This VM was displaced and needs a new id to join again.
+    NeedNewId,
+}
+
+/// What is known about a watched VM.
+#[derive(Clone, Debug)]
+struct Watch {
+    rank: usize,
+    silent: Duration,
+    suspect: bool,
+    /// When a `displace` was asked for.
+    asked: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// Not ready to join.
+    Starting,
+    /// Joins as soon as the time has come.
+    Joining {
+        not_before: Option<Instant>,
+    },
+    /// The `join` was asked for and has not appeared in the roster.
+    Asked {
+        since: Instant,
+        at: Option<Offset>,
+    },
+    Member,
+    /// Displaced; waits for a new id.
+    Displaced,
+    Stopping,
+}
+
+/// The membership decisions of one VM. Its work per second does not depend on the roster's size;
+/// only a change of the roster sorts it once.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    info: SelfInfo,
+    standing: Standing,
+    ring: WatchRing,
+    applied: Offset,
+    watched: BTreeMap<VmId, Watch>,
+    listed: BTreeMap<Box<str>, bool>,
+    list_read: Option<Instant>,
+    log_read: Option<Instant>,
+    last_tick: Option<Instant>,
+    next_beat: Option<Instant>,
+    round: u64,
+    ahead: Offset,
+    rejoin_delay: Duration,
+}
+
+impl Membership {
+    /// Builds the membership of a VM that has not joined.
+    pub fn new(info: SelfInfo) -> Self {
+        Self {
+            info,
+            standing: Standing::Starting,
+            ring: WatchRing::default(),
+            applied: Offset::default(),
+            watched: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            list_read: None,
+            log_read: None,
+            last_tick: None,
+            next_beat: None,
+            round: 0,
+            ahead: Offset::default(),
+            rejoin_delay: HEARTBEAT,
+        }
+    }
+
+    /// Takes an event and appends the actions that follow from it.
+    pub fn handle(
+        &mut self,
+        now: Instant,
+        event: MembershipEvent,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        match event {
+            MembershipEvent::Ready => self.ready(now, out),
+            MembershipEvent::Roster { roster } => self.roster(now, &roster, out),
+            MembershipEvent::Applied(offset) => self.applied(now, offset, out),
+            MembershipEvent::LogRead { issued } => self.log_read = self.log_read.max(Some(issued)),
+            MembershipEvent::Heard(heartbeat) => self.heard(heartbeat, out),
+            MembershipEvent::Unreachable(vm) => self.unreachable(&vm, out),
+            MembershipEvent::Listed(list) => self.listed(now, list),
+            MembershipEvent::Appended { offset, body } => self.appended(now, offset, &body, out),
+            MembershipEvent::AppendFailed { body } => self.append_failed(now, &body),
+            MembershipEvent::NewId(vm) => self.new_id(now, vm, out),
+            MembershipEvent::Stopping => self.standing = Standing::Stopping,
+            MembershipEvent::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Returns this VM's id.
+    pub fn vm(&self) -> &VmId {
+        &self.info.join.vm
+    }
+
+    /// Returns whether this VM is in the roster, as far as it knows.
+    pub fn is_member(&self) -> bool {
+        self.standing == Standing::Member
+    }
+
+    /// Returns the heartbeat that this VM sends in a round.
+    pub fn heartbeat(
+        &self,
+        round: u64,
+        leaving: &[LeavingTarget],
+        loads: &[(ServiceId, PeerLoad)],
+    ) -> Heartbeat {
+        Heartbeat {
+            from: self.vm().clone(),
+            applied: self.applied,
+            leaving: rotate(leaving, round),
+            loads: rotate(loads, round),
+        }
+    }
+
+    fn ready(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+        if self.standing == Standing::Starting {
+            self.standing = Standing::Joining { not_before: None };
+            self.join(now, out);
+        }
+    }
+
+    fn join(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+        let Standing::Joining { not_before } = self.standing else {
+            return;
+        };
+        if not_before.is_none_or(|earliest| now >= earliest) {
+            self.standing = Standing::Asked {
+                since: now,
+                at: None,
+            };
+            let join = Body::Join(self.info.join.clone());
+            out.push(MembershipAction::Append(join));
+        }
+    }
+
+    fn roster(&mut self, now: Instant, roster: &Roster, out: &mut Vec<MembershipAction>) {
+        self.ring = WatchRing::new(roster);
+        let present = roster.contains(self.vm());
+        match self.standing {
+            Standing::Joining { .. } | Standing::Asked { .. } if present => {
+                self.standing = Standing::Member;
+                self.next_beat = None;
+            }
+            Standing::Member if !present => self.displaced(out),
+            _ => {}
+        }
+        self.watch(out);
+        self.check_join(now, out);
+    }
+
+    /// Watches the predecessors in the ring. A VM that was watched before keeps its silence.
+    fn watch(&mut self, out: &mut Vec<MembershipAction>) {
+        let mut old = std::mem::take(&mut self.watched);
+        for (rank, vm) in self.ring.watched(&self.info.join.vm) {
+            let mut watch = old.remove(vm).unwrap_or(Watch {
+                rank,
+                silent: Duration::ZERO,
+                suspect: false,
+                asked: None,
+            });
+            watch.rank = rank;
+            self.watched.insert(vm.clone(), watch);
+        }
+        let suspects = old.into_iter().filter(|(_, watch)| watch.suspect);
+        out.extend(suspects.map(|(vm, _)| MembershipAction::Recovered(vm)));
+    }
+
+    fn displaced(&mut self, out: &mut Vec<MembershipAction>) {
+        self.standing = Standing::Displaced;
+        out.push(MembershipAction::NeedNewId);
+    }
+
+    fn new_id(&mut self, now: Instant, vm: VmId, out: &mut Vec<MembershipAction>) {
+        if self.standing != Standing::Displaced {
+            return;
+        }
+        self.info.join.vm = vm;
+        self.standing = Standing::Joining {
+            not_before: Some(now + self.rejoin_delay),
+        };
+        self.rejoin_delay = (self.rejoin_delay * 2).min(MAX_REJOIN_DELAY);
+        self.join(now, out);
+    }
+
+    fn applied(&mut self, now: Instant, offset: Offset, out: &mut Vec<MembershipAction>) {
+        self.applied = self.applied.max(offset);
+        self.check_join(now, out);
+    }
+
+    /// A `join` that the log acknowledged and that is not in the roster after it was applied was
+    /// displaced at once. Its id cannot join again.
+    fn check_join(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+        match self.standing {
+            Standing::Asked { at: Some(at), .. } if self.applied > at => self.displaced(out),
+            Standing::Asked { since, at: None } if now >= since + APPEND_PATIENCE => {
+                self.standing = Standing::Joining { not_before: None };
+                self.join(now, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn appended(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        body: &Body,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        let own = matches!(body, Body::Join(join) if join.vm == self.info.join.vm);
+        if let (true, Standing::Asked { at, .. }) = (own, &mut self.standing) {
+            *at = Some(offset);
+            self.check_join(now, out);
+        }
+    }
+
+    fn append_failed(&mut self, now: Instant, body: &Body) {
+        match body {
+            Body::Join(join) if join.vm == self.info.join.vm => {
+                if let Standing::Asked { at: None, .. } = self.standing {
+                    let not_before = Some(now + HEARTBEAT);
+                    self.standing = Standing::Joining { not_before };
+                }
+            }
+            Body::Displace { vm, .. } => {
+                if let Some(watch) = self.watched.get_mut(vm) {
+                    watch.asked = None;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn heard(&mut self, heartbeat: Heartbeat, out: &mut Vec<MembershipAction>) {
+        if let Some(watch) = self.watched.get_mut(&heartbeat.from) {
+            watch.silent = Duration::ZERO;
+            watch.asked = None;
+            if std::mem::take(&mut watch.suspect) {
+                out.push(MembershipAction::Recovered(heartbeat.from.clone()));
+            }
+        }
+        if heartbeat.applied > self.applied && heartbeat.applied > self.ahead {
+            self.ahead = heartbeat.applied;
+            out.push(MembershipAction::PeerAhead {
+                vm: heartbeat.from,
+                applied: heartbeat.applied,
+            });
+        }
+        if !heartbeat.leaving.is_empty() {
+            out.push(MembershipAction::PeerLeaving(heartbeat.leaving));
+        }
+    }
+
+    fn unreachable(&mut self, vm: &VmId, out: &mut Vec<MembershipAction>) {
+        if let Some(watch) = self.watched.get_mut(vm)
+            && !std::mem::replace(&mut watch.suspect, true)
+        {
+            out.push(MembershipAction::Suspect(vm.clone()));
+        }
+    }
+
+    fn listed(&mut self, now: Instant, list: Vec<ListedVm>) {
+        if list.is_empty() {
+            return;
+        }
+        self.list_read = Some(now);
+        let entries = list.into_iter().map(|vm| (vm.name, vm.live));
+        self.listed = entries.collect();
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+        let last = self.last_tick.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(last).min(MAX_TICK);
+        self.join(now, out);
+        self.check_join(now, out);
+        // A peer that is ahead is reported again in each round until the records arrived.
+        if self.next_beat.is_none_or(|at| now >= at) {
+            self.ahead = self.applied;
+            self.beat(now, out);
+        }
+        self.judge_silence(now, elapsed, out);
+    }
+
+    fn beat(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+        self.next_beat = Some(now + HEARTBEAT);
+        self.round += 1;
+        let own = &self.info.join.vm;
+        let mut to: Vec<_> = self.ring.watchers(own).cloned().collect();
+        let mut bytes = self.info.seed.to_le_bytes().to_vec();
+        bytes.extend(self.round.to_le_bytes());
+        let random = self.ring.pick(xxh3_64(&bytes), own);
+        to.extend(random.filter(|vm| !to.contains(vm)).cloned());
+        if !to.is_empty() {
+            let round = self.round;
+            out.push(MembershipAction::Heartbeat { to, round });
+        }
+    }
+
+    fn judge_silence(&mut self, now: Instant, elapsed: Duration, out: &mut Vec<MembershipAction>) {
+        for watch in self.watched.values_mut() {
+            watch.silent += elapsed;
+        }
+        let silent = |watch: &Watch| watch.silent >= DISPLACE_AFTER;
+        let alone = self.watched.len() > 1 && self.watched.values().all(silent);
+        let fresh = self.list_read.is_some_and(|at| now < at + LIST_AGE);
+        // A VM that cannot read the log would act on an old roster.
+        let reads = self.log_read.is_some_and(|issued| now < issued + LEASE);
+        let may_displace = reads && self.standing == Standing::Member;
+        let by = &self.info.join.vm;
+        for (vm, watch) in &mut self.watched {
+            if watch.silent >= SUSPECT_AFTER && !watch.suspect {
+                watch.suspect = true;
+                out.push(MembershipAction::Suspect(vm.clone()));
+            }
+            let delay = RANK_DELAY * u32::try_from(watch.rank).unwrap_or(u32::MAX);
+            let live = self.listed.get(vm.vm_name()).copied().unwrap_or(false);
+            let limit = match (fresh && !live, alone) {
+                (true, _) => DISPLACE_AFTER,
+                (false, false) => DISPLACE_ANYWAY,
+                (false, true) => DISPLACE_ANYWAY * 2,
+            };
+            let asked = watch.asked.is_some_and(|at| now < at + APPEND_PATIENCE);
+            if may_displace && !asked && watch.silent >= limit + delay {
+                watch.asked = Some(now);
+                let vm = vm.clone();
+                let by = by.clone();
+                out.push(MembershipAction::Append(Body::Displace { vm, by }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/planned_stop.rs
@@ -0,0 +1,154 @@
+//! The sequence of a planned stop of an entry VM.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long requests are accepted after readiness failed, so that the platform's load balancer
+/// notices.
+pub const NOTICE: Duration = Duration::from_secs(5);
+
+/// How long the stop waits for the log to accept the `leave` after everything else ended. Without
+/// the record, the watchers displace the VM.
+pub const LEAVE_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a planned stop is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopEvent {
+    /// SIGTERM or SIGINT arrived.
+    Signal,
+    /// The number of requests that were accepted and have not ended, queued ones included.
+    InFlight {
+        /// Requests with a key that this VM owns.
+        keyed: usize,
+        /// All other requests.
+        other: usize,
+    },
+    /// The log acknowledged the `leave`.
+    LeaveAppended,
+    /// Time passed.
+    Tick,
+}
+
+/// What a planned stop wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopAction {
+    /// Report "not ready", and refuse new requests with keys that this VM owns as "not run".
+    Announce,
+    /// Refuse all new requests as "not run" and close the listeners.
+    StopAccepting,
+    /// Append a `leave` for this VM. From now on the VM accepts no key, whether or not the append
+    /// succeeds: its record may take effect at any later time.
+    AppendLeave,
+    /// Cut off the requests in flight.
+    CutOff,
+    /// End the process with exit status 0.
+    Exit,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leave {
+    Waiting,
+    Requested,
+    Appended,
+}
+
+/// A planned stop, from the first signal to the exit.
+#[derive(Clone, Debug)]
+pub struct PlannedStop {
+    signalled: Option<Instant>,
+    accepting: bool,
+    leave: Leave,
+    keyed: usize,
+    other: usize,
+    /// Since when only the `leave` is missing.
+    idle: Option<Instant>,
+    exited: bool,
+}
+
+impl Default for PlannedStop {
+    fn default() -> Self {
+        Self {
+            signalled: None,
+            accepting: true,
+            leave: Leave::Waiting,
+            keyed: 0,
+            other: 0,
+            idle: None,
+            exited: false,
+        }
+    }
+}
+
+impl PlannedStop {
+    /// Takes an event and appends the actions that follow from it.
+    ///
+    /// The numbers of requests in flight have to be reported after each change, and the one that
+    /// follows `Announce` only after the announcement took effect.
+    pub fn handle(&mut self, now: Instant, event: StopEvent, out: &mut Vec<StopAction>) {
+        if self.exited {
+            return;
+        }
+        match event {
+            StopEvent::Signal => return self.signal(now, out),
+            StopEvent::InFlight { keyed, other } => {
+                self.keyed = keyed;
+                self.other = other;
+            }
+            StopEvent::LeaveAppended => self.leave = Leave::Appended,
+            StopEvent::Tick => {}
+        }
+        self.advance(now, out);
+    }
+
+    /// Returns whether the stop has begun. Readiness fails and no new key is accepted from then on.
+    pub fn is_stopping(&self) -> bool {
+        self.signalled.is_some()
+    }
+
+    /// Returns whether new requests without a key are accepted.
+    pub fn is_accepting(&self) -> bool {
+        self.accepting
+    }
+
+    fn signal(&mut self, now: Instant, out: &mut Vec<StopAction>) {
+        if self.signalled.is_none() {
+            self.signalled = Some(now);
+            out.push(StopAction::Announce);
+            return;
+        }
+        if self.accepting {
+            self.accepting = false;
+            out.push(StopAction::StopAccepting);
+        }
+        out.push(StopAction::CutOff);
+        self.exit(out);
+    }
+
+    fn advance(&mut self, now: Instant, out: &mut Vec<StopAction>) {
+        let Some(signalled) = self.signalled else {
+            return;
+        };
+        if self.accepting && now >= signalled + NOTICE {
+            self.accepting = false;
+            out.push(StopAction::StopAccepting);
+        }
+        if self.leave == Leave::Waiting && self.keyed == 0 {
+            self.leave = Leave::Requested;
+            out.push(StopAction::AppendLeave);
+        }
+        let ended = !self.accepting && self.keyed == 0 && self.other == 0;
+        if !ended {
+            self.idle = None;
+            return;
+        }
+        let idle = *self.idle.get_or_insert(now);
+        if self.leave == Leave::Appended || now >= idle + LEAVE_PATIENCE {
+            self.exit(out);
+        }
+    }
+
+    fn exit(&mut self, out: &mut Vec<StopAction>) {
+        self.exited = true;
+        out.push(StopAction::Exit);
+    }
+}
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -72,6 +72,8 @@
     TooLarge = 3005,
     /// The `Idempotency-Key` was created too far in the future.
     KeyFromFuture = 3006,
+    /// The `Idempotency-Key` was used before for another request.
+    KeyReused = 3007,
     /// The queue is full.
     QueueFull = 4001,
     /// The request could not have started before its deadline.
@@ -98,6 +100,8 @@
     CallerGone = 4012,
     /// The home that has to run the request cannot be reached.
     HomeUnreachable = 4013,
+    /// The VM's wall clock stepped and does not yet serve to judge keys.
+    ClockStepped = 4014,
     /// The connection broke after the request was handed over.
     ConnectionBroken = 5001,
     /// The deadline passed after the request was handed over.
