--- a/entry/src/in_flight.rs
+++ b/entry/src/in_flight.rs
@@ -14,7 +14,7 @@
 }
 
 impl Load {
-    /// Returns the number of requests with a key.
+    /// Returns the number of requests whose key this VM owns.
     pub fn keyed(&self) -> usize {
         self.keyed.get()
     }
@@ -38,24 +38,31 @@
 #[derive(Debug)]
 pub struct InFlight {
     load: Rc<Load>,
-    keyed: bool,
+    keyed: Cell<bool>,
 }
 
 impl InFlight {
     /// Counts a request.
-    pub fn start(load: &Rc<Load>, keyed: bool) -> Rc<Self> {
-        let count = load.count(keyed);
-        count.set(count.get() + 1);
+    pub fn start(load: &Rc<Load>) -> Rc<Self> {
+        load.other.set(load.other.get() + 1);
         Rc::new(Self {
             load: Rc::clone(load),
-            keyed,
+            keyed: Cell::new(false),
         })
     }
+
+    /// Counts the request among those whose key this VM owns.
+    pub fn set_keyed(&self) {
+        if !self.keyed.replace(true) {
+            self.load.other.set(self.load.other.get() - 1);
+            self.load.keyed.set(self.load.keyed.get() + 1);
+        }
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let count = self.load.count(self.keyed);
+        let count = self.load.count(self.keyed.get());
         count.set(count.get() - 1);
         self.load.changed.notify_one();
     }
--- /dev/null
+++ b/entry/src/links.rs
@@ -0,0 +1,242 @@
+//! The open connections to targets and other entry VMs.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::connection_pool::Checkout;
+use carobshore_lib::connection_pool::ConnId;
+use carobshore_lib::connection_pool::ConnectionPool;
+use carobshore_lib::connection_pool::Freshness;
+use tokio::sync::Notify;
+
+use crate::connection::Connection;
+
+/// The connections to one address.
+#[derive(Debug)]
+pub struct Links {
+    addr: SocketAddr,
+    connect_timeout: Duration,
+    pool: RefCell<ConnectionPool>,
+    idle: RefCell<HashMap<ConnId, Rc<Connection>>>,
+    released: Notify,
+    opened: Cell<u64>,
+    silent: Cell<u64>,
+}
+
+impl Links {
+    /// Builds the state of an address to which nothing is connected yet.
+    pub fn new(addr: SocketAddr, limit: u32, connect_timeout: Duration) -> Rc<Self> {
+        Rc::new(Self {
+            addr,
+            connect_timeout,
+            pool: RefCell::new(ConnectionPool::new(limit)),
+            idle: RefCell::default(),
+            released: Notify::new(),
+            opened: Cell::new(0),
+            silent: Cell::new(0),
+        })
+    }
+
+    /// Changes the limit.
+    pub fn set_limit(&self, limit: u32) {
+        let surplus = self.pool.borrow_mut().set_limit(limit);
+        self.drop_idle(&surplus);
+    }
+
+    /// Takes an idle connection or opens one; waits when all allowed connections are in use.
+    pub async fn checkout(self: &Rc<Self>, need: Freshness) -> io::Result<Link> {
+        loop {
+            let choice = self.pool.borrow_mut().checkout(Instant::now(), need);
+            match choice {
+                Checkout::Reuse(id) => {
+                    if let Some(link) = self.take_idle(id) {
+                        return Ok(link);
+                    }
+                }
+                Checkout::Open { conn, close } => {
+                    self.drop_idle(close.as_slice());
+                    return self.open(conn).await;
+                }
+                Checkout::AtLimit => self.released.notified().await,
+            }
+        }
+    }
+
+    /// Closes connections that are idle for too long or were closed by the other side.
+    pub fn sweep(&self, now: Instant) {
+        let expired = self.pool.borrow_mut().expire(now);
+        self.drop_idle(&expired);
+        let mut pool = self.pool.borrow_mut();
+        self.idle.borrow_mut().retain(|id, connection| {
+            let closed = connection.is_closed();
+            if closed {
+                pool.closed(*id);
+            }
+            !closed
+        });
+    }
+
+    /// Returns the number of connections, with those being opened.
+    pub fn len(&self) -> usize {
+        self.pool.borrow().len()
+    }
+
+    /// Returns whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns how many connections were opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Returns how many connections did not answer in time so far.
+    pub fn silent(&self) -> u64 {
+        self.silent.get()
+    }
+
+    fn take_idle(self: &Rc<Self>, id: ConnId) -> Option<Link> {
+        let connection = self.idle.borrow_mut().remove(&id);
+        let usable = connection.filter(|connection| !connection.is_closed());
+        if usable.is_none() {
+            self.pool.borrow_mut().closed(id);
+        }
+        usable.map(|connection| Link {
+            links: Rc::clone(self),
+            id,
+            connection: Some(connection),
+        })
+    }
+
+    async fn open(self: &Rc<Self>, id: ConnId) -> io::Result<Link> {
+        // The guard gives the place in the pool back when the attempt is cancelled meanwhile.
+        let mut link = Link {
+            links: Rc::clone(self),
+            id,
+            connection: None,
+        };
+        let connection = Connection::open(self.addr, self.connect_timeout).await?;
+        self.pool.borrow_mut().opened(Instant::now(), id);
+        self.opened.set(self.opened.get() + 1);
+        link.connection = Some(Rc::new(connection));
+        Ok(link)
+    }
+
+    fn drop_idle(&self, ids: &[ConnId]) {
+        let mut idle = self.idle.borrow_mut();
+        for id in ids {
+            idle.remove(id);
+        }
+    }
+}
+
+/// A connection that one attempt holds. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Link {
+    links: Rc<Links>,
+    id: ConnId,
+    connection: Option<Rc<Connection>>,
+}
+
+impl Link {
+    /// Returns the connection.
+    pub fn connection(&self) -> Option<&Rc<Connection>> {
+        self.connection.as_ref()
+    }
+
+    /// Returns whether a request may be written to the connection now.
+    pub fn may_send(&self, need: Freshness) -> bool {
+        let open = self.connection().is_some_and(|conn| !conn.is_closed());
+        open && self.links.pool.borrow().may_send(Instant::now(), self.id, need)
+    }
+
+    /// Gives back a connection on which nothing was written.
+    pub fn unused(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.links.pool.borrow_mut().unused(self.id);
+            self.keep(connection);
+        }
+    }
+
+    /// Gives back a connection after a complete response, if it can carry another exchange.
+    pub fn answered(mut self, reusable: bool) {
+        let now = Instant::now();
+        let kept = self.links.pool.borrow_mut().answered(now, self.id, reusable);
+        if let Some(connection) = self.connection.take()
+            && kept
+        {
+            self.keep(connection);
+        }
+        // `answered` has released a connection that is not kept; the drop does it once more, which
+        // has no effect.
+    }
+
+    /// Closes a connection that did not answer in time, and the idle ones that are as old.
+    pub fn silent(self) {
+        let suspects = self.links.pool.borrow_mut().silent(self.id);
+        self.links.silent.set(self.links.silent.get() + 1);
+        self.links.drop_idle(&suspects);
+    }
+
+    fn keep(&self, connection: Rc<Connection>) {
+        self.links.idle.borrow_mut().insert(self.id, connection);
+        self.links.released.notify_one();
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        let kept = self.links.idle.borrow().contains_key(&self.id);
+        if !kept {
+            self.links.pool.borrow_mut().closed(self.id);
+            self.links.released.notify_one();
+        }
+    }
+}
+
+/// The connections to all addresses.
+#[derive(Debug)]
+pub struct LinkTable {
+    connect_timeout: Duration,
+    links: RefCell<HashMap<SocketAddr, Rc<Links>>>,
+}
+
+impl LinkTable {
+    /// Builds an empty table.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            connect_timeout,
+            links: RefCell::default(),
+        }
+    }
+
+    /// Returns the connections to an address, with the limit that holds now.
+    pub fn to(&self, addr: SocketAddr, limit: u32) -> Rc<Links> {
+        let mut links = self.links.borrow_mut();
+        let found = links
+            .entry(addr)
+            .or_insert_with(|| Links::new(addr, limit, self.connect_timeout));
+        found.set_limit(limit);
+        Rc::clone(found)
+    }
+
+    /// Closes what is idle for too long, and forgets addresses without connections.
+    pub fn sweep(&self, now: Instant) {
+        self.links.borrow_mut().retain(|_, links| {
+            links.sweep(now);
+            !links.is_empty() || Rc::strong_count(links) > 1
+        });
+    }
+
+    /// Returns the number of connections.
+    pub fn connections(&self) -> usize {
+        self.links.borrow().values().map(|links| links.len()).sum()
+    }
+}
--- /dev/null
+++ b/entry/src/pool_seat.rs
@@ -0,0 +1,226 @@
+//! A slot pool with the requests that wait for its decisions.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::rc::Weak;
+use std::time::Instant;
+
+use carobshore_lib::pool_action::PoolAction;
+use carobshore_lib::pool_event::AttemptId;
+use carobshore_lib::pool_event::AttemptResult;
+use carobshore_lib::pool_event::PoolEvent;
+use carobshore_lib::pool_targets::PoolTargets;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::VmId;
+use carobshore_lib::slot_pool::SlotPool;
+use carobshore_lib::ticket::Ticket;
+use carobshore_lib::ticket::TicketId;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+/// What the pool decided about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Grant {
+    /// Send it to the target.
+    Start(AttemptId, TargetId),
+    /// Send a second copy to the target.
+    Hedge(AttemptId, TargetId),
+    /// Answer "not run".
+    Reject(ResultCode),
+    /// Forward it to another home.
+    Spill(VmId),
+    /// Close the connection of the attempt.
+    Cancel(AttemptId),
+}
+
+/// The channel to a waiting request.
+pub(crate) type GrantSender = mpsc::UnboundedSender<Grant>;
+
+/// A probe that the pool wants sent.
+#[derive(Debug)]
+pub(crate) struct ProbeOrder {
+    /// The attempt, for the report of the end.
+    pub(crate) attempt: AttemptId,
+    /// The target.
+    pub(crate) target: TargetId,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    sender: GrantSender,
+    queued: bool,
+}
+
+/// A slot pool with its alarm clock and the requests in it.
+pub(crate) struct PoolSeat {
+    pool: RefCell<SlotPool>,
+    requests: RefCell<HashMap<TicketId, Waiting>>,
+    attempts: RefCell<HashMap<AttemptId, TicketId>>,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+    due: Cell<Option<Instant>>,
+    alarm: Rc<Notify>,
+}
+
+impl PoolSeat {
+    /// Seats a pool. The probes that it wants come through the returned receiver.
+    pub(crate) fn new(pool: SlotPool) -> (Rc<Self>, mpsc::UnboundedReceiver<ProbeOrder>) {
+        let (probes, orders) = mpsc::unbounded_channel();
+        let alarm = Rc::new(Notify::new());
+        let seat = Rc::new(Self {
+            pool: RefCell::new(pool),
+            requests: RefCell::default(),
+            attempts: RefCell::default(),
+            probes,
+            due: Cell::new(None),
+            alarm: Rc::clone(&alarm),
+        });
+        ntex::rt::spawn(ring(Rc::downgrade(&seat), alarm));
+        (seat, orders)
+    }
+
+    /// Asks for a slot. The answers come through `sender` until [`Self::leave`].
+    pub(crate) fn submit(&self, ticket: Ticket, sender: GrantSender) {
+        let waiting = Waiting {
+            sender,
+            queued: true,
+        };
+        self.requests.borrow_mut().insert(ticket.id, waiting);
+        self.handle(PoolEvent::Submit(ticket));
+    }
+
+    /// Ends a request's interest in the pool, and withdraws it if it still waits.
+    pub(crate) fn leave(&self, ticket: TicketId) {
+        let waiting = self.requests.borrow_mut().remove(&ticket);
+        if waiting.is_some_and(|waiting| waiting.queued) {
+            self.handle(PoolEvent::Cancel(ticket));
+        }
+    }
+
+    /// Reports the end of an attempt or probe.
+    pub(crate) fn finished(&self, attempt: AttemptId, result: AttemptResult) {
+        self.attempts.borrow_mut().remove(&attempt);
+        self.handle(PoolEvent::Finished { attempt, result });
+    }
+
+    /// Passes an event to the pool and carries out what follows.
+    pub(crate) fn handle(&self, event: PoolEvent) {
+        self.act(|pool, now, actions| pool.handle(now, event, actions));
+    }
+
+    /// Gives the pool its targets.
+    pub(crate) fn set_targets(&self, targets: &PoolTargets) {
+        self.act(|pool, now, actions| pool.set_targets(now, targets, actions));
+    }
+
+    /// Returns the free slots and the queue length.
+    pub(crate) fn load(&self) -> (u32, u32) {
+        self.pool.borrow().load()
+    }
+
+    /// Returns the state for the dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        self.pool.borrow().dump(Instant::now())
+    }
+
+    fn act(&self, step: impl FnOnce(&mut SlotPool, Instant, &mut Vec<PoolAction>)) {
+        let mut actions = Vec::new();
+        let due = {
+            let mut pool = self.pool.borrow_mut();
+            step(&mut pool, Instant::now(), &mut actions);
+            pool.wakeup()
+        };
+        if due != self.due.replace(due) {
+            self.alarm.notify_one();
+        }
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: PoolAction) {
+        match action {
+            PoolAction::Start {
+                ticket,
+                attempt,
+                target,
+            } => self.start(ticket, attempt, Grant::Start(attempt, target)),
+            PoolAction::Hedge {
+                ticket,
+                attempt,
+                target,
+            } => self.start(ticket, attempt, Grant::Hedge(attempt, target)),
+            PoolAction::Reject { ticket, code } => {
+                self.tell(ticket, Grant::Reject(code));
+            }
+            PoolAction::Spill { ticket, vm } => {
+                self.tell(ticket, Grant::Spill(vm));
+            }
+            PoolAction::Probe { attempt, target } => {
+                let order = ProbeOrder { attempt, target };
+                if self.probes.send(order).is_err() {
+                    self.finished(attempt, AttemptResult::Cancelled);
+                }
+            }
+            PoolAction::Cancel { attempt } => {
+                let ticket = self.attempts.borrow().get(&attempt).copied();
+                if let Some(ticket) = ticket {
+                    self.tell(ticket, Grant::Cancel(attempt));
+                }
+            }
+        }
+    }
+
+    fn start(&self, ticket: TicketId, attempt: AttemptId, grant: Grant) {
+        self.attempts.borrow_mut().insert(attempt, ticket);
+        if !self.tell(ticket, grant) {
+            self.finished(attempt, AttemptResult::Cancelled);
+        }
+    }
+
+    /// Passes a decision to a request and returns whether the request is still there.
+    fn tell(&self, ticket: TicketId, grant: Grant) -> bool {
+        let mut requests = self.requests.borrow_mut();
+        let Some(waiting) = requests.get_mut(&ticket) else {
+            return false;
+        };
+        waiting.queued = false;
+        waiting.sender.send(grant).is_ok()
+    }
+}
+
+impl fmt::Debug for PoolSeat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PoolSeat").finish_non_exhaustive()
+    }
+}
+
+impl Drop for PoolSeat {
+    fn drop(&mut self) {
+        self.alarm.notify_one();
+    }
+}
+
+/// Tells the pool when time has passed.
+async fn ring(seat: Weak<PoolSeat>, alarm: Rc<Notify>) {
+    loop {
+        let Some(due) = seat.upgrade().map(|seat| seat.due.get()) else {
+            return;
+        };
+        let Some(due) = due else {
+            alarm.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(due.into()) => {
+                if let Some(seat) = seat.upgrade() {
+                    seat.handle(PoolEvent::Tick);
+                }
+            }
+            () = alarm.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/service_plane.rs
@@ -0,0 +1,301 @@
+//! What the data thread keeps for one service.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use carobshore_lib::homes::Homes;
+use carobshore_lib::homes::HomesSettings;
+use carobshore_lib::key_history::Handover;
+use carobshore_lib::key_history::KeyHistory;
+use carobshore_lib::key_homes::KeyHomes;
+use carobshore_lib::key_table::KeyDecision;
+use carobshore_lib::key_table::KeyLimits;
+use carobshore_lib::key_table::KeyTable;
+use carobshore_lib::key_table::KeyedCall;
+use carobshore_lib::key_table::StoredOutcome;
+use carobshore_lib::peer_load::PeerLoad;
+use carobshore_lib::policy::Policy;
+use carobshore_lib::pool_event::PoolEvent;
+use carobshore_lib::pool_settings::PoolSettings;
+use carobshore_lib::pool_targets::PoolTargets;
+use carobshore_lib::prelude::RequestKey;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::VmId;
+use carobshore_lib::read_lease::LEASE;
+use carobshore_lib::read_lease::ReadLease;
+use carobshore_lib::roster::Roster;
+use carobshore_lib::router::Call;
+use carobshore_lib::router::Route;
+use carobshore_lib::router::Router;
+use carobshore_lib::router::RouterSettings;
+use carobshore_lib::service::Service;
+use carobshore_lib::slot_pool::SlotPool;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::pool_seat::PoolSeat;
+use crate::pool_seat::ProbeOrder;
+use crate::view::View;
+
+/// Homes per failure domain that own keys. It is no setting: two VMs with different settings would
+/// both own a key.
+const KEY_HOMES_PER_DOMAIN: u32 = 1;
+/// Part of a target's connection budget that one home uses, in eighths. A quarter of the budget is
+/// for VMs in fallback mode, and two homes may own a target while their views differ.
+const HOME_EIGHTHS: u32 = 3;
+/// All VMs in fallback mode together use one in so many of a target's connections.
+const FALLBACK_DIVISOR: u32 = 4;
+
+/// The two pools in which a request can wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SeatKind {
+    /// The targets that this VM owns as a home.
+    Owned,
+    /// All targets, without ownership of their slots.
+    Shared,
+}
+
+/// The routing and key state of one service.
+pub(crate) struct ServicePlane {
+    pub(crate) id: ServiceId,
+    me: VmId,
+    spec: RefCell<Service>,
+    vms: RefCell<u32>,
+    owned: Rc<PoolSeat>,
+    shared: Rc<PoolSeat>,
+    router: RefCell<Router>,
+    key_router: RefCell<Router>,
+    keys: RefCell<KeyTable>,
+    history: RefCell<KeyHistory>,
+    lease: RefCell<ReadLease>,
+    waiters: RefCell<HashMap<RequestKey, Vec<oneshot::Sender<KeyDecision>>>>,
+}
+
+/// The receivers of the probes of both pools.
+pub(crate) type Probes = [(Rc<PoolSeat>, mpsc::UnboundedReceiver<ProbeOrder>); 2];
+
+impl ServicePlane {
+    /// Builds the state of a service that appears in the configuration.
+    pub(crate) fn new(
+        id: &ServiceId,
+        spec: &Service,
+        view: &View,
+        policy: Policy,
+        seed: u64,
+    ) -> (Rc<Self>, Probes) {
+        let settings = |policy| PoolSettings {
+            policy,
+            seed,
+            ..PoolSettings::default()
+        };
+        let now = Instant::now();
+        let fallback = match policy {
+            Policy::Homes => Policy::TwoChoices,
+            policy => policy,
+        };
+        let owned = SlotPool::new(id.clone(), settings(Policy::Homes), now);
+        let shared = SlotPool::new(id.clone(), settings(fallback), now);
+        let (owned, owned_probes) = PoolSeat::new(owned);
+        let (shared, shared_probes) = PoolSeat::new(shared);
+        let router = |policy| {
+            let settings = RouterSettings {
+                policy,
+                ..RouterSettings::default()
+            };
+            RefCell::new(Router::new(view.me.clone(), view.domain.clone(), settings))
+        };
+        let wall = SystemTime::now();
+        let plane = Self {
+            id: id.clone(),
+            me: view.me.clone(),
+            spec: RefCell::new(spec.clone()),
+            vms: RefCell::new(1),
+            owned: Rc::clone(&owned),
+            shared: Rc::clone(&shared),
+            router: router(policy),
+            key_router: router(Policy::Homes),
+            keys: RefCell::new(KeyTable::new(now, wall, KeyLimits::default())),
+            history: RefCell::new(KeyHistory::new(view.me.clone())),
+            lease: RefCell::default(),
+            waiters: RefCell::default(),
+        };
+        let probes = [(owned, owned_probes), (shared, shared_probes)];
+        (Rc::new(plane), probes)
+    }
+
+    /// Takes over a new configuration, roster or set of leaving targets.
+    pub(crate) fn update(&self, spec: &Service, view: &View, old: &Roster, homes: u32) {
+        *self.spec.borrow_mut() = spec.clone();
+        let vms = u32::try_from(view.roster.members.len()).unwrap_or(u32::MAX);
+        *self.vms.borrow_mut() = vms;
+        let settings = HomesSettings { per_domain: homes };
+        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
+        let owned = PoolTargets::owned(spec, &homes, &self.me);
+        self.owned.set_targets(&self.mark_leaving(owned, view));
+        let shared = PoolTargets::shared(spec, vms);
+        self.shared.set_targets(&self.mark_leaving(shared, view));
+        self.router.borrow_mut().set_homes(homes);
+        self.update_keys(spec, view, old);
+    }
+
+    /// Takes over the read lease. After a lapse, the history of ownership starts anew: the views
+    /// show the latest roster only, and another VM may have owned keys in between.
+    pub(crate) fn renew_lease(&self, until: Option<Instant>, lapsed: bool) {
+        if lapsed {
+            self.history.borrow_mut().restart();
+        }
+        let mut lease = ReadLease::default();
+        if let Some(issued) = until.and_then(|until| until.checked_sub(LEASE)) {
+            lease.read_ok(issued, true);
+        }
+        *self.lease.borrow_mut() = lease;
+        if let Some(until) = until {
+            self.owned.handle(PoolEvent::Lease { until });
+        }
+    }
+
+    /// Decides where a call goes.
+    pub(crate) fn route(&self, call: &Call) -> Route {
+        let router = match call.key {
+            Some(_) => &self.key_router,
+            None => &self.router,
+        };
+        router.borrow_mut().route(Instant::now(), call)
+    }
+
+    /// Takes in the load of another home.
+    pub(crate) fn observe(&self, load: PeerLoad) {
+        let now = Instant::now();
+        self.router.borrow_mut().observe(now, &load);
+        self.key_router.borrow_mut().observe(now, &load);
+        self.owned.handle(PoolEvent::Peer(load));
+    }
+
+    /// Notes that a VM cannot be reached.
+    pub(crate) fn unreachable(&self, vm: &VmId) {
+        let now = Instant::now();
+        self.router.borrow_mut().unreachable(now, vm);
+        self.key_router.borrow_mut().unreachable(now, vm);
+    }
+
+    /// Returns one of the pools.
+    pub(crate) fn seat(&self, kind: SeatKind) -> &Rc<PoolSeat> {
+        match kind {
+            SeatKind::Owned => &self.owned,
+            SeatKind::Shared => &self.shared,
+        }
+    }
+
+    /// Returns where a target is, and how many connections to it this VM may hold.
+    pub(crate) fn target(&self, id: &TargetId, kind: SeatKind) -> Option<(SocketAddr, u32)> {
+        let spec = self.spec.borrow();
+        let addr = spec.targets.get(id)?.addr;
+        let limit = match kind {
+            SeatKind::Owned => spec.connections * HOME_EIGHTHS / 8,
+            SeatKind::Shared => spec.connections / FALLBACK_DIVISOR / *self.vms.borrow(),
+        };
+        Some((addr, limit.max(1)))
+    }
+
+    /// Decides what to do with a request that carries a key.
+    pub(crate) fn begin_key(&self, call: KeyedCall) -> KeyDecision {
+        let wall = SystemTime::now();
+        let now = Instant::now();
+        let ownership = self
+            .history
+            .borrow()
+            .owned_since_creation(&call.key, now, wall);
+        let lease = self.lease.borrow();
+        self.keys
+            .borrow_mut()
+            .begin(now, wall, call, ownership, &lease)
+    }
+
+    /// Returns whether a request with a key may be handed to a connection now.
+    pub(crate) fn may_send_key(&self) -> bool {
+        let wall = SystemTime::now();
+        let now = Instant::now();
+        let lease = self.lease.borrow();
+        self.keys.borrow_mut().may_send(now, wall, &lease)
+    }
+
+    /// Returns the channel on which the end of the running request with the same key comes.
+    pub(crate) fn wait_for_key(&self, key: RequestKey) -> oneshot::Receiver<KeyDecision> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiters = self.waiters.borrow_mut();
+        waiters.entry(key).or_default().push(sender);
+        receiver
+    }
+
+    /// Notes that a duplicate no longer waits.
+    pub(crate) fn stop_waiting(&self, key: &RequestKey) {
+        self.keys.borrow_mut().waiter_gone(key);
+    }
+
+    /// Notes the end of a request with a key, and answers its duplicates.
+    pub(crate) fn finish_key(&self, key: RequestKey, outcome: StoredOutcome) {
+        let decision = self.keys.borrow_mut().finish(key, outcome);
+        let waiters = self.waiters.borrow_mut().remove(&key);
+        for waiter in waiters.into_iter().flatten() {
+            let _ = waiter.send(decision.clone());
+        }
+    }
+
+    /// Returns the state for the dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let keys = self.keys.borrow();
+        let homes: Vec<_> = self.router.borrow().homes().vms().cloned().collect();
+        serde_json::json!({
+            "version": self.spec.borrow().version,
+            "homes": homes,
+            "owned": self.owned.dump(),
+            "shared": self.shared.dump(),
+            "keys": keys.len(),
+            "keys_running": keys.running(),
+            "key_answer_bytes": keys.answer_bytes(),
+            "clock_steps": keys.clock_steps(),
+        })
+    }
+
+    fn mark_leaving(&self, mut targets: PoolTargets, view: &View) -> PoolTargets {
+        for target in &mut targets.targets {
+            let name = (self.id.clone(), target.id.clone());
+            target.leaving |= view.leaving.contains(&name);
+        }
+        targets
+    }
+
+    fn update_keys(&self, spec: &Service, view: &View, old: &Roster) {
+        let settings = HomesSettings {
+            per_domain: KEY_HOMES_PER_DOMAIN,
+        };
+        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
+        let key_homes = KeyHomes::new(homes.vms().cloned().collect());
+        self.key_router.borrow_mut().set_homes(homes);
+        let age = view.roster_seen.elapsed();
+        let wall = SystemTime::now() - age;
+        let handover = handover(view, old);
+        self.history
+            .borrow_mut()
+            .set_homes(view.roster_seen, wall, key_homes, handover);
+    }
+}
+
+/// Returns why ownership changed. Only a single VM that left is known to have stopped before.
+fn handover(view: &View, old: &Roster) -> Handover {
+    let gone = |vm: &&VmId| !view.roster.contains(vm);
+    let gone: Vec<_> = old.members.keys().filter(gone).collect();
+    match gone.as_slice() {
+        [vm] if view.released => Handover::Left((*vm).clone()),
+        _ => Handover::Lease,
+    }
+}
+
+/// Returns the time for which a VM may have been away before another one owned its keys.
+pub(crate) const LONGEST_PAUSE: Duration = Duration::from_secs(5);
