routing: add the slot pool, its budgets and straggler detection

Cause: SlotPool was a signature only. Change: slots, fair queue, spill, ramp-up, ejection and readmission, hedging, measurement and retry budgets. Times are compared as logarithms, and a target is ejected by a CUSUM test.

--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -42,6 +42,11 @@
     pub fn owns_slots(self) -> bool {
         self == Self::Homes
     }
+
+    /// Tells whether slow targets are ejected. `Random` uses no knowledge at all.
+    pub fn detects_outliers(self) -> bool {
+        self != Self::Random
+    }
 }
 
 impl fmt::Display for Policy {
--- a/lib/src/pool_targets.rs
+++ b/lib/src/pool_targets.rs
@@ -50,7 +50,10 @@
     /// Returns what the VM's pool works with when it does not own slots: all targets, each with
     /// the VM's share of a quarter of the target's connections. Homes and fallback VMs together
     /// then stay within the connection budget.
-    pub fn shared(service: &Service, vms: u32) -> Self {
+    ///
+    /// `sharers` is the number of VMs when the policy is `two-choices`, and 0 in fallback mode,
+    /// where the homes hold the measurement budget.
+    pub fn shared(service: &Service, vms: u32, sharers: u32) -> Self {
         let share = service.connections / FALLBACK_DIVISOR / vms.max(1);
         let slots = Slots::try_from(share.clamp(1, Slots::MAX));
         let of = |t: &Target| slots.as_ref().copied().unwrap_or(t.slots);
@@ -58,7 +61,7 @@
         Self {
             targets: targets.map(|(id, t)| pool_target(id, t, of(t))).collect(),
             budget: service.measuring,
-            sharers: 0,
+            sharers,
         }
     }
 }
--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -1,54 +1,603 @@
 //! The slots and the queue of one service on one VM.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use crate::attempt_table::Attempt;
+use crate::attempt_table::AttemptKind;
+use crate::attempt_table::AttemptTable;
+use crate::baseline::Baseline;
+use crate::fair_queue::FairQueue;
+use crate::hedge::HedgeBudget;
+use crate::measuring_budget::MeasuringBudget;
+use crate::peer_table::PeerTable;
+use crate::policy::Policy;
 use crate::pool_action::PoolAction;
+use crate::pool_counters::PoolCounters;
+use crate::pool_event::AttemptId;
+use crate::pool_event::AttemptResult;
 use crate::pool_event::PoolEvent;
 use crate::pool_settings::PoolSettings;
 use crate::pool_targets::PoolTargets;
+use crate::result_code::ResultCode;
+use crate::retry_budget::RetryBudget;
 use crate::service_id::ServiceId;
+use crate::target_table::TargetTable;
+use crate::ticket::Ticket;
+use crate::ticket::TicketId;
+
+/// Pause between two looks at requests that have been in flight for long.
+const CHECK_PAUSE: Duration = Duration::from_millis(10);
+/// Age of a request in flight, in spreads above the typical time, from which it is looked at.
+const OLD: f64 = 1.3;
+/// A trial passes when its response is at most this many spreads above the typical time.
+const TRIAL_PASSES: f64 = 1.0;
+/// A probe passes when it takes at most this many times its expected cost.
+const PROBE_PASSES: u32 = 4;
+/// A target with nothing in flight and no response for this long is probed.
+const IDLE: Duration = Duration::from_secs(1);
+/// Pause between two searches for idle targets.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a due trial is left to a probe, which delays no caller.
+const PROBE_FIRST: Duration = Duration::from_millis(200);
+/// An ejected target for which neither a probe nor an idempotent request was possible for this
+/// long is put back with one slot, or it would be lost to a service without either.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(10);
+/// Responses further than this many spreads above the typical time do not advance the ramp-up.
+const SLOW: f64 = 2.0;
 
 /// Decides which request runs where and when.
+///
+/// Under the policy `homes` the pool owns its targets' slots and never has more requests in flight
+/// on a target than slots. Under the other policies it runs over all targets of the service, and
+/// the slots are its share of the connections to each target.
 #[derive(Debug)]
 pub struct SlotPool {
     service: ServiceId,
     settings: PoolSettings,
+    targets: TargetTable,
+    attempts: AttemptTable,
+    queue: FairQueue,
+    baseline: Baseline,
+    peers: PeerTable,
+    measuring: MeasuringBudget,
+    hedging: HedgeBudget,
+    retries: RetryBudget,
+    counters: PoolCounters,
+    checked: Instant,
+    searched: Instant,
 }
 
 impl SlotPool {
     /// Makes a pool without targets.
-    pub fn new(service: ServiceId, settings: PoolSettings, _now: Instant) -> Self {
-        Self { service, settings }
+    pub fn new(service: ServiceId, settings: PoolSettings, now: Instant) -> Self {
+        Self {
+            service,
+            targets: TargetTable::new(settings.seed),
+            attempts: AttemptTable::default(),
+            queue: FairQueue::default(),
+            baseline: Baseline::new(settings.initial),
+            peers: PeerTable::new(settings.report_age),
+            measuring: MeasuringBudget::default(),
+            hedging: HedgeBudget::new(settings.hedge_permille),
+            retries: RetryBudget::new(now),
+            counters: PoolCounters::default(),
+            checked: now,
+            searched: now,
+            settings,
+        }
     }
 
     /// Takes over the targets of a new view. Requests in flight on targets that are no longer
-    /// listed go on.
+    /// listed go on. Every set of homes has to be passed on, in the order of the log.
     pub fn set_targets(
         &mut self,
-        _now: Instant,
-        _targets: &PoolTargets,
-        _actions: &mut Vec<PoolAction>,
+        now: Instant,
+        targets: &PoolTargets,
+        actions: &mut Vec<PoolAction>,
     ) {
-        todo!("{} {:?}", self.service, self.settings)
+        let cold = self.settings.policy.owns_slots();
+        self.targets.set(&targets.targets, cold);
+        self.measuring
+            .set_share(now, targets.budget, targets.sharers);
+        let slots = targets.targets.iter().map(|target| target.slots.get());
+        self.hedging.set_slots(slots.sum());
+        self.advance(now, actions);
     }
 
     /// Takes in an event and appends what has to be done.
-    pub fn handle(&mut self, _now: Instant, _event: PoolEvent, _actions: &mut Vec<PoolAction>) {
-        todo!()
+    pub fn handle(&mut self, now: Instant, event: PoolEvent, actions: &mut Vec<PoolAction>) {
+        match event {
+            PoolEvent::Submit(ticket) => self.submit(now, ticket, actions),
+            PoolEvent::Cancel(ticket) => self.cancel(ticket, actions),
+            PoolEvent::Finished { attempt, result } => {
+                self.finished(now, attempt, result, actions);
+            }
+            PoolEvent::FirstByte { attempt } => self.first_byte(now, attempt, actions),
+            PoolEvent::Report { target, load } => {
+                if let Some(at) = self.targets.place(&target) {
+                    let entry = self.targets.entry_mut(at);
+                    let own = entry.in_flight();
+                    entry.stats.report(now, load, own);
+                }
+            }
+            PoolEvent::Drain { target } => {
+                if let Some(at) = self.targets.place(&target) {
+                    self.targets.entry_mut(at).drain();
+                    self.targets.refresh(at);
+                }
+            }
+            PoolEvent::Peer(load) => self.peers.observe(now, load),
+            PoolEvent::Lease { until } => self.measuring.set_lease(until),
+            PoolEvent::Tick => {}
+        }
+        self.advance(now, actions);
+    }
+
+    /// Does what has become possible or due.
+    fn advance(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        self.check_ages(now);
+        self.try_ejected(now, actions);
+        self.dispatch(now, actions);
+        self.hedge(now, actions);
+    }
+
+    fn submit(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<PoolAction>) {
+        self.counters.submitted += 1;
+        if ticket.retry {
+            if !self.retries.retry(now) {
+                return self.reject(ticket.id, ResultCode::RetryBudgetSpent, actions);
+            }
+        } else if !ticket.spilled {
+            // The home that spilled the request has counted it.
+            self.retries.first_attempt();
+        }
+        let mean = self.baseline.mean();
+        if now + mean >= ticket.deadline {
+            return self.reject(ticket.id, ResultCode::DeadlineTooClose, actions);
+        }
+        if self.queue.is_empty() && self.targets.free() > 0 {
+            return self.start(now, &ticket, actions);
+        }
+        let usable = self.targets.any_usable();
+        let wait = self.expected_wait();
+        let spills = !usable || wait > self.settings.spill_delay;
+        if spills && self.spill(now, &ticket, actions) {
+            return;
+        }
+        let code = if !usable {
+            Some(ResultCode::NoTarget)
+        } else if self.queue.len() >= self.settings.queue {
+            Some(ResultCode::QueueFull)
+        } else if now + wait + mean >= ticket.deadline {
+            Some(ResultCode::DeadlineTooClose)
+        } else {
+            None
+        };
+        match code {
+            Some(code) => self.reject(ticket.id, code, actions),
+            None => {
+                let expiry = ticket.deadline.checked_sub(mean).unwrap_or(now);
+                self.queue.push(ticket, expiry);
+            }
+        }
+    }
+
+    /// Returns how long a request at the end of the queue waits.
+    fn expected_wait(&self) -> Duration {
+        let slots = self.targets.slots().max(1);
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        self.baseline.mean() * ahead.saturating_add(1) / slots
+    }
+
+    fn reject(&mut self, ticket: TicketId, code: ResultCode, actions: &mut Vec<PoolAction>) {
+        self.counters.rejected += 1;
+        actions.push(PoolAction::Reject { ticket, code });
+    }
+
+    fn spill(&mut self, now: Instant, ticket: &Ticket, actions: &mut Vec<PoolAction>) -> bool {
+        if ticket.spilled || !self.settings.policy.owns_slots() {
+            return false;
+        }
+        let Some(vm) = self.peers.take(now) else {
+            return false;
+        };
+        self.counters.spilled += 1;
+        let ticket = ticket.id;
+        actions.push(PoolAction::Spill { ticket, vm });
+        true
+    }
+
+    /// Starts a request on a free target.
+    fn start(&mut self, now: Instant, ticket: &Ticket, actions: &mut Vec<PoolAction>) {
+        let trial = ticket.repeatable.then(|| self.due_trial(now)).flatten();
+        let policy = self.settings.policy;
+        let target = trial.or_else(|| self.targets.choose(now, policy, &self.baseline, None));
+        let Some(target) = target else {
+            return self.reject(ticket.id, ResultCode::NoTarget, actions);
+        };
+        let kind = AttemptKind::First {
+            ticket: ticket.id,
+            caller: ticket.caller,
+        };
+        let attempt = self.begin(now, target, kind, ticket.repeatable);
+        if trial.is_some() {
+            self.targets.entry_mut(target).start_trial(attempt);
+            self.counters.trials += 1;
+        }
+        self.counters.started += 1;
+        actions.push(PoolAction::Start {
+            ticket: ticket.id,
+            attempt,
+            target: self.targets.entry(target).id.clone(),
+        });
+    }
+
+    fn begin(&mut self, now: Instant, target: usize, kind: AttemptKind, hedge: bool) -> AttemptId {
+        let attempt = Attempt {
+            kind,
+            target,
+            started: now,
+            first_byte: None,
+            cancelled: false,
+        };
+        let id = self.attempts.insert(attempt, hedge);
+        self.targets.entry_mut(target).attempts.push(id);
+        self.targets.refresh(target);
+        id
+    }
+
+    fn cancel(&mut self, ticket: TicketId, actions: &mut Vec<PoolAction>) {
+        if self.queue.remove(ticket).is_some() {
+            self.counters.cancelled += 1;
+            return;
+        }
+        let copies = self.attempts.cancel_copies(ticket, None);
+        actions.extend(
+            copies
+                .into_iter()
+                .map(|attempt| PoolAction::Cancel { attempt }),
+        );
+    }
+
+    fn first_byte(&mut self, now: Instant, id: AttemptId, actions: &mut Vec<PoolAction>) {
+        let attempt = self.attempts.first_byte(now, id);
+        if let Some(ticket) = attempt.and_then(|attempt| attempt.kind.ticket()) {
+            self.win(ticket, id, actions);
+        }
+    }
+
+    /// Cancels the other copy of a request that has its response.
+    fn win(&mut self, ticket: TicketId, winner: AttemptId, actions: &mut Vec<PoolAction>) {
+        let losers = self.attempts.cancel_copies(ticket, Some(winner));
+        actions.extend(
+            losers
+                .into_iter()
+                .map(|attempt| PoolAction::Cancel { attempt }),
+        );
+    }
+
+    fn finished(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        result: AttemptResult,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(attempt) = self.attempts.remove(id) else {
+            self.counters.unknown += 1;
+            return;
+        };
+        let at = attempt.target;
+        let entry = self.targets.entry_mut(at);
+        entry.attempts.retain(|other| *other != id);
+        entry.heard = Some(now);
+        match attempt.kind {
+            AttemptKind::First { ticket, caller } => {
+                self.finished_request(now, id, &attempt, result);
+                if result == AttemptResult::Done {
+                    let took = now.saturating_duration_since(attempt.started);
+                    let relative = took.as_secs_f64() / self.baseline.mean().as_secs_f64();
+                    self.queue.learn_cost(caller, relative);
+                    self.win(ticket, id, actions);
+                }
+            }
+            AttemptKind::Hedge { ticket, charge } => {
+                self.hedging.settle(now, charge);
+                self.finished_request(now, id, &attempt, result);
+                if result == AttemptResult::Done {
+                    self.win(ticket, id, actions);
+                }
+            }
+            AttemptKind::Probe { charge } => {
+                self.measuring.settle(now, charge);
+                self.finished_probe(now, id, &attempt, result);
+            }
+        }
+        self.targets.refresh(at);
+        if self.targets.entry(at).outlier.is_bad(0.0) {
+            self.judge(now);
+        }
+    }
+
+    fn judge(&mut self, now: Instant) {
+        if !self.settings.policy.detects_outliers() {
+            return;
+        }
+        let divisor = self.settings.eject_divisor;
+        let changed = self
+            .targets
+            .judge(now, &self.attempts, &mut self.baseline, divisor);
+        self.counters.ejections += u64::from(changed);
+    }
+
+    /// Learns from the end of a request's attempt.
+    fn finished_request(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        attempt: &Attempt,
+        result: AttemptResult,
+    ) {
+        let whole = now.saturating_duration_since(attempt.started);
+        let answered = attempt.first_byte.unwrap_or(now);
+        let time = answered.saturating_duration_since(attempt.started);
+        let deviation = self.baseline.deviation(time);
+        let spread = self.baseline.spread();
+        let entry = self.targets.entry_mut(attempt.target);
+        let trial = is_trial(entry, id);
+        match result {
+            AttemptResult::Done if trial => {
+                entry.stats.observe(now, time);
+                if deviation <= TRIAL_PASSES {
+                    entry.readmit(now);
+                } else {
+                    entry.fail_trial(now);
+                }
+            }
+            AttemptResult::Done => {
+                entry.stats.observe(now, time);
+                if deviation < SLOW {
+                    entry.ramp.good(now);
+                }
+                if entry.counts() {
+                    entry.outlier.finished(deviation, spread);
+                    if !entry.is_ejected() {
+                        self.baseline.observe(time, whole);
+                    }
+                }
+            }
+            AttemptResult::Shed => {
+                let others = entry.in_flight();
+                entry.ramp.shed(now, others);
+                entry.void_trial_of(id);
+            }
+            AttemptResult::Draining => entry.drain(),
+            AttemptResult::Deadline => entry.void_trial_of(id),
+            AttemptResult::Cancelled => {
+                // The age at which a copy lost is evidence, as it is while in flight.
+                if trial {
+                    entry.fail_trial(now);
+                } else if attempt.first_byte.is_none() {
+                    entry.outlier.gave_up(deviation, spread);
+                }
+            }
+            failure => {
+                debug_assert!(failure.is_failure());
+                if trial {
+                    entry.fail_trial(now);
+                } else {
+                    entry.failed();
+                }
+            }
+        }
+    }
+
+    fn finished_probe(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        attempt: &Attempt,
+        result: AttemptResult,
+    ) {
+        let took = now.saturating_duration_since(attempt.started);
+        let passes = took <= self.settings.probe_cost * PROBE_PASSES;
+        let entry = self.targets.entry_mut(attempt.target);
+        let trial = is_trial(entry, id);
+        match result {
+            AttemptResult::Done if trial && passes => entry.readmit(now),
+            AttemptResult::Draining => entry.drain(),
+            AttemptResult::Cancelled | AttemptResult::Deadline => entry.void_trial_of(id),
+            _ if trial => entry.fail_trial(now),
+            AttemptResult::Done if passes => {}
+            AttemptResult::Shed => {}
+            _ => entry.failed(),
+        }
+    }
+
+    /// Starts queued requests on free targets, rejects those that are too late, and spills.
+    fn dispatch(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        while let Some(ticket) = self.queue.pop_expired(now) {
+            self.reject(ticket.id, ResultCode::DeadlineTooClose, actions);
+        }
+        while self.targets.free() > 0
+            && let Some(ticket) = self.queue.pop()
+        {
+            self.start(now, &ticket, actions);
+        }
+        if self.queue.is_empty() {
+            return;
+        }
+        if !self.targets.any_usable() {
+            return self.abandon_queue(now, actions);
+        }
+        while self.expected_wait() > self.settings.spill_delay
+            && self.queue.has_spillable()
+            && let Some(vm) = self.peers.take(now)
+            && let Some(ticket) = self.queue.pop_spillable()
+        {
+            self.counters.spilled += 1;
+            let ticket = ticket.id;
+            actions.push(PoolAction::Spill { ticket, vm });
+        }
+    }
+
+    fn abandon_queue(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        while let Some(ticket) = self.queue.pop() {
+            if !self.spill(now, &ticket, actions) {
+                self.reject(ticket.id, ResultCode::NoTarget, actions);
+            }
+        }
+    }
+
+    /// Looks at the ages of requests in flight, as a stopped target sends no response to judge.
+    fn check_ages(&mut self, now: Instant) {
+        if now < self.checked + CHECK_PAUSE {
+            return;
+        }
+        self.checked = now;
+        let oldest = self.attempts.by_age().next();
+        let old = oldest.is_some_and(|(_, attempt)| {
+            let age = now.saturating_duration_since(attempt.started);
+            self.baseline.deviation(age) > OLD
+        });
+        if old {
+            self.judge(now);
+        }
+    }
+
+    /// Sends probes to ejected targets that are due, then to idle ones.
+    fn try_ejected(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        if now < self.searched + IDLE_PAUSE {
+            return;
+        }
+        self.searched = now;
+        let due: Vec<usize> = self.targets.due_trials(now).collect();
+        for at in due {
+            if self.targets.entry(at).trial_overdue(now, TRIAL_PATIENCE) {
+                self.targets.entry_mut(at).readmit(now);
+                self.targets.refresh(at);
+            } else if let Some(attempt) = self.probe(now, at, actions) {
+                self.targets.entry_mut(at).start_trial(attempt);
+            }
+        }
+        if let Some(at) = self.targets.longest_idle(now, IDLE) {
+            self.probe(now, at, actions);
+        }
+    }
+
+    fn probe(
+        &mut self,
+        now: Instant,
+        target: usize,
+        actions: &mut Vec<PoolAction>,
+    ) -> Option<AttemptId> {
+        let charge = self.measuring.charge(now, self.settings.probe_cost)?;
+        let attempt = self.begin(now, target, AttemptKind::Probe { charge }, false);
+        self.counters.probes += 1;
+        actions.push(PoolAction::Probe {
+            attempt,
+            target: self.targets.entry(target).id.clone(),
+        });
+        Some(attempt)
+    }
+
+    fn due_trial(&self, now: Instant) -> Option<usize> {
+        let mut due = self.targets.due_trials(now);
+        due.find(|at| self.targets.entry(*at).trial_overdue(now, PROBE_FIRST))
+    }
+
+    /// Sends second copies of idempotent requests that take longer than most. Requests that wait
+    /// come first.
+    fn hedge(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        let policy = self.settings.policy;
+        if policy == Policy::Random {
+            return;
+        }
+        let tail = self.baseline.tail();
+        while self.queue.is_empty() && self.targets.free() > 0 {
+            let Some((first, attempt)) = self.attempts.hedgeable().next() else {
+                return;
+            };
+            let AttemptKind::First { ticket, .. } = attempt.kind else {
+                return;
+            };
+            if attempt.started + tail > now {
+                return;
+            }
+            let except = Some(attempt.target);
+            let Some(target) = self.targets.choose(now, policy, &self.baseline, except) else {
+                return;
+            };
+            let Some(charge) = self.hedging.charge(now, self.baseline.mean()) else {
+                return;
+            };
+            self.attempts.settle_hedge(first);
+            let kind = AttemptKind::Hedge { ticket, charge };
+            let attempt = self.begin(now, target, kind, false);
+            self.counters.hedges += 1;
+            actions.push(PoolAction::Hedge {
+                ticket,
+                attempt,
+                target: self.targets.entry(target).id.clone(),
+            });
+        }
     }
 
     /// Returns when `PoolEvent::Tick` is due.
     pub fn wakeup(&self) -> Option<Instant> {
-        todo!()
+        let hedge = self.attempts.hedgeable().next();
+        let hedge = hedge.map(|(_, attempt)| attempt.started + self.baseline.tail());
+        // A hedge that is due waits for a slot or for budget.
+        let hedge = hedge.map(|due| due.max(self.checked + CHECK_PAUSE));
+        let check = (!self.attempts.is_empty()).then(|| self.checked + CHECK_PAUSE);
+        let search = self
+            .targets
+            .any_usable()
+            .then(|| self.searched + IDLE_PAUSE);
+        let times = [self.queue.next_expiry(), hedge, check, search];
+        times.into_iter().flatten().min()
     }
 
-    /// Returns the slots that could take a request at once and the queue length, for `PeerLoad`.
+    /// Returns the free slots and the queue length, for `PeerLoad`.
     pub fn load(&self) -> (u32, u32) {
-        todo!()
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        (self.targets.free(), queued)
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &PoolCounters {
+        &self.counters
     }
 
     /// Returns the pool's state for the dump.
-    pub fn dump(&self, _now: Instant) -> serde_json::Value {
-        todo!()
+    pub fn dump(&self, now: Instant) -> serde_json::Value {
+        let targets: Vec<_> = self
+            .targets
+            .iter()
+            .map(|(_, entry)| entry.dump(now, &self.baseline))
+            .collect();
+        serde_json::json!({
+            "service": self.service,
+            "policy": self.settings.policy,
+            "targets": targets,
+            "in_flight": self.attempts.len(),
+            "free": self.targets.free(),
+            "queued": self.queue.len(),
+            "queued_callers": self.queue.callers(),
+            "mean_us": micros(self.baseline.mean()),
+            "hedge_after_us": micros(self.baseline.tail()),
+            "retries_available": self.retries.available(),
+            "measuring": self.measuring.dump(now),
+            "counters": self.counters,
+        })
     }
 }
+
+fn is_trial(entry: &crate::target_entry::TargetEntry, id: AttemptId) -> bool {
+    entry.trial() == Some(id)
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/lib/src/target_table.rs
@@ -0,0 +1,337 @@
+//! The targets of a pool and the choice among them.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::attempt_table::AttemptTable;
+use crate::baseline::Baseline;
+use crate::outlier;
+use crate::policy::Policy;
+use crate::pool_targets::PoolTarget;
+use crate::target_entry::TargetEntry;
+use crate::target_id::TargetId;
+
+/// Most free targets that are compared for one request. With more, a random sample of this size is
+/// compared, so that the cost of a decision does not grow with the number of targets.
+const COMPARED: usize = 16;
+/// Estimates that differ by less than this (in the logarithm of time) count as equal: they are
+/// within the noise of a few responses, and the choice among equals spreads the load.
+const EQUAL: f64 = 0.4;
+/// Weight of the evidence against a target in its rank, in the logarithm of time.
+const SUSPICION: f64 = 0.25;
+
+/// The targets of one pool. Places stay the same while a target has requests in flight.
+#[derive(Debug)]
+pub struct TargetTable {
+    entries: Vec<TargetEntry>,
+    places: HashMap<TargetId, usize>,
+    vacant: Vec<usize>,
+    open: Vec<usize>,
+    open_at: Vec<Option<usize>>,
+    ejected: BTreeSet<usize>,
+    counted: Vec<Counted>,
+    total: Counted,
+    rng: StdRng,
+}
+
+/// What a target adds to the totals.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counted {
+    free: u32,
+    slots: u32,
+}
+
+impl TargetTable {
+    /// Makes an empty table.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            entries: Vec::new(),
+            places: HashMap::new(),
+            vacant: Vec::new(),
+            open: Vec::new(),
+            open_at: Vec::new(),
+            ejected: BTreeSet::new(),
+            counted: Vec::new(),
+            total: Counted::default(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes over the pool's targets. Targets that are no longer listed get nothing new.
+    pub fn set(&mut self, targets: &[PoolTarget], cold: bool) {
+        for entry in &mut self.entries {
+            entry.listed = false;
+        }
+        for target in targets {
+            if let Some(at) = self.places.get(&target.id) {
+                self.entries[*at].configure(target);
+            } else {
+                self.add(target, cold);
+            }
+        }
+        for at in 0..self.entries.len() {
+            self.refresh(at);
+        }
+    }
+
+    fn add(&mut self, target: &PoolTarget, cold: bool) {
+        let entry = TargetEntry::new(target, cold);
+        let at = if let Some(at) = self.vacant.pop() {
+            self.entries[at] = entry;
+            at
+        } else {
+            self.entries.push(entry);
+            self.open_at.push(None);
+            self.counted.push(Counted::default());
+            self.entries.len() - 1
+        };
+        self.places.insert(target.id.clone(), at);
+    }
+
+    /// Returns the place of a target.
+    pub fn place(&self, id: &TargetId) -> Option<usize> {
+        self.places.get(id).copied()
+    }
+
+    /// Returns the entry at a place.
+    pub fn entry(&self, at: usize) -> &TargetEntry {
+        &self.entries[at]
+    }
+
+    /// Returns the entry at a place. `refresh` has to be called after a change.
+    pub fn entry_mut(&mut self, at: usize) -> &mut TargetEntry {
+        &mut self.entries[at]
+    }
+
+    /// Returns the entries of all known targets with their places.
+    pub fn iter(&self) -> impl Iterator<Item = (usize, &TargetEntry)> {
+        let known = |(at, entry): &(usize, &TargetEntry)| self.places.get(&entry.id) == Some(at);
+        self.entries.iter().enumerate().filter(known)
+    }
+
+    /// Brings the list of open targets up to date after a change of the entry, and frees the place
+    /// of a target that is gone.
+    pub fn refresh(&mut self, at: usize) {
+        let entry = &self.entries[at];
+        let free = entry.free();
+        if entry.is_ejected() && entry.listed {
+            self.ejected.insert(at);
+        } else {
+            self.ejected.remove(&at);
+        }
+        let gone = !entry.listed && entry.attempts.is_empty();
+        let slots = if entry.is_usable() && !entry.is_ejected() {
+            entry.ramp.limit()
+        } else {
+            0
+        };
+        let old = std::mem::replace(&mut self.counted[at], Counted { free, slots });
+        self.total.free = self.total.free - old.free + free;
+        self.total.slots = self.total.slots - old.slots + slots;
+        match (free > 0, self.open_at[at]) {
+            (true, None) => {
+                self.open_at[at] = Some(self.open.len());
+                self.open.push(at);
+            }
+            (false, Some(position)) => self.close(at, position),
+            _ => {}
+        }
+        if gone && self.places.get(&self.entries[at].id) == Some(&at) {
+            self.places.remove(&self.entries[at].id);
+            self.vacant.push(at);
+        }
+    }
+
+    fn close(&mut self, at: usize, position: usize) {
+        self.open.swap_remove(position);
+        if let Some(moved) = self.open.get(position) {
+            self.open_at[*moved] = Some(position);
+        }
+        self.open_at[at] = None;
+    }
+
+    /// Returns the slots that could take a request at once.
+    pub fn free(&self) -> u32 {
+        self.total.free
+    }
+
+    /// Returns the slots in use or free of all targets that take part.
+    pub fn slots(&self) -> u32 {
+        self.total.slots
+    }
+
+    /// Tells whether any target may get new work.
+    pub fn any_usable(&self) -> bool {
+        !self.open.is_empty() || self.iter().any(|(_, entry)| entry.is_usable())
+    }
+
+    /// Returns the ejected targets for which a trial may start.
+    pub fn due_trials(&self, now: Instant) -> impl Iterator<Item = usize> {
+        let ejected = self.ejected.iter().copied();
+        ejected.filter(move |at| self.entries[*at].trial_due(now))
+    }
+
+    /// Returns the target that has been idle for longest, if for at least `idle`.
+    pub fn longest_idle(&self, now: Instant, idle: Duration) -> Option<usize> {
+        let silent = |at: &usize| {
+            let entry = &self.entries[*at];
+            let heard = entry.heard.is_none_or(|heard| heard + idle <= now);
+            entry.attempts.is_empty() && heard
+        };
+        let open = self.open.iter().copied().filter(silent);
+        open.min_by_key(|at| (self.entries[*at].heard, *at))
+    }
+
+    /// Picks a target with a free slot, but for the one at `except`.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        policy: Policy,
+        baseline: &Baseline,
+        except: Option<usize>,
+    ) -> Option<usize> {
+        let open = self.open.len();
+        let blocked = except.is_some_and(|at| self.open_at[at].is_some());
+        if open == 0 || (blocked && open == 1) {
+            return None;
+        }
+        match policy {
+            Policy::Random => Some(self.draw(except)),
+            Policy::TwoChoices => Some(self.less_loaded(now, baseline, except)),
+            Policy::Homes => self.best(now, baseline, except),
+        }
+    }
+
+    fn draw(&mut self, except: Option<usize>) -> usize {
+        loop {
+            let at = self.open[self.rng.random_range(0..self.open.len())];
+            if Some(at) != except {
+                return at;
+            }
+        }
+    }
+
+    fn less_loaded(&mut self, now: Instant, baseline: &Baseline, except: Option<usize>) -> usize {
+        let first = self.draw(except);
+        let second = self.draw(except);
+        let load = |at: usize| {
+            let entry = &self.entries[at];
+            let requests = f64::from(entry.in_flight()) + entry.stats.others(now);
+            (requests + 1.0).ln() + self.rank(at, now, baseline)
+        };
+        if load(second) < load(first) {
+            second
+        } else {
+            first
+        }
+    }
+
+    /// Returns the logarithm of the expected service time, raised by the evidence against the
+    /// target.
+    fn rank(&self, at: usize, now: Instant, baseline: &Baseline) -> f64 {
+        let entry = &self.entries[at];
+        entry.stats.estimate(now, baseline) + SUSPICION * entry.outlier.sum()
+    }
+
+    /// Picks among the targets whose expected service time is close to the best one: the least
+    /// used, then at random.
+    fn best(&mut self, now: Instant, baseline: &Baseline, except: Option<usize>) -> Option<usize> {
+        let count = self.open.len().min(COMPARED);
+        if self.open.len() > COMPARED {
+            for position in 0..count {
+                let other = self.rng.random_range(position..self.open.len());
+                self.swap(position, other);
+            }
+        }
+        let start = self.rng.random_range(0..count);
+        let mut ranks = [f64::INFINITY; COMPARED];
+        let mut lowest = f64::INFINITY;
+        for (position, rank) in ranks.iter_mut().enumerate().take(count) {
+            let at = self.open[position];
+            if Some(at) != except {
+                *rank = self.rank(at, now, baseline);
+                lowest = lowest.min(*rank);
+            }
+        }
+        let order = (0..count).map(|step| (start + step) % count);
+        let close = order.filter(|position| ranks[*position] <= lowest + EQUAL);
+        let used = |position: &usize| self.entries[self.open[*position]].in_flight();
+        close
+            .filter(|position| ranks[*position].is_finite())
+            .min_by_key(used)
+            .map(|position| self.open[position])
+    }
+
+    fn swap(&mut self, a: usize, b: usize) {
+        self.open.swap(a, b);
+        self.open_at[self.open[a]] = Some(a);
+        self.open_at[self.open[b]] = Some(b);
+    }
+
+    /// Ejects targets against which there is enough evidence. Returns whether anything changed.
+    pub fn judge(
+        &mut self,
+        now: Instant,
+        attempts: &AttemptTable,
+        baseline: &mut Baseline,
+        divisor: u32,
+    ) -> bool {
+        let usable = self.iter().filter(|(_, entry)| entry.is_usable());
+        let (ejected, serving): (Vec<_>, Vec<_>) = usable.partition(|(_, e)| e.is_ejected());
+        let total = ejected.len() + serving.len();
+        let ejected: Vec<usize> = ejected.into_iter().map(|(at, _)| at).collect();
+        let mut bad: Vec<(f64, usize)> = serving
+            .into_iter()
+            .map(|(at, entry)| (waiting(now, entry, attempts, baseline), at, entry))
+            .filter(|(waiting, _, entry)| entry.outlier.is_bad(*waiting))
+            .map(|(waiting, at, entry)| (entry.outlier.sum() + waiting, at))
+            .collect();
+        if bad.is_empty() {
+            return false;
+        }
+        if ejected.len() + bad.len() == total {
+            let all: Vec<usize> = ejected.into_iter().chain(bad.iter().map(|b| b.1)).collect();
+            self.release_all(&all, baseline);
+            return true;
+        }
+        let room = outlier::allowed(total, divisor).saturating_sub(ejected.len());
+        bad.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, at) in bad.iter().take(room) {
+            self.entries[*at].eject(now);
+            self.refresh(*at);
+        }
+        room > 0
+    }
+
+    /// All targets are bad, so being slow is normal now: none stays ejected, and the pool's typical
+    /// service time follows.
+    fn release_all(&mut self, all: &[usize], baseline: &mut Baseline) {
+        let mut middles: Vec<f64> = all
+            .iter()
+            .filter_map(|at| self.entries[*at].stats.middle())
+            .collect();
+        middles.sort_by(f64::total_cmp);
+        if let Some(middle) = middles.get(middles.len() / 2) {
+            baseline.recenter(*middle);
+        }
+        for at in all {
+            self.entries[*at].release();
+            self.refresh(*at);
+        }
+    }
+}
+
+/// Returns the evidence of a target's requests in flight.
+fn waiting(now: Instant, entry: &TargetEntry, attempts: &AttemptTable, baseline: &Baseline) -> f64 {
+    let silent = entry.attempts.iter().filter_map(|id| attempts.get(*id));
+    let silent = silent.filter(|attempt| attempt.first_byte.is_none());
+    let ages = silent.map(|attempt| now.saturating_duration_since(attempt.started));
+    let evidence = |age: Duration| outlier::waiting(baseline.deviation(age), baseline.spread());
+    ages.map(evidence).sum()
+}
