--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -44,9 +44,6 @@
 /// paused heard nobody, which says nothing about them.
 pub const MAX_TICK: Duration = Duration::from_secs(1);
 
-/// How long an append may take before it is asked for again.
-pub const APPEND_PATIENCE: Duration = Duration::from_secs(5);
-
 /// The longest delay before a displaced VM joins again. It doubles from one second.
 pub const MAX_REJOIN_DELAY: Duration = Duration::from_secs(30);
 
@@ -123,7 +120,7 @@
         /// The number of the round, by which long lists are rotated.
         round: u64,
     },
-    /// Append a record.
+    /// Append a record, and report `Appended` or `AppendFailed` in every case.
     Append(Body),
     /// Routing avoids the VM from now on.
     Suspect(VmId),
@@ -148,8 +145,8 @@
     rank: usize,
     silent: Duration,
     suspect: bool,
-    /// When a `displace` was asked for.
-    asked: Option<Instant>,
+    /// Whether a `displace` was asked for.
+    asked: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,7 +159,6 @@
     },
     /// The `join` was asked for and has not appeared in the roster.
     Asked {
-        since: Instant,
         at: Option<Offset>,
     },
     Member,
@@ -219,13 +215,13 @@
     ) {
         match event {
             MembershipEvent::Ready => self.ready(now, out),
-            MembershipEvent::Roster { roster } => self.roster(now, &roster, out),
-            MembershipEvent::Applied(offset) => self.applied(now, offset, out),
+            MembershipEvent::Roster { roster } => self.roster(&roster, out),
+            MembershipEvent::Applied(offset) => self.applied(offset, out),
             MembershipEvent::LogRead { issued } => self.log_read = self.log_read.max(Some(issued)),
             MembershipEvent::Heard(heartbeat) => self.heard(heartbeat, out),
             MembershipEvent::Unreachable(vm) => self.unreachable(&vm, out),
             MembershipEvent::Listed(list) => self.listed(now, list),
-            MembershipEvent::Appended { offset, body } => self.appended(now, offset, &body, out),
+            MembershipEvent::Appended { offset, body } => self.appended(offset, &body, out),
             MembershipEvent::AppendFailed { body } => self.append_failed(now, &body),
             MembershipEvent::NewId(vm) => self.new_id(now, vm, out),
             MembershipEvent::Stopping => self.standing = Standing::Stopping,
@@ -270,16 +266,13 @@
             return;
         };
         if not_before.is_none_or(|earliest| now >= earliest) {
-            self.standing = Standing::Asked {
-                since: now,
-                at: None,
-            };
+            self.standing = Standing::Asked { at: None };
             let join = Body::Join(self.info.join.clone());
             out.push(MembershipAction::Append(join));
         }
     }
 
-    fn roster(&mut self, now: Instant, roster: &Roster, out: &mut Vec<MembershipAction>) {
+    fn roster(&mut self, roster: &Roster, out: &mut Vec<MembershipAction>) {
         self.ring = WatchRing::new(roster);
         let present = roster.contains(self.vm());
         match self.standing {
@@ -291,7 +284,7 @@
             _ => {}
         }
         self.watch(out);
-        self.check_join(now, out);
+        self.check_join(out);
     }
 
     /// Watches the predecessors in the ring. A VM that was watched before keeps its silence.
@@ -302,7 +295,7 @@
                 rank,
                 silent: Duration::ZERO,
                 suspect: false,
-                asked: None,
+                asked: false,
             });
             watch.rank = rank;
             self.watched.insert(vm.clone(), watch);
@@ -328,35 +321,25 @@
         self.join(now, out);
     }
 
-    fn applied(&mut self, now: Instant, offset: Offset, out: &mut Vec<MembershipAction>) {
+    fn applied(&mut self, offset: Offset, out: &mut Vec<MembershipAction>) {
         self.applied = self.applied.max(offset);
-        self.check_join(now, out);
+        self.check_join(out);
     }
 
     /// A `join` that the log acknowledged and that is not in the roster after it was applied was
     /// displaced at once. Its id cannot join again.
-    fn check_join(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+    fn check_join(&mut self, out: &mut Vec<MembershipAction>) {
         match self.standing {
             Standing::Asked { at: Some(at), .. } if self.applied > at => self.displaced(out),
-            Standing::Asked { since, at: None } if now >= since + APPEND_PATIENCE => {
-                self.standing = Standing::Joining { not_before: None };
-                self.join(now, out);
-            }
             _ => {}
         }
     }
 
-    fn appended(
-        &mut self,
-        now: Instant,
-        offset: Offset,
-        body: &Body,
-        out: &mut Vec<MembershipAction>,
-    ) {
+    fn appended(&mut self, offset: Offset, body: &Body, out: &mut Vec<MembershipAction>) {
         let own = matches!(body, Body::Join(join) if join.vm == self.info.join.vm);
         if let (true, Standing::Asked { at, .. }) = (own, &mut self.standing) {
             *at = Some(offset);
-            self.check_join(now, out);
+            self.check_join(out);
         }
     }
 
@@ -370,7 +353,7 @@
             }
             Body::Displace { vm, .. } => {
                 if let Some(watch) = self.watched.get_mut(vm) {
-                    watch.asked = None;
+                    watch.asked = false;
                 }
             }
             _ => {}
@@ -380,7 +363,7 @@
     fn heard(&mut self, heartbeat: Heartbeat, out: &mut Vec<MembershipAction>) {
         if let Some(watch) = self.watched.get_mut(&heartbeat.from) {
             watch.silent = Duration::ZERO;
-            watch.asked = None;
+            watch.asked = false;
             if std::mem::take(&mut watch.suspect) {
                 out.push(MembershipAction::Recovered(heartbeat.from.clone()));
             }
@@ -418,7 +401,7 @@
         let last = self.last_tick.replace(now).unwrap_or(now);
         let elapsed = now.saturating_duration_since(last).min(MAX_TICK);
         self.join(now, out);
-        self.check_join(now, out);
+        self.check_join(out);
         // A peer that is ahead is reported again in each round until the records arrived.
         if self.next_beat.is_none_or(|at| now >= at) {
             self.ahead = self.applied;
@@ -465,9 +448,8 @@
                 (false, false) => DISPLACE_ANYWAY,
                 (false, true) => DISPLACE_ANYWAY * 2,
             };
-            let asked = watch.asked.is_some_and(|at| now < at + APPEND_PATIENCE);
-            if may_displace && !asked && watch.silent >= limit + delay {
-                watch.asked = Some(now);
+            if may_displace && !watch.asked && watch.silent >= limit + delay {
+                watch.asked = true;
                 let vm = vm.clone();
                 let by = by.clone();
                 out.push(MembershipAction::Append(Body::Displace { vm, by }));
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -45,6 +45,7 @@
 pub use crate::operator_id::OperatorId;
 pub use crate::outcome::Outcome;
 pub use crate::peer_load::PeerLoad;
+pub use crate::plan::Plan;
 pub use crate::plan_digest::PlanDigest;
 pub use crate::planned_stop::PlannedStop;
 pub use crate::planned_stop::StopAction;
