--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,13 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
+
+mod canonical;
+mod draft;
+mod peer_offers;
+mod snapshot_schedule;
+
+pub mod appender;
 pub mod attempt_table;
 pub mod baseline;
 pub mod byte_size;
@@ -17,14 +24,18 @@
 pub mod exchange;
 pub mod fair_queue;
 pub mod fold;
+pub mod follower;
+pub mod follower_message;
 pub mod heartbeat;
 pub mod hedge;
+pub mod history;
 pub mod homes;
 pub mod intent;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_table;
 pub mod leaving;
+pub mod log_page;
 pub mod measuring_budget;
 pub mod membership;
 pub mod name;
@@ -34,7 +45,10 @@
 pub mod outlier;
 pub mod peer_load;
 pub mod peer_table;
+pub mod pending;
+pub mod plan;
 pub mod plan_digest;
+pub mod plan_report;
 pub mod planned_stop;
 pub mod policy;
 pub mod pool_action;
@@ -45,6 +59,7 @@
 pub mod prelude;
 pub mod ramp;
 pub mod read_lease;
+pub mod recent_ids;
 pub mod record;
 pub mod record_id;
 pub mod region_id;
@@ -58,6 +73,9 @@
 pub mod service_id;
 pub mod slot_pool;
 pub mod slots;
+pub mod snapshot;
+pub mod snapshot_marks;
+pub mod snapshot_scan;
 pub mod target;
 pub mod target_entry;
 pub mod target_id;
