entry: serve calls end to end

Cause: the daemon had no data plane. Change: one ntex system accepts callers, forwarded calls and the admin endpoints. Each request is driven by an exchange over the slot pools, the router, the key table and the connection pools of the library; bodies are streamed both ways. Conclusion: the decisions stay in the library; this crate carries them out.

--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Returns whether the end of the body was seen.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
     /// Returns the connection when it can carry another exchange.
     ///
     /// A connection whose response has not ended is never reused: the rest of the response would
--- /dev/null
+++ b/entry/src/data.rs
@@ -0,0 +1,238 @@
+//! The data thread: one ntex system that serves callers, other entry VMs and the admin endpoints.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::planned_stop::StopAction;
+use carobshore_lib::planned_stop::StopEvent;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use tokio::sync::watch;
+use tokio::sync::watch::Receiver;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::call_head::Port;
+use crate::http_server;
+use crate::http_server::Serving;
+use crate::listeners::Listeners;
+use crate::metrics::Metrics;
+use crate::plane::Plane;
+use crate::settings::Settings;
+use crate::stop_signal::StopSignal;
+use crate::view::ControlLink;
+use crate::view::DataLink;
+use crate::view::DataReport;
+use crate::view::DataRequest;
+
+/// How often the planned stop and the pauses of the thread are looked at.
+const TICK: Duration = Duration::from_millis(100);
+/// How often idle connections are closed and loads are reported, in ticks.
+const HOUSEKEEPING_TICKS: u32 = 10;
+
+/// Serves until a planned stop has ended. It blocks the calling thread.
+pub fn run(
+    settings: Arc<Settings>,
+    listeners: Listeners,
+    link: DataLink,
+    control: ControlLink,
+    stop: StopSignal,
+) -> eyre::Result<()> {
+    System::build()
+        .name("data")
+        .disable_signals()
+        .panic_handling(false)
+        .build(DefaultRuntime)
+        .block_on(async move {
+            let view = Arc::clone(&link.views.borrow());
+            let plane = Plane::new(settings, Metrics::new()?, &view, control);
+            Data::start(plane, listeners).run(link, stop).await;
+            Ok(())
+        })
+}
+
+/// The running data plane.
+struct Data {
+    plane: Rc<Plane>,
+    serving: watch::Sender<Serving>,
+    /// The admin endpoints answer until the end of a planned stop.
+    admin: watch::Sender<Serving>,
+    servers: JoinSet<std::io::Result<()>>,
+    leaving: bool,
+    ending: Option<Ending>,
+}
+
+/// How the thread ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Graceful,
+    CutOff,
+}
+
+impl Data {
+    fn start(plane: Rc<Plane>, listeners: Listeners) -> Self {
+        let (serving, calls) = watch::channel(Serving::Accepting);
+        let (admin_serving, admin_calls) = watch::channel(Serving::Accepting);
+        let mut data = Self {
+            plane,
+            serving,
+            admin: admin_serving,
+            servers: JoinSet::new(),
+            leaving: false,
+            ending: None,
+        };
+        data.serve(listeners.callers, calls.clone(), |plane, request| {
+            plane.call(request, Port::Callers)
+        });
+        data.serve(listeners.peers, calls, |plane, request| {
+            plane.call(request, Port::Peers)
+        });
+        data.serve(listeners.admin, admin_calls, async |plane, request| {
+            admin(&plane, &request)
+        });
+        data
+    }
+
+    fn serve<H, R>(&mut self, listener: TcpListener, serving: Receiver<Serving>, handler: H)
+    where
+        H: Fn(Rc<Plane>, Request) -> R + Copy + 'static,
+        R: Future<Output = Response> + 'static,
+    {
+        let plane = Rc::clone(&self.plane);
+        let settings = Arc::clone(&plane.settings);
+        self.servers.spawn_local(async move {
+            let handler = async move |request| handler(Rc::clone(&plane), request).await;
+            http_server::serve(listener, &settings, serving, handler).await
+        });
+    }
+
+    async fn run(mut self, link: DataLink, mut stop: StopSignal) {
+        let DataLink {
+            mut views,
+            mut requests,
+        } = link;
+        let mut ticks = 0_u32;
+        let mut signals = 0;
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let load = Rc::clone(&self.plane.load);
+        while self.ending.is_none() {
+            tokio::select! {
+                // When the control thread is gone, calls continue with the last view.
+                Ok(()) = views.changed() => {
+                    let view = Arc::clone(&views.borrow_and_update());
+                    self.plane.update(&view);
+                    self.watch_leave();
+                }
+                Some(request) = requests.recv() => self.on_request(request),
+                count = stop.beyond(signals) => {
+                    (signals..count).for_each(|_| self.tell_stop(StopEvent::Signal));
+                    signals = count;
+                    self.report_in_flight();
+                }
+                () = load.ended() => self.report_in_flight(),
+                _ = tick.tick() => {
+                    ticks = ticks.wrapping_add(1);
+                    self.plane.tick();
+                    self.tell_stop(StopEvent::Tick);
+                    if ticks.is_multiple_of(HOUSEKEEPING_TICKS) {
+                        self.plane.links.sweep(Instant::now());
+                        self.plane.report_loads();
+                    }
+                }
+            }
+        }
+        if self.ending == Some(Ending::Graceful) {
+            self.serving.send_replace(Serving::Ended);
+            self.admin.send_replace(Serving::Ended);
+            while self.servers.join_next().await.is_some() {}
+        }
+    }
+
+    fn on_request(&self, request: DataRequest) {
+        match request {
+            DataRequest::Dump(reply) => {
+                let _ = reply.send(self.plane.dump());
+            }
+        }
+    }
+
+    fn report_in_flight(&mut self) {
+        let load = &self.plane.load;
+        let event = StopEvent::InFlight {
+            keyed: load.keyed(),
+            other: load.other(),
+        };
+        self.tell_stop(event);
+    }
+
+    /// Notes that the roster no longer has this VM after it asked to leave.
+    fn watch_leave(&mut self) {
+        let view = self.plane.view();
+        if self.leaving && !view.roster.contains(&view.me) {
+            self.leaving = false;
+            self.tell_stop(StopEvent::LeaveAppended);
+        }
+    }
+
+    fn tell_stop(&mut self, event: StopEvent) {
+        let mut actions = Vec::new();
+        let now = Instant::now();
+        self.plane
+            .stop
+            .borrow_mut()
+            .handle(now, event, &mut actions);
+        for action in actions {
+            self.on_stop(action);
+        }
+    }
+
+    fn on_stop(&mut self, action: StopAction) {
+        let load = &self.plane.load;
+        log::info!(keyed = load.keyed(), other = load.other(); "planned stop: {action:?}");
+        match action {
+            StopAction::Announce => {}
+            StopAction::StopAccepting => {
+                self.serving.send_replace(Serving::Closed);
+            }
+            StopAction::AppendLeave => {
+                self.leaving = true;
+                self.plane.control.send(DataReport::KeyedIdle);
+            }
+            StopAction::CutOff => self.ending = Some(Ending::CutOff),
+            StopAction::Exit => {
+                self.ending.get_or_insert(Ending::Graceful);
+            }
+        }
+    }
+}
+
+/// Serves the admin endpoints.
+fn admin(plane: &Plane, request: &Request) -> Response {
+    match request.path() {
+        "/live" => http_server::text(StatusCode::OK, "live\n".into()),
+        "/ready" if plane.is_ready() => http_server::text(StatusCode::OK, "ready\n".into()),
+        "/ready" => http_server::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        "/metrics" => {
+            let in_flight = plane.load.keyed() + plane.load.other();
+            match plane.metrics.text(in_flight, plane.links.connections()) {
+                Ok(text) => http_server::text(StatusCode::OK, text),
+                Err(error) => {
+                    let text = format!("{error}\n");
+                    http_server::text(StatusCode::INTERNAL_SERVER_ERROR, text)
+                }
+            }
+        }
+        _ => http_server::text(
+            StatusCode::NOT_FOUND,
+            "use /live, /ready or /metrics\n".into(),
+        ),
+    }
+}
--- /dev/null
+++ b/entry/src/keyed.rs
@@ -0,0 +1,192 @@
+//! Requests with a key, at the VM that owns the key.
+
+use carobshore_lib::key_table::KeyDecision;
+use carobshore_lib::key_table::KeyedCall;
+use carobshore_lib::key_table::MAX_ANSWER;
+use carobshore_lib::key_table::StoredAnswer;
+use carobshore_lib::key_table::StoredHeader;
+use carobshore_lib::key_table::StoredOutcome;
+use carobshore_lib::prelude::Outcome;
+use carobshore_lib::prelude::RequestKey;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_lib::router::Route;
+use carobshore_lib::ticket::CallerId;
+use ntex::http::HeaderMap;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::body::Body;
+use ntex::http::header::HeaderName;
+use ntex::http::header::HeaderValue;
+use ntex::util::Bytes;
+use tokio::time::sleep_until;
+
+use crate::call_head::CallHead;
+use crate::caller_end::CallerEnd;
+use crate::driver::Driver;
+use crate::headers;
+use crate::refusal;
+use crate::refusal::Refusal;
+
+impl Driver {
+    /// Enters a request with a key into the table of this VM, if the request is to run here.
+    /// Returns `None` when the request was answered without being run.
+    pub(crate) async fn take_key(&mut self, caller: CallerEnd) -> Option<CallerEnd> {
+        let Some(key) = self.head.key else {
+            return Some(caller);
+        };
+        if *self.first_route() != Route::Local {
+            return Some(caller);
+        }
+        if self.plane.stop.borrow().is_stopping() {
+            let refusal = Refusal::of_outcome(Outcome::NotRun, ResultCode::NotReady);
+            self.answer_key(
+                caller,
+                Outcome::NotRun,
+                ResultCode::NotReady,
+                refusal.response(),
+            );
+            return None;
+        }
+        let call = KeyedCall {
+            key,
+            fingerprint: fingerprint(&self.head),
+        };
+        match self.service.begin_key(call) {
+            KeyDecision::Run => {
+                self.key_accepted = true;
+                caller.in_flight.set_keyed();
+                Some(caller)
+            }
+            KeyDecision::Wait => {
+                self.wait_for_first(key, caller).await;
+                None
+            }
+            decision => {
+                self.answer_decision(caller, decision);
+                None
+            }
+        }
+    }
+
+    /// Waits for the end of the request that was first with the key.
+    async fn wait_for_first(&mut self, key: RequestKey, mut caller: CallerEnd) {
+        let first = self.service.wait_for_key(key);
+        let deadline = self.head.deadline;
+        let decision = tokio::select! {
+            decision = first => decision.ok(),
+            () = caller.gone() => None,
+            () = sleep_until(deadline.into()) => None,
+        };
+        let decision = decision.unwrap_or_else(|| {
+            self.service.stop_waiting(&key);
+            KeyDecision::Refuse {
+                outcome: Outcome::MayHaveRun,
+                code: ResultCode::StillRunning,
+            }
+        });
+        self.answer_decision(caller, decision);
+    }
+
+    fn answer_decision(&mut self, caller: CallerEnd, decision: KeyDecision) {
+        match decision {
+            KeyDecision::Replay(answer) => {
+                let response = replay(&answer);
+                self.answer_key(caller, Outcome::Whole, ResultCode::Ok, response);
+            }
+            KeyDecision::Refuse { outcome, code } => {
+                let response = Refusal::of_outcome(outcome, code).response();
+                self.answer_key(caller, outcome, code, response);
+            }
+            KeyDecision::Run | KeyDecision::Wait => {}
+        }
+    }
+
+    fn answer_key(
+        &mut self,
+        caller: CallerEnd,
+        outcome: Outcome,
+        code: ResultCode,
+        response: Response,
+    ) {
+        let time = self.started.elapsed();
+        let metrics = &self.plane.metrics;
+        metrics.ended(self.head.port, &self.service.id, outcome, code, time);
+        let _ = caller.reply.send(response);
+    }
+}
+
+/// Returns a hash of what has to be the same for a duplicate.
+fn fingerprint(head: &CallHead) -> u64 {
+    let text = format!("{}\n{}\n{}", head.caller, head.method, head.path);
+    CallerId::of(&text).0
+}
+
+fn replay(answer: &StoredAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let body = match answer.body.is_empty() {
+        true => Body::Empty,
+        false => Body::Bytes(Bytes::copy_from_slice(&answer.body)),
+    };
+    let mut response = Response::with_body(status, body);
+    let fields = response.headers_mut();
+    for header in &answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    refusal::mark(fields, Outcome::Whole, ResultCode::Ok);
+    headers::set(fields, "carobshore-replayed", "yes");
+    response
+}
+
+/// Collects a response for the key table while it is passed on.
+#[derive(Debug)]
+pub(crate) struct Recording {
+    answer: Option<StoredAnswer>,
+    body: Vec<u8>,
+}
+
+impl Recording {
+    /// Starts with the head of a response; `wanted` tells whether it is for the table at all.
+    pub(crate) fn start(wanted: bool, status: StatusCode, fields: &HeaderMap) -> Self {
+        let answer = wanted.then(|| StoredAnswer {
+            status: status.as_u16(),
+            headers: fields
+                .iter()
+                .map(|(name, value)| StoredHeader {
+                    name: name.as_str().into(),
+                    value: value.as_bytes().into(),
+                })
+                .collect(),
+            body: Box::default(),
+        });
+        Self {
+            answer,
+            body: Vec::new(),
+        }
+    }
+
+    /// Adds a part of the body. A body that is too large is not kept.
+    pub(crate) fn add(&mut self, part: &[u8]) {
+        if self.answer.is_none() {
+            return;
+        }
+        if self.body.len() + part.len() > MAX_ANSWER.as_usize() {
+            self.answer = None;
+            self.body = Vec::new();
+            return;
+        }
+        self.body.extend_from_slice(part);
+    }
+
+    /// Returns the whole response.
+    pub(crate) fn finish(self) -> StoredOutcome {
+        let answer = self.answer.map(|answer| StoredAnswer {
+            body: self.body.into(),
+            ..answer
+        });
+        StoredOutcome::Whole(answer)
+    }
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,8 +1,33 @@
 //! The daemon that runs on every entry VM.
 
 pub mod answer;
+mod attempt;
+pub mod call_head;
+mod caller_end;
 pub mod connection;
+pub mod data;
+mod driver;
+pub mod field;
 pub mod flags;
+pub mod headers;
+mod http_server;
+pub mod in_flight;
+mod keyed;
+pub mod links;
+pub mod listeners;
+mod metrics;
+mod plane;
+mod pool_seat;
+mod prober;
+pub mod refusal;
+mod relay;
+pub mod relay_body;
+pub mod request_body;
+mod service_plane;
 pub mod settings;
 pub mod socket_options;
+pub mod stop_signal;
+pub mod target_signs;
+pub mod view;
+mod vm_answer;
 pub mod wire;
--- a/entry/src/links.rs
+++ b/entry/src/links.rs
@@ -1,6 +1,5 @@
 //! The open connections to targets and other entry VMs.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -25,8 +24,6 @@
     pool: RefCell<ConnectionPool>,
     idle: RefCell<HashMap<ConnId, Rc<Connection>>>,
     released: Notify,
-    opened: Cell<u64>,
-    silent: Cell<u64>,
 }
 
 impl Links {
@@ -38,8 +35,6 @@
             pool: RefCell::new(ConnectionPool::new(limit)),
             idle: RefCell::default(),
             released: Notify::new(),
-            opened: Cell::new(0),
-            silent: Cell::new(0),
         })
     }
 
@@ -68,6 +63,12 @@
         }
     }
 
+    /// Notes that a connection did not answer in time, and closes the idle ones that are as old.
+    pub fn silent(&self, id: ConnId) {
+        let suspects = self.pool.borrow_mut().silent(id);
+        self.drop_idle(&suspects);
+    }
+
     /// Closes connections that are idle for too long or were closed by the other side.
     pub fn sweep(&self, now: Instant) {
         let expired = self.pool.borrow_mut().expire(now);
@@ -92,16 +93,6 @@
         self.len() == 0
     }
 
-    /// Returns how many connections were opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
-    /// Returns how many connections did not answer in time so far.
-    pub fn silent(&self) -> u64 {
-        self.silent.get()
-    }
-
     fn take_idle(self: &Rc<Self>, id: ConnId) -> Option<Link> {
         let connection = self.idle.borrow_mut().remove(&id);
         let usable = connection.filter(|connection| !connection.is_closed());
@@ -124,7 +115,6 @@
         };
         let connection = Connection::open(self.addr, self.connect_timeout).await?;
         self.pool.borrow_mut().opened(Instant::now(), id);
-        self.opened.set(self.opened.get() + 1);
         link.connection = Some(Rc::new(connection));
         Ok(link)
     }
@@ -146,6 +136,11 @@
 }
 
 impl Link {
+    /// Returns the name of the connection.
+    pub fn id(&self) -> ConnId {
+        self.id
+    }
+
     /// Returns the connection.
     pub fn connection(&self) -> Option<&Rc<Connection>> {
         self.connection.as_ref()
@@ -154,7 +149,11 @@
     /// Returns whether a request may be written to the connection now.
     pub fn may_send(&self, need: Freshness) -> bool {
         let open = self.connection().is_some_and(|conn| !conn.is_closed());
-        open && self.links.pool.borrow().may_send(Instant::now(), self.id, need)
+        open && self
+            .links
+            .pool
+            .borrow()
+            .may_send(Instant::now(), self.id, need)
     }
 
     /// Gives back a connection on which nothing was written.
@@ -168,7 +167,11 @@
     /// Gives back a connection after a complete response, if it can carry another exchange.
     pub fn answered(mut self, reusable: bool) {
         let now = Instant::now();
-        let kept = self.links.pool.borrow_mut().answered(now, self.id, reusable);
+        let kept = self
+            .links
+            .pool
+            .borrow_mut()
+            .answered(now, self.id, reusable);
         if let Some(connection) = self.connection.take()
             && kept
         {
@@ -178,13 +181,6 @@
         // has no effect.
     }
 
-    /// Closes a connection that did not answer in time, and the idle ones that are as old.
-    pub fn silent(self) {
-        let suspects = self.links.pool.borrow_mut().silent(self.id);
-        self.links.silent.set(self.links.silent.get() + 1);
-        self.links.drop_idle(&suspects);
-    }
-
     fn keep(&self, connection: Rc<Connection>) {
         self.links.idle.borrow_mut().insert(self.id, connection);
         self.links.released.notify_one();
--- /dev/null
+++ b/entry/src/plane.rs
@@ -0,0 +1,297 @@
+//! The state of the data thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use carobshore_lib::planned_stop::PlannedStop;
+use carobshore_lib::prelude::Error;
+use carobshore_lib::prelude::Outcome;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::VmId;
+use carobshore_lib::roster::Roster;
+use carobshore_lib::ticket::TicketId;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::Version;
+
+use crate::call_head::CallHead;
+use crate::call_head::Port;
+use crate::driver::Driver;
+use crate::headers;
+use crate::in_flight::InFlight;
+use crate::in_flight::Load;
+use crate::links::LinkTable;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::prober;
+use crate::refusal::Refusal;
+use crate::service_plane::LONGEST_PAUSE;
+use crate::service_plane::SeatKind;
+use crate::service_plane::ServicePlane;
+use crate::settings::Settings;
+use crate::view::ControlLink;
+use crate::view::DataReport;
+use crate::view::View;
+
+/// The most connections to one other entry VM.
+const VM_CONNECTIONS: u32 = 512;
+
+/// Everything that the requests of one VM share.
+pub(crate) struct Plane {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) metrics: Metrics,
+    pub(crate) load: Rc<Load>,
+    pub(crate) links: LinkTable,
+    pub(crate) stop: RefCell<PlannedStop>,
+    pub(crate) control: ControlLink,
+    view: RefCell<Arc<View>>,
+    services: RefCell<HashMap<ServiceId, Rc<ServicePlane>>>,
+    tickets: Cell<u64>,
+    seen: Cell<Instant>,
+}
+
+impl Plane {
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        metrics: Metrics,
+        view: &Arc<View>,
+        control: ControlLink,
+    ) -> Rc<Self> {
+        let links = LinkTable::new(settings.timeouts.connect);
+        let plane = Rc::new(Self {
+            settings,
+            metrics,
+            load: Rc::default(),
+            links,
+            stop: RefCell::default(),
+            control,
+            view: RefCell::new(Arc::clone(view)),
+            services: RefCell::default(),
+            tickets: Cell::new(0),
+            seen: Cell::new(Instant::now()),
+        });
+        plane.take_over(view, &Roster::default(), true);
+        plane
+    }
+
+    /// Takes over a newer view.
+    pub(crate) fn update(self: &Rc<Self>, view: &Arc<View>) {
+        let old = self.view.replace(Arc::clone(view));
+        let paused = self.seen.replace(Instant::now()).elapsed() > LONGEST_PAUSE;
+        let lapsed = old.lease_until.is_none_or(|until| until < Instant::now());
+        let changed = !Arc::ptr_eq(&old.config, &view.config)
+            || !Arc::ptr_eq(&old.roster, &view.roster)
+            || !Arc::ptr_eq(&old.leaving, &view.leaving);
+        if paused || lapsed {
+            self.restart_history();
+        }
+        if changed || paused || lapsed {
+            self.take_over(view, &old.roster, changed);
+        }
+        self.renew_leases(view);
+        for service in self.services.borrow().values() {
+            view.down.iter().for_each(|vm| service.unreachable(vm));
+        }
+    }
+
+    /// Notes that the data thread is running, so that a pause of it is noticed.
+    pub(crate) fn tick(&self) {
+        let paused = self.seen.replace(Instant::now()).elapsed() > LONGEST_PAUSE;
+        if paused {
+            self.restart_history();
+        }
+    }
+
+    /// Returns the latest view.
+    pub(crate) fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Returns whether new requests should come to this VM.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.view.borrow().ready && !self.stop.borrow().is_stopping()
+    }
+
+    /// Serves a request.
+    pub(crate) async fn call(self: Rc<Self>, mut request: Request, port: Port) -> Response {
+        let started = Instant::now();
+        let peer = request.peer_addr().map(|addr| addr.ip());
+        if request.version() != Version::HTTP_11 {
+            return self.refuse_version(port);
+        }
+        let head = CallHead::parse(request.head(), peer, port, &self.settings, started);
+        let head = match head {
+            Ok(head) => head,
+            Err(error) => return self.refuse(port, &Refusal::of_request(error)),
+        };
+        let service = match self.admit(&head) {
+            Ok(service) => service,
+            Err(refusal) => return self.refuse(port, &refusal),
+        };
+        let payload = request.take_payload();
+        let io = request.io().cloned();
+        let in_flight = InFlight::start(&self.load);
+        let plane = Rc::clone(&self);
+        Driver::serve(plane, service, head, payload, io, in_flight).await
+    }
+
+    /// Returns the connections to a target of a service.
+    pub(crate) fn target_links(
+        &self,
+        service: &ServicePlane,
+        target: &TargetId,
+        kind: SeatKind,
+    ) -> Option<Rc<Links>> {
+        let (addr, limit) = service.target(target, kind)?;
+        Some(self.links.to(addr, limit))
+    }
+
+    /// Returns the connections to another entry VM.
+    pub(crate) fn vm_links(&self, vm: &VmId) -> Option<Rc<Links>> {
+        let addr = self.vm_addr(vm)?;
+        Some(self.links.to(addr, VM_CONNECTIONS))
+    }
+
+    /// Notes that a VM refused a connection.
+    pub(crate) fn vm_unreachable(&self, service: &ServicePlane, vm: &VmId) {
+        service.unreachable(vm);
+        let vm = vm.clone();
+        self.control.send(DataReport::Unreachable { vm });
+    }
+
+    /// Returns a new id for a request in a pool.
+    pub(crate) fn next_ticket(&self) -> TicketId {
+        let id = self.tickets.get();
+        self.tickets.set(id + 1);
+        TicketId(id)
+    }
+
+    /// Reports the load of this VM as a home, for its heartbeats.
+    pub(crate) fn report_loads(&self) {
+        for service in self.services.borrow().values() {
+            let (free, queued) = service.seat(SeatKind::Owned).load();
+            let service = service.id.clone();
+            self.control.send(DataReport::Load {
+                service,
+                free,
+                queued,
+            });
+        }
+    }
+
+    /// Returns the state for the dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let services = self.services.borrow();
+        let services: serde_json::Map<_, _> = services
+            .iter()
+            .map(|(id, service)| (id.to_string(), service.dump()))
+            .collect();
+        let stop = self.stop.borrow();
+        serde_json::json!({
+            "services": services,
+            "connections": self.links.connections(),
+            "in_flight_keyed": self.load.keyed(),
+            "in_flight_other": self.load.other(),
+            "stopping": stop.is_stopping(),
+            "accepting": stop.is_accepting(),
+        })
+    }
+
+    fn admit(&self, head: &CallHead) -> Result<Rc<ServicePlane>, Refusal> {
+        let not_ready = || Refusal {
+            close: true,
+            ..Refusal::of_outcome(Outcome::NotRun, ResultCode::NotReady)
+        };
+        if !self.stop.borrow().is_accepting() {
+            return Err(not_ready());
+        }
+        let services = self.services.borrow();
+        if let Some(service) = services.get(&head.service) {
+            return Ok(Rc::clone(service));
+        }
+        if !self.view.borrow().ready {
+            return Err(not_ready());
+        }
+        Err(Refusal::of_request(Error::new(
+            ResultCode::UnknownService,
+            format!("there is no service `{}`", head.service),
+            "use a service of the confirmed configuration",
+        )))
+    }
+
+    fn vm_addr(&self, vm: &VmId) -> Option<SocketAddr> {
+        let view = self.view.borrow();
+        view.roster.member(vm).map(|member| member.forward)
+    }
+
+    fn restart_history(&self) {
+        for service in self.services.borrow().values() {
+            service.restart_history();
+        }
+    }
+
+    fn take_over(self: &Rc<Self>, view: &View, old: &Roster, changed: bool) {
+        let mut services = self.services.borrow_mut();
+        services.retain(|id, _| view.config.services.contains_key(id));
+        for (id, spec) in &view.config.services {
+            let service = services.entry(id.clone()).or_insert_with(|| {
+                let seed = self.tickets.get() ^ u64::from(std::process::id());
+                let policy = self.settings.policy;
+                let (service, probes) = ServicePlane::new(id, spec, view, policy, seed);
+                prober::start(self, &service, probes);
+                service
+            });
+            if changed {
+                service.update(spec, view, self.settings.homes);
+            }
+            service.update_keys(spec, view, old);
+        }
+        drop(services);
+        self.renew_leases(view);
+    }
+
+    fn renew_leases(&self, view: &View) {
+        for service in self.services.borrow().values() {
+            service.renew_lease(view.lease_until);
+        }
+    }
+
+    fn refuse(&self, port: Port, refusal: &Refusal) -> Response {
+        self.metrics
+            .refused(port, refusal.outcome, refusal.error.code);
+        refusal.response()
+    }
+
+    /// Refuses HTTP/1.0, in which the end of a response without a length cannot be told from its
+    /// truncation.
+    fn refuse_version(&self, port: Port) -> Response {
+        let error = Error::new(
+            ResultCode::BadRequest,
+            "the HTTP version is not 1.1",
+            "use HTTP/1.1",
+        );
+        let refusal = Refusal {
+            close: true,
+            ..Refusal::of_request(error)
+        };
+        self.metrics
+            .refused(port, refusal.outcome, refusal.error.code);
+        refusal.response_with(StatusCode::HTTP_VERSION_NOT_SUPPORTED)
+    }
+}
+
+/// Adds the load of this VM to a response for another entry VM.
+pub(crate) fn add_load(response: &mut Response, service: &ServicePlane) {
+    let (free, queued) = service.seat(SeatKind::Owned).load();
+    let fields = response.headers_mut();
+    headers::set_number(fields, crate::field::FREE, u64::from(free));
+    headers::set_number(fields, crate::field::QUEUED, u64::from(queued));
+}
--- /dev/null
+++ b/entry/src/relay.rs
@@ -0,0 +1,181 @@
+//! Passes a response on to the caller.
+
+use carobshore_lib::exchange::ExchangeEvent;
+use carobshore_lib::key_table::StoredOutcome;
+use carobshore_lib::pool_event::AttemptResult;
+use carobshore_lib::prelude::Outcome;
+use carobshore_lib::prelude::ResultCode;
+use ntex::http::ConnectionType;
+use ntex::http::HeaderMap;
+use ntex::http::Method;
+use ntex::http::Response;
+use ntex::http::StatusCode;
+use ntex::http::body::Body;
+use ntex::http::body::BodySize;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::header::TRANSFER_ENCODING;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::answer::Answer;
+use crate::answer::Framing;
+use crate::attempt;
+use crate::call_head::Port;
+use crate::caller_end::CallerEnd;
+use crate::driver::Driver;
+use crate::field;
+use crate::headers;
+use crate::keyed::Recording;
+use crate::links::Link;
+use crate::plane;
+use crate::refusal;
+use crate::relay_body::Part;
+use crate::relay_body::RelayBody;
+
+/// What happened while a response was passed on.
+enum Progress {
+    Part(ntex::util::Bytes),
+    Ended,
+    Cut,
+    CallerGone,
+    TimedOut,
+}
+
+impl Driver {
+    /// Passes the response on. The caller gets the end of the body only when the target's end was
+    /// seen; otherwise the caller's connection is aborted.
+    pub(crate) async fn relay(mut self, caller: CallerEnd, link: Link, mut answer: Answer) {
+        let result = attempt::result_of(&answer);
+        let fields = self.response_fields(&answer.headers);
+        let wanted = self.key_accepted;
+        let mut recording = Recording::start(wanted, answer.status, &fields);
+        let size = body_size(&self.head.method, &answer);
+        let (sender, body) = RelayBody::new(size, caller.io.clone(), caller.in_flight);
+        let response = self.response(answer.status, fields, body);
+        let mut sender = caller.reply.send(response).is_ok().then_some(sender);
+        loop {
+            let progress = self.progress(&mut answer, sender.as_ref()).await;
+            match progress {
+                Progress::Part(part) => {
+                    recording.add(&part);
+                    if !pass(sender.as_ref(), Part::Bytes(part)).await {
+                        sender = None;
+                        self.tell_gone();
+                    }
+                }
+                Progress::Ended => break,
+                Progress::CallerGone => {
+                    sender = None;
+                    self.tell_gone();
+                }
+                Progress::Cut => {
+                    self.end_answering(AttemptResult::Broken, |attempt| ExchangeEvent::Broken {
+                        attempt,
+                    });
+                }
+                Progress::TimedOut => {
+                    self.tell(ExchangeEvent::TimedOut);
+                    self.settle();
+                }
+            }
+            if let Some((_, code)) = self.done() {
+                return self.finish(StoredOutcome::MayHaveRun(code));
+            }
+        }
+        link.answered(answer.body.into_reusable().is_some());
+        self.end_answering(result, |attempt| ExchangeEvent::Ended { attempt });
+        self.finish(recording.finish());
+        pass(sender.as_ref(), Part::End).await;
+    }
+
+    /// Waits for the next part of the response, or for its end.
+    async fn progress(&self, answer: &mut Answer, sender: Option<&mpsc::Sender<Part>>) -> Progress {
+        let gone = async {
+            match sender {
+                Some(sender) => sender.closed().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            part = answer.body.next() => match part {
+                Ok(Some(part)) => Progress::Part(part),
+                Ok(None) => Progress::Ended,
+                Err(_) => Progress::Cut,
+            },
+            () = gone => Progress::CallerGone,
+            () = sleep_until(self.head.deadline.into()) => Progress::TimedOut,
+        }
+    }
+
+    fn tell_gone(&mut self) {
+        self.tell(ExchangeEvent::CallerGone);
+        self.settle();
+    }
+
+    fn end_answering(
+        &mut self,
+        result: AttemptResult,
+        event: impl FnOnce(carobshore_lib::pool_event::AttemptId) -> ExchangeEvent,
+    ) {
+        if let Some(attempt) = self.answering() {
+            self.end(attempt, result);
+            self.tell(event(attempt));
+            self.settle();
+        }
+    }
+
+    fn response_fields(&self, fields: &HeaderMap) -> HeaderMap {
+        let mut fields = headers::end_to_end(fields);
+        headers::remove_all(&mut fields, &field::HOME_ONLY);
+        headers::remove_all(&mut fields, &[field::FREE, field::QUEUED]);
+        headers::add_via(&mut fields, &self.plane.settings.vm_name);
+        fields
+    }
+
+    fn response(&self, status: StatusCode, fields: HeaderMap, body: RelayBody) -> Response {
+        let mut response = Response::with_body(status, Body::from_message(body));
+        *response.headers_mut() = fields;
+        refusal::mark(response.headers_mut(), Outcome::Whole, ResultCode::Ok);
+        if self.head.port == Port::Peers {
+            plane::add_load(&mut response, &self.service);
+        }
+        if self.plane.stop.borrow().is_stopping() {
+            let head = response.head_mut();
+            head.set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+}
+
+/// Passes a part to the caller, and returns whether the caller is still there.
+async fn pass(sender: Option<&mpsc::Sender<Part>>, part: Part) -> bool {
+    match sender {
+        Some(sender) => sender.send(part).await.is_ok(),
+        None => true,
+    }
+}
+
+/// Returns how the response is framed towards the caller.
+fn body_size(method: &Method, answer: &Answer) -> BodySize {
+    match answer.body.framing() {
+        Framing::Length(length) => BodySize::Sized(length),
+        Framing::Chunked => BodySize::Stream,
+        Framing::Empty if *method == Method::HEAD => head_size(&answer.headers),
+        Framing::Empty if answer.status == StatusCode::NOT_MODIFIED => BodySize::None,
+        Framing::Empty if answer.status == StatusCode::NO_CONTENT => BodySize::None,
+        Framing::Empty => BodySize::Empty,
+    }
+}
+
+/// Returns the size that a response to HEAD announces without a body.
+fn head_size(fields: &HeaderMap) -> BodySize {
+    if fields.contains_key(TRANSFER_ENCODING) {
+        return BodySize::Stream;
+    }
+    let length = fields.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+    match length.and_then(|text| text.trim().parse().ok()) {
+        Some(length) => BodySize::Sized(length),
+        None => BodySize::None,
+    }
+}
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -65,6 +65,7 @@
 pub(crate) struct ServicePlane {
     pub(crate) id: ServiceId,
     me: VmId,
+    policy: Policy,
     spec: RefCell<Service>,
     vms: RefCell<u32>,
     owned: Rc<PoolSeat>,
@@ -114,6 +115,7 @@
         let plane = Self {
             id: id.clone(),
             me: view.me.clone(),
+            policy,
             spec: RefCell::new(spec.clone()),
             vms: RefCell::new(1),
             owned: Rc::clone(&owned),
@@ -130,7 +132,7 @@
     }
 
     /// Takes over a new configuration, roster or set of leaving targets.
-    pub(crate) fn update(&self, spec: &Service, view: &View, old: &Roster, homes: u32) {
+    pub(crate) fn update(&self, spec: &Service, view: &View, homes: u32) {
         *self.spec.borrow_mut() = spec.clone();
         let vms = u32::try_from(view.roster.members.len()).unwrap_or(u32::MAX);
         *self.vms.borrow_mut() = vms;
@@ -138,18 +140,20 @@
         let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
         let owned = PoolTargets::owned(spec, &homes, &self.me);
         self.owned.set_targets(&self.mark_leaving(owned, view));
-        let shared = PoolTargets::shared(spec, vms);
+        let sharers = if self.policy == Policy::Homes { 0 } else { vms };
+        let shared = PoolTargets::shared(spec, vms, sharers);
         self.shared.set_targets(&self.mark_leaving(shared, view));
         self.router.borrow_mut().set_homes(homes);
-        self.update_keys(spec, view, old);
     }
 
-    /// Takes over the read lease. After a lapse, the history of ownership starts anew: the views
-    /// show the latest roster only, and another VM may have owned keys in between.
-    pub(crate) fn renew_lease(&self, until: Option<Instant>, lapsed: bool) {
-        if lapsed {
-            self.history.borrow_mut().restart();
-        }
+    /// Forgets which VMs owned keys, after a time in which changes of the roster may have been
+    /// missed: a view shows the latest roster only. The next view starts a new history.
+    pub(crate) fn restart_history(&self) {
+        self.history.borrow_mut().restart();
+    }
+
+    /// Takes over the read lease.
+    pub(crate) fn renew_lease(&self, until: Option<Instant>) {
         let mut lease = ReadLease::default();
         if let Some(issued) = until.and_then(|until| until.checked_sub(LEASE)) {
             lease.read_ok(issued, true);
@@ -157,6 +161,7 @@
         *self.lease.borrow_mut() = lease;
         if let Some(until) = until {
             self.owned.handle(PoolEvent::Lease { until });
+            self.shared.handle(PoolEvent::Lease { until });
         }
     }
 
@@ -271,19 +276,18 @@
         targets
     }
 
-    fn update_keys(&self, spec: &Service, view: &View, old: &Roster) {
+    /// Takes over the owners of keys.
+    pub(crate) fn update_keys(&self, spec: &Service, view: &View, old: &Roster) {
         let settings = HomesSettings {
             per_domain: KEY_HOMES_PER_DOMAIN,
         };
         let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
         let key_homes = KeyHomes::new(homes.vms().cloned().collect());
         self.key_router.borrow_mut().set_homes(homes);
-        let age = view.roster_seen.elapsed();
-        let wall = SystemTime::now() - age;
+        let wall = SystemTime::now() - view.roster_seen.elapsed();
         let handover = handover(view, old);
-        self.history
-            .borrow_mut()
-            .set_homes(view.roster_seen, wall, key_homes, handover);
+        let mut history = self.history.borrow_mut();
+        history.set_homes(view.roster_seen, wall, key_homes, handover);
     }
 }
 
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use carobshore_lib::policy::Policy;
 use carobshore_lib::prelude::ByteSize;
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::Error;
@@ -19,17 +20,6 @@
 /// The longest deadline that a caller may ask for.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
-/// How targets are chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PolicyName {
-    /// Any target, by chance.
-    Random,
-    /// The better of two targets that are drawn by chance.
-    TwoChoices,
-    /// The home VM of the target decides.
-    Homes,
-}
-
 /// Limits that protect this VM.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -78,7 +68,7 @@
     /// Peers that are asked at start.
     pub peers: Vec<SocketAddr>,
     /// How targets are chosen.
-    pub policy: PolicyName,
+    pub policy: Policy,
     /// Number of home VMs of a service in each failure domain.
     pub homes: u32,
     /// Limits that protect this VM.
@@ -117,7 +107,7 @@
             log: address("log", &flags.log)?,
             vm_list: address("vm-list", &flags.vm_list)?,
             peers: peers(&flags.peers)?,
-            policy: policy(&flags.policy)?,
+            policy: checked("policy", &flags.policy)?,
             homes: number("homes-per-domain", &flags.homes_per_domain, 1..=100)? as u32,
             limits,
             timeouts,
@@ -182,15 +172,6 @@
         .collect()
 }
 
-fn policy(value: &str) -> Result<PolicyName> {
-    match value {
-        "random" => Ok(PolicyName::Random),
-        "two-choices" => Ok(PolicyName::TwoChoices),
-        "homes" => Ok(PolicyName::Homes),
-        _ => Err(bad("policy", value, "`random`, `two-choices` or `homes`")),
-    }
-}
-
 fn level(value: &str) -> Result<LevelFilter> {
     let allowed = "`error`, `warn`, `info`, `debug` or `trace`";
     match value.parse() {
--- /dev/null
+++ b/entry/src/target_signs.rs
@@ -0,0 +1,76 @@
+//! What targets say about themselves in the header fields of their responses.
+
+use carobshore_lib::pool_event::AttemptResult;
+use carobshore_lib::pool_event::PoolEvent;
+use carobshore_lib::pool_event::TargetLoad;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::send_right::RefusedBy;
+use ntex::http::HeaderMap;
+
+use crate::field;
+use crate::headers;
+use crate::plane::Plane;
+use crate::service_plane::SeatKind;
+use crate::service_plane::ServicePlane;
+use crate::view::DataReport;
+
+/// Passes the load and drain signs on, and returns why the target refused, if it did.
+pub(crate) fn note(
+    plane: &Plane,
+    service: &ServicePlane,
+    target: &TargetId,
+    kind: SeatKind,
+    fields: &HeaderMap,
+) -> Option<RefusedBy> {
+    if let Some(load) = load(fields) {
+        let target = target.clone();
+        let report = PoolEvent::Report { target, load };
+        service.seat(kind).handle(report);
+    }
+    let refused = refused(fields);
+    let drains = headers::single(fields, field::TARGET_DRAIN) == Ok(Some("yes"));
+    if drains || refused == Some(RefusedBy::Drain) {
+        for kind in [SeatKind::Owned, SeatKind::Shared] {
+            let target = target.clone();
+            service.seat(kind).handle(PoolEvent::Drain { target });
+        }
+        plane.control.send(DataReport::Drain {
+            service: service.id.clone(),
+            target: target.clone(),
+        });
+    }
+    refused
+}
+
+/// Reads `target-load: in-flight=N, queued=N`.
+pub fn load(fields: &HeaderMap) -> Option<TargetLoad> {
+    let text = headers::single(fields, field::TARGET_LOAD).ok().flatten()?;
+    let value = |name: &str| {
+        let mut parts = text.split(',').map(str::trim);
+        let part = parts.find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+        part?.parse().ok()
+    };
+    Some(TargetLoad {
+        in_flight: value("in-flight")?,
+        queued: value("queued")?,
+    })
+}
+
+/// Reads `target-refused`. Only the known reasons prove that the request did not start.
+pub fn refused(fields: &HeaderMap) -> Option<RefusedBy> {
+    match headers::single(fields, field::TARGET_REFUSED) {
+        Ok(Some("shed")) => Some(RefusedBy::Shed),
+        Ok(Some("drain")) => Some(RefusedBy::Drain),
+        Ok(Some("deadline")) => Some(RefusedBy::Deadline),
+        _ => None,
+    }
+}
+
+/// Returns what a refusal means for the pool.
+pub fn result_of(refused: RefusedBy) -> AttemptResult {
+    match refused {
+        RefusedBy::Drain => AttemptResult::Draining,
+        RefusedBy::Deadline => AttemptResult::Deadline,
+        RefusedBy::Shed | RefusedBy::Vm { .. } => AttemptResult::Shed,
+    }
+}
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Raw servers and callers that the tests of the daemon share.
-#![allow(dead_code)]
+#![allow(dead_code, unreachable_pub)]
+
+pub mod vm;
 
 use std::io::Read;
 use std::io::Write;
--- /dev/null
+++ b/entry/tests/common/vm.rs
@@ -0,0 +1,198 @@
+//! A data thread with a view that the test makes up.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_entry::data;
+use carobshore_entry::flags::Flags;
+use carobshore_entry::listeners::Listeners;
+use carobshore_entry::settings::Settings;
+use carobshore_entry::stop_signal::StopHandle;
+use carobshore_entry::view::ControlLink;
+use carobshore_entry::view::DataLink;
+use carobshore_entry::view::DataReport;
+use carobshore_entry::view::DataRequest;
+use carobshore_entry::view::View;
+use carobshore_lib::config::Config;
+use carobshore_lib::prelude::Offset;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::TargetTime;
+use carobshore_lib::prelude::Version;
+use carobshore_lib::prelude::VmId;
+use carobshore_lib::roster::Member;
+use carobshore_lib::roster::Roster;
+use carobshore_lib::service::Service;
+use carobshore_lib::target::Target;
+use carobshore_lib::target::TargetState;
+use clap::Parser;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// A running data thread.
+pub struct Vm {
+    pub listen: SocketAddr,
+    pub forward: SocketAddr,
+    pub admin: SocketAddr,
+    pub views: watch::Sender<Arc<View>>,
+    pub reports: mpsc::UnboundedReceiver<DataReport>,
+    pub stop: StopHandle,
+    requests: mpsc::UnboundedSender<DataRequest>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Checks settings with all addresses chosen by the kernel.
+pub fn settings(extra: &[&str]) -> Settings {
+    let fixed = [
+        "carobshore-entry",
+        "--vm-name=entry-1",
+        "--domain=a",
+        "--log=127.0.0.1:1",
+        "--vm-list=127.0.0.1:1",
+        "--listen=127.0.0.1:0",
+        "--forward=127.0.0.1:0",
+        "--rpc=127.0.0.1:0",
+        "--admin=127.0.0.1:0",
+    ];
+    let flags = Flags::parse_from(fixed.iter().chain(extra));
+    Settings::try_from(flags).unwrap()
+}
+
+/// Returns a configuration in which one service has targets at the given addresses.
+pub fn config(service: &str, targets: &[SocketAddr]) -> Config {
+    let target = |addr: &SocketAddr| Target {
+        addr: *addr,
+        domain: "a".parse().unwrap(),
+        slots: 2.try_into().unwrap(),
+        generation: 1,
+        state: TargetState::Serving,
+    };
+    let targets = targets.iter().enumerate();
+    let service_spec = Service {
+        version: Version(1),
+        targets: targets
+            .map(|(at, addr)| (format!("t{at}").parse::<TargetId>().unwrap(), target(addr)))
+            .collect(),
+        measuring: TargetTime::default(),
+        connections: 220,
+    };
+    let id = service.parse::<ServiceId>().unwrap();
+    Config {
+        services: BTreeMap::from([(id, service_spec)]),
+    }
+}
+
+/// Returns a roster of VMs with their forward addresses; all of them are in domain `a`.
+pub fn roster(vms: &[(&VmId, SocketAddr)]) -> Roster {
+    let member = |forward| Member {
+        domain: "a".parse().unwrap(),
+        rpc: forward,
+        forward,
+        joined: Offset(1),
+    };
+    let members = vms.iter().map(|(vm, addr)| ((*vm).clone(), member(*addr)));
+    Roster {
+        members: members.collect(),
+    }
+}
+
+/// Returns the view of a VM that has been in the roster for a minute and holds the read lease.
+pub fn view(me: &VmId, config: Config, roster: Roster) -> View {
+    let now = Instant::now();
+    View {
+        me: me.clone(),
+        domain: "a".parse().unwrap(),
+        config: Arc::new(config),
+        roster: Arc::new(roster),
+        applied: Offset(1),
+        roster_seen: now - Duration::from_secs(60),
+        released: false,
+        lease_until: Some(now + Duration::from_secs(10)),
+        leaving: Arc::new(BTreeSet::new()),
+        down: Arc::new(BTreeSet::new()),
+        loads: Vec::new(),
+        ready: true,
+    }
+}
+
+impl Vm {
+    /// Starts a VM that is the only one and serves `status` with the given targets.
+    pub fn alone(targets: &[SocketAddr], extra: &[&str]) -> Self {
+        let me: VmId = "entry-1.00000001".parse().unwrap();
+        let settings = settings(extra);
+        let listeners = Listeners::bind(&settings).unwrap();
+        let forward = listeners.forward().unwrap();
+        let roster = roster(&[(&me, forward)]);
+        let view = view(&me, config("status", targets), roster);
+        Self::start(settings, listeners, view)
+    }
+
+    /// Starts a VM with the given view.
+    pub fn start(settings: Settings, listeners: Listeners, view: View) -> Self {
+        let (views, view_receiver) = watch::channel(Arc::new(view));
+        let (requests, request_receiver) = mpsc::unbounded_channel();
+        let (control, reports) = ControlLink::channel();
+        let (stop, signal) = StopHandle::channel();
+        let link = DataLink {
+            views: view_receiver,
+            requests: request_receiver,
+        };
+        let [listen, forward, admin] = [
+            listeners.listen().unwrap(),
+            listeners.forward().unwrap(),
+            listeners.admin().unwrap(),
+        ];
+        let thread = thread::spawn(move || {
+            data::run(Arc::new(settings), listeners, link, control, signal).unwrap();
+        });
+        Self {
+            listen,
+            forward,
+            admin,
+            views,
+            reports,
+            stop,
+            requests,
+            thread: Some(thread),
+        }
+    }
+
+    /// Changes the view.
+    pub fn update(&self, change: impl FnOnce(&mut View)) {
+        self.views.send_modify(|view| {
+            let mut next = View::clone(view);
+            change(&mut next);
+            *view = Arc::new(next);
+        });
+    }
+
+    /// Returns the dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let (reply, dump) = oneshot::channel();
+        self.requests.send(DataRequest::Dump(reply)).unwrap();
+        dump.blocking_recv().unwrap()
+    }
+
+    /// Returns whether the thread has ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        self.stop.request();
+        self.stop.request();
+        if let Some(thread) = self.thread.take() {
+            let joined = thread.join();
+            assert!(joined.is_ok() || thread::panicking());
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,6 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
-
 mod canonical;
 mod draft;
 mod peer_offers;
