entry: refuse malformed requests with a clear error and a closed connection

Cause: trials over raw sockets showed that ntex accepts 'transfer-encoding: identity', two Host fields and HTTP/1.0, and that it reads on after a response with 'connection: close' when more bytes wait. Change: the head's check refuses these, and refusals of doubtful requests are errors of the handler, after which the server stops reading.

--- a/entry/src/call_head.rs
+++ b/entry/src/call_head.rs
@@ -128,15 +128,14 @@
 }
 
 fn host(fields: &HeaderMap) -> Result<Box<str>> {
-    let allowed = "one host name";
-    let host = single(fields, "host", allowed)?;
-    host.map(Box::from).ok_or_else(|| {
-        Error::new(
+    match headers::single(fields, "host") {
+        Ok(Some(host)) => Ok(host.into()),
+        _ => Err(Error::new(
             ResultCode::BadRequest,
-            "the field `host` is missing",
-            allowed,
-        )
-    })
+            "the field `host` is missing or repeated",
+            "send one `host`",
+        )),
+    }
 }
 
 /// Returns the service that the field or the first label of the host names.
@@ -178,7 +177,7 @@
 
 fn size(fields: &HeaderMap, settings: &Settings) -> Result<BodySize> {
     if fields.contains_key(TRANSFER_ENCODING) {
-        return Ok(BodySize::Stream);
+        return chunked(fields);
     }
     let length = fields.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
     let length = length.and_then(|text| text.trim().parse().ok());
@@ -191,6 +190,21 @@
     }
 }
 
+/// Checks that the body is chunked and nothing else. The HTTP codec also accepts `identity`, which
+/// other proxies read differently.
+fn chunked(fields: &HeaderMap) -> Result<BodySize> {
+    let coding = headers::single(fields, "transfer-encoding");
+    let is_chunked = matches!(coding, Ok(Some(coding)) if coding.eq_ignore_ascii_case("chunked"));
+    if is_chunked && !fields.contains_key(CONTENT_LENGTH) {
+        return Ok(BodySize::Stream);
+    }
+    Err(Error::new(
+        ResultCode::BadRequest,
+        "the end of the body is ambiguous",
+        "send either `content-length` or `transfer-encoding: chunked`",
+    ))
+}
+
 /// Builds the error for a body above the limit.
 pub fn too_large(settings: &Settings) -> Error {
     Error::new(
--- a/entry/src/data.rs
+++ b/entry/src/data.rs
@@ -25,6 +25,7 @@
 use crate::listeners::Listeners;
 use crate::metrics::Metrics;
 use crate::plane::Plane;
+use crate::refusal::Closing;
 use crate::settings::Settings;
 use crate::stop_signal::StopSignal;
 use crate::view::ControlLink;
@@ -95,7 +96,7 @@
             plane.call(request, Port::Peers)
         });
         data.serve(listeners.admin, admin_calls, async |plane, request| {
-            admin(&plane, &request)
+            Ok(admin(&plane, &request))
         });
         data
     }
@@ -103,7 +104,7 @@
     fn serve<H, R>(&mut self, listener: TcpListener, serving: Receiver<Serving>, handler: H)
     where
         H: Fn(Rc<Plane>, Request) -> R + Copy + 'static,
-        R: Future<Output = Response> + 'static,
+        R: Future<Output = Result<Response, Closing>> + 'static,
     {
         let plane = Rc::clone(&self.plane);
         let settings = Arc::clone(&plane.settings);
--- a/entry/src/http_server.rs
+++ b/entry/src/http_server.rs
@@ -38,6 +38,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::refusal::Closing;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::socket_options;
@@ -68,16 +69,16 @@
     handler: F,
 ) -> io::Result<()>
 where
-    F: AsyncFn(Request) -> Response + Clone + 'static,
+    F: AsyncFn(Request) -> Result<Response, Closing> + Clone + 'static,
 {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let config = config(settings);
     let service = HttpService::h1(fn_service(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, io::Error>(handler(request).await) }
+        async move { handler(request).await }
     }))
-    .control(fn_service(async |control: Control<Base, io::Error>| {
+    .control(fn_service(async |control: Control<Base, Closing>| {
         Ok::<_, io::Error>(on_control(control))
     }));
     let service = service.create(config.clone()).await;
@@ -163,7 +164,7 @@
 }
 
 /// Answers what never becomes a request, and refuses upgrades.
-fn on_control(control: Control<Base, io::Error>) -> ControlAck<Base> {
+fn on_control(control: Control<Base, Closing>) -> ControlAck<Base> {
     match control {
         Control::Upgrade(upgrade) => {
             let error = Error::new(
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -32,6 +32,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::prober;
+use crate::refusal::Closing;
 use crate::refusal::Refusal;
 use crate::service_plane::LONGEST_PAUSE;
 use crate::service_plane::SeatKind;
@@ -121,26 +122,29 @@
     }
 
     /// Serves a request.
-    pub(crate) async fn call(self: Rc<Self>, mut request: Request, port: Port) -> Response {
+    pub(crate) async fn call(
+        self: Rc<Self>,
+        mut request: Request,
+        port: Port,
+    ) -> Result<Response, Closing> {
         let started = Instant::now();
         let peer = request.peer_addr().map(|addr| addr.ip());
         if request.version() != Version::HTTP_11 {
-            return self.refuse_version(port);
+            return Err(self.refuse_version(port));
         }
         let head = CallHead::parse(request.head(), peer, port, &self.settings, started);
-        let head = match head {
-            Ok(head) => head,
-            Err(error) => return self.refuse(port, &Refusal::of_request(error)),
-        };
-        let service = match self.admit(&head) {
-            Ok(service) => service,
-            Err(refusal) => return self.refuse(port, &refusal),
+        let admitted = head
+            .map_err(Refusal::of_request)
+            .and_then(|head| Ok((self.admit(&head)?, head)));
+        let (service, head) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.refuse(port, refusal),
         };
         let payload = request.take_payload();
         let io = request.io().cloned();
         let in_flight = InFlight::start(&self.load);
         let plane = Rc::clone(&self);
-        Driver::serve(plane, service, head, payload, io, in_flight).await
+        Ok(Driver::serve(plane, service, head, payload, io, in_flight).await)
     }
 
     /// Returns the connections to a target of a service.
@@ -264,27 +268,29 @@
         }
     }
 
-    fn refuse(&self, port: Port, refusal: &Refusal) -> Response {
+    fn refuse(&self, port: Port, refusal: Refusal) -> Result<Response, Closing> {
         self.metrics
             .refused(port, refusal.outcome, refusal.error.code);
-        refusal.response()
+        match refusal.close {
+            true => Err(Closing::of(refusal)),
+            false => Ok(refusal.response()),
+        }
     }
 
     /// Refuses HTTP/1.0, in which the end of a response without a length cannot be told from its
     /// truncation.
-    fn refuse_version(&self, port: Port) -> Response {
-        let error = Error::new(
+    fn refuse_version(&self, port: Port) -> Closing {
+        let refusal = Refusal::of_request(Error::new(
             ResultCode::BadRequest,
             "the HTTP version is not 1.1",
             "use HTTP/1.1",
-        );
-        let refusal = Refusal {
-            close: true,
-            ..Refusal::of_request(error)
-        };
+        ));
         self.metrics
             .refused(port, refusal.outcome, refusal.error.code);
-        refusal.response_with(StatusCode::HTTP_VERSION_NOT_SUPPORTED)
+        Closing {
+            refusal,
+            status: StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+        }
     }
 }
 
--- a/entry/src/refusal.rs
+++ b/entry/src/refusal.rs
@@ -1,11 +1,14 @@
 //! Responses that this VM gives without the response of a target.
 
+use std::fmt;
+
 use carobshore_lib::prelude::Error;
 use carobshore_lib::prelude::Outcome;
 use carobshore_lib::prelude::ResultCode;
 use ntex::http::ConnectionType;
 use ntex::http::HeaderMap;
 use ntex::http::Response;
+use ntex::http::ResponseError;
 use ntex::http::StatusCode;
 use ntex::http::body::Body;
 use serde::Serialize;
@@ -36,13 +39,14 @@
 }
 
 impl Refusal {
-    /// Builds the answer to a request that is wrong itself; nothing was sent to a target.
+    /// Builds the answer to a request that is wrong itself; nothing was sent to a target. After a
+    /// request whose limits are in doubt, the connection is closed.
     pub fn of_request(error: Error) -> Self {
         Self {
             outcome: Outcome::NotRun,
+            close: error.code == ResultCode::BadRequest,
             error,
             retry: true,
-            close: false,
         }
     }
 
@@ -110,6 +114,42 @@
     }
 }
 
+/// A refusal after which nothing more is read from the connection.
+///
+/// The server reads on after a response with `connection: close` if more bytes are waiting. It
+/// stops only after an error of the handler, so such refusals are errors.
+#[derive(Clone, Debug)]
+pub struct Closing {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// The status.
+    pub status: StatusCode,
+}
+
+impl Closing {
+    /// Builds the error for a refusal with its usual status.
+    pub fn of(refusal: Refusal) -> Self {
+        Self {
+            status: refusal.status(),
+            refusal,
+        }
+    }
+}
+
+impl fmt::Display for Closing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.refusal.error.fmt(f)
+    }
+}
+
+impl std::error::Error for Closing {}
+
+impl ResponseError for Closing {
+    fn error_response(&self) -> Response {
+        self.refusal.response_with(self.status)
+    }
+}
+
 /// Sets the fields that every response carries.
 pub fn mark(fields: &mut HeaderMap, outcome: Outcome, code: ResultCode) {
     headers::set(fields, field::OUTCOME, outcome.as_str());
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -48,22 +48,56 @@
     String::from_utf8_lossy(&head).into_owned()
 }
 
-/// Sends `request` and returns everything that comes back until the connection closes or stays
-/// silent for `quiet`.
-pub fn raw_call(addr: SocketAddr, request: &[u8], quiet: Duration) -> String {
+/// What a raw caller got.
+#[derive(Debug)]
+pub struct RawAnswer {
+    /// Everything that came back.
+    pub text: String,
+    /// Whether the server closed the connection; otherwise it went silent.
+    pub closed: bool,
+}
+
+/// Sends `request` and reads until the connection closes or stays silent for `quiet`.
+pub fn raw_exchange(addr: SocketAddr, request: &[u8], quiet: Duration) -> RawAnswer {
     let mut stream = TcpStream::connect(addr).unwrap();
-    stream.set_read_timeout(Some(quiet)).unwrap();
     // The server may answer and close before it has read everything.
     let _ = stream.write_all(request);
+    read_until_quiet(&mut stream, quiet)
+}
+
+/// Reads until the connection closes or stays silent for `quiet`.
+pub fn read_until_quiet(stream: &mut TcpStream, quiet: Duration) -> RawAnswer {
+    stream.set_read_timeout(Some(quiet)).unwrap();
     let mut answer = Vec::new();
     let mut part = [0; 4096];
-    while let Ok(bytes) = stream.read(&mut part) {
-        if bytes == 0 {
-            break;
+    let closed = loop {
+        match stream.read(&mut part) {
+            Ok(0) => break true,
+            Ok(bytes) => answer.extend_from_slice(&part[..bytes]),
+            Err(error) => break error.kind() == std::io::ErrorKind::ConnectionReset,
         }
-        answer.extend_from_slice(&part[..bytes]);
+    };
+    RawAnswer {
+        text: String::from_utf8_lossy(&answer).into_owned(),
+        closed,
     }
-    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Sends `request` and returns everything that comes back.
+pub fn raw_call(addr: SocketAddr, request: &[u8], quiet: Duration) -> String {
+    raw_exchange(addr, request, quiet).text
+}
+
+/// Returns the value of a field of a response.
+pub fn field<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    let (head, _) = answer.split_once("\r\n\r\n")?;
+    let mut lines = head
+        .lines()
+        .skip(1)
+        .filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(found, _)| found.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
 }
 
 /// Makes the close of `stream` a reset.
