--- /dev/null
+++ b/entry/src/vm_list_client.rs
@@ -0,0 +1,77 @@
+//! The client of the platform's list of VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carobshore_lib::prelude::*;
+use ntex::client::Client;
+use ntex::http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest wait for the list. It is read every second, so a later answer would be older than the
+/// next one.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest list, in bytes.
+const LIST_BYTES: usize = 16 << 20;
+
+/// Whether the platform keeps a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// The VM is to stay.
+    Live,
+    /// The VM is about to be stopped.
+    Leaving,
+}
+
+/// One line of the platform's list.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListedVm {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// The address under which the VM serves.
+    pub addr: SocketAddr,
+    /// The VM's failure domain.
+    pub domain: DomainId,
+    /// Whether the platform keeps the VM.
+    pub state: ListedState,
+}
+
+/// Reads the list over HTTP.
+#[derive(Clone, Debug)]
+pub struct VmListClient {
+    url: Box<str>,
+    client: Client,
+}
+
+impl VmListClient {
+    /// Creates a client of the list at `addr`. It connects on first use.
+    pub async fn new(addr: SocketAddr) -> eyre::Result<Self> {
+        let client = Client::builder()
+            .response_timeout(ntex::time::Millis::from(ANSWER_TIMEOUT))
+            .disable_redirects()
+            .build(ntex::SharedCfg::default())
+            .await
+            .map_err(|error| eyre::eyre!("cannot build the client of the VM list: {error}"))?;
+        Ok(Self { url: format!("http://{addr}/v1/vms").into(), client })
+    }
+
+    /// Reads the whole list.
+    pub async fn read(&self) -> Result<Vec<ListedVm>> {
+        let response = self.client.get(&*self.url).send().await.map_err(|e| list_error(&e))?;
+        let bytes = response.body().limit(LIST_BYTES).await.map_err(|e| list_error(&e))?;
+        if response.status() != StatusCode::OK {
+            return Err(list_error(&format_args!("status {}", response.status())));
+        }
+        serde_json::from_slice(&bytes).map_err(|e| list_error(&e))
+    }
+}
+
+fn list_error(reason: &dyn std::fmt::Display) -> Error {
+    Error::new(
+        ResultCode::VmListUnavailable,
+        format!("the platform's VM list gave no usable answer: {reason}"),
+        "check that the list service runs and that its address is right",
+    )
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
+pub mod backoff;
 pub mod byte_size;
 pub mod clock;
 pub mod domain_id;
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -60,6 +60,8 @@
     BadSnapshot = 2008,
     /// The record was appended before; the first copy counts.
     DuplicateRecord = 2009,
+    /// The platform's VM list cannot be read.
+    VmListUnavailable = 2010,
     /// The request cannot be parsed or is ambiguous.
     BadRequest = 3001,
     /// The request names no known service.
