ownership: derive the key histories from every state of the roster

Cause: the data thread sees only the latest roster. Two changes in one log read would hide that another VM owned a key in between, and the later owner could run a request a second time.

Change: the follower reports each record that changes the roster, and `KeyOwnership` replays these states into one history per service.

Conclusion: histories are built where the log is read and published whole.

--- a/entry/src/call_head.rs
+++ b/entry/src/call_head.rs
@@ -115,7 +115,10 @@
 fn bad(name: &str, value: &str, allowed: &str) -> Error {
     Error::new(
         ResultCode::BadHeader,
-        format!("the field `{name}` has the value `{}`", value.escape_debug()),
+        format!(
+            "the field `{name}` has the value `{}`",
+            value.escape_debug()
+        ),
         format!("use {allowed}"),
     )
 }
@@ -127,8 +130,13 @@
 fn host(fields: &HeaderMap) -> Result<Box<str>> {
     let allowed = "one host name";
     let host = single(fields, "host", allowed)?;
-    host.map(Box::from)
-        .ok_or_else(|| Error::new(ResultCode::BadRequest, "the field `host` is missing", allowed))
+    host.map(Box::from).ok_or_else(|| {
+        Error::new(
+            ResultCode::BadRequest,
+            "the field `host` is missing",
+            allowed,
+        )
+    })
 }
 
 /// Returns the service that the field or the first label of the host names.
@@ -142,7 +150,10 @@
         Error::new(
             ResultCode::UnknownService,
             format!("the host `{}` names no service", host.escape_debug()),
-            format!("send `{}` or a host whose first label is a service", field::SERVICE),
+            format!(
+                "send `{}` or a host whose first label is a service",
+                field::SERVICE
+            ),
         )
     })
 }
@@ -228,6 +239,9 @@
     }
     let allowed = "1 or 2";
     let text = single(fields, field::HOPS, allowed)?.unwrap_or_default();
-    let hops = text.parse().ok().filter(|hops| (1..=MAX_HOPS).contains(hops));
+    let hops = text
+        .parse()
+        .ok()
+        .filter(|hops| (1..=MAX_HOPS).contains(hops));
     hops.ok_or_else(|| bad(field::HOPS, text, allowed))
 }
--- a/entry/src/links.rs
+++ b/entry/src/links.rs
@@ -154,7 +154,11 @@
     /// Returns whether a request may be written to the connection now.
     pub fn may_send(&self, need: Freshness) -> bool {
         let open = self.connection().is_some_and(|conn| !conn.is_closed());
-        open && self.links.pool.borrow().may_send(Instant::now(), self.id, need)
+        open && self
+            .links
+            .pool
+            .borrow()
+            .may_send(Instant::now(), self.id, need)
     }
 
     /// Gives back a connection on which nothing was written.
@@ -168,7 +172,11 @@
     /// Gives back a connection after a complete response, if it can carry another exchange.
     pub fn answered(mut self, reusable: bool) {
         let now = Instant::now();
-        let kept = self.links.pool.borrow_mut().answered(now, self.id, reusable);
+        let kept = self
+            .links
+            .pool
+            .borrow_mut()
+            .answered(now, self.id, reusable);
         if let Some(connection) = self.connection.take()
             && kept
         {
--- a/entry/src/log_client.rs
+++ b/entry/src/log_client.rs
@@ -74,21 +74,34 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(|error| eyre::eyre!("cannot build the client of the log: {error}"))?;
-        Ok(Self { base: format!("http://{addr}/v1/records").into(), client })
+        Ok(Self {
+            base: format!("http://{addr}/v1/records").into(),
+            client,
+        })
     }
 
     /// Reads records from `from` on.
     pub async fn read(&self, from: Offset) -> Result<LogPage, ReadError> {
         let url = format!("{}?from={from}&max={READ_RECORDS}", self.base);
         let unavailable = |error: &dyn std::fmt::Display| ReadError::Unavailable(log_error(error));
-        let response = self.client.get(&*url).send().await.map_err(|error| unavailable(&error))?;
-        let body = response.body().limit(READ_BYTES).timeout(millis(ANSWER_TIMEOUT));
+        let response = self
+            .client
+            .get(&*url)
+            .send()
+            .await
+            .map_err(|error| unavailable(&error))?;
+        let body = response
+            .body()
+            .limit(READ_BYTES)
+            .timeout(millis(ANSWER_TIMEOUT));
         let bytes = body.await.map_err(|error| unavailable(&error))?;
         match response.status() {
             StatusCode::OK => parse(&bytes).map_err(ReadError::Unavailable),
             StatusCode::GONE => {
                 let expired: ExpiredAnswer = parse(&bytes).map_err(ReadError::Unavailable)?;
-                Err(ReadError::Expired { first: expired.first })
+                Err(ReadError::Expired {
+                    first: expired.first,
+                })
             }
             status => Err(unavailable(&format_args!("status {status}"))),
         }
@@ -96,8 +109,14 @@
 
     /// Appends a record. After an error the record may or may not be in the log.
     pub async fn append(&self, data: Bytes) -> Result<Offset> {
-        let request = self.client.post(&*self.base).content_type("application/json");
-        let response = request.send_body(data).await.map_err(|error| log_error(&error))?;
+        let request = self
+            .client
+            .post(&*self.base)
+            .content_type("application/json");
+        let response = request
+            .send_body(data)
+            .await
+            .map_err(|error| log_error(&error))?;
         let bytes = response.body().await.map_err(|error| log_error(&error))?;
         if response.status() != StatusCode::OK {
             return Err(log_error(&format_args!("status {}", response.status())));
--- a/entry/src/supervisor.rs
+++ b/entry/src/supervisor.rs
@@ -41,7 +41,10 @@
 impl Supervisor {
     /// Creates the supervisor of the thread with the given name.
     pub fn new(thread: &'static str) -> Self {
-        Self { thread, children: Rc::default() }
+        Self {
+            thread,
+            children: Rc::default(),
+        }
     }
 
     /// Runs `start` again and again until it returns `Ok`, with a growing delay after a failure.
--- a/entry/src/vm_list_client.rs
+++ b/entry/src/vm_list_client.rs
@@ -54,13 +54,25 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(|error| eyre::eyre!("cannot build the client of the VM list: {error}"))?;
-        Ok(Self { url: format!("http://{addr}/v1/vms").into(), client })
+        Ok(Self {
+            url: format!("http://{addr}/v1/vms").into(),
+            client,
+        })
     }
 
     /// Reads the whole list.
     pub async fn read(&self) -> Result<Vec<ListedVm>> {
-        let response = self.client.get(&*self.url).send().await.map_err(|e| list_error(&e))?;
-        let bytes = response.body().limit(LIST_BYTES).await.map_err(|e| list_error(&e))?;
+        let response = self
+            .client
+            .get(&*self.url)
+            .send()
+            .await
+            .map_err(|e| list_error(&e))?;
+        let bytes = response
+            .body()
+            .limit(LIST_BYTES)
+            .await
+            .map_err(|e| list_error(&e))?;
         if response.status() != StatusCode::OK {
             return Err(list_error(&format_args!("status {}", response.status())));
         }
--- a/lib/src/backoff.rs
+++ b/lib/src/backoff.rs
@@ -13,7 +13,11 @@
 impl Backoff {
     /// Creates delays that start at `first` and never exceed `most`.
     pub fn new(first: Duration, most: Duration) -> Self {
-        Self { first, most, failures: 0 }
+        Self {
+            first,
+            most,
+            failures: 0,
+        }
     }
 
     /// Counts a failure and returns how long to wait before the next attempt.
--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -9,12 +9,15 @@
 use crate::follower_message::FollowerAction;
 use crate::follower_message::FollowerEvent;
 use crate::follower_message::FollowerSettings;
+use crate::key_history::Handover;
 use crate::log_page::LogPage;
 use crate::log_page::LogRecord;
 use crate::offset::Offset;
 use crate::peer_offers::PeerOffers;
+use crate::record::Body;
 use crate::record::Record;
 use crate::result_code::ResultCode;
+use crate::roster::Roster;
 use crate::snapshot::Snapshot;
 use crate::snapshot_scan::SnapshotScan;
 use crate::snapshot_schedule::SnapshotSchedule;
@@ -234,7 +237,13 @@
         let versions = self.versions();
         let mut whole = true;
         for record in records {
-            match self.fold.apply_text(record.offset, &record.data) {
+            let members = self.fold.roster().members.len();
+            let applied = self.fold.apply_text(record.offset, &record.data);
+            // One record adds or removes at most one member, so the count shows each change.
+            if self.fold.roster().members.len() != members {
+                actions.push(roster_step(self.fold.roster(), &record.data));
+            }
+            match applied {
                 Applied::Gap { expected } => {
                     actions.push(FollowerAction::Report(hole(expected, record.offset)));
                     whole = false;
@@ -343,6 +352,7 @@
         self.gap = false;
         self.scan = None;
         self.recent.clear();
+        actions.push(FollowerAction::Installed);
         self.advanced(&versions, actions);
         true
     }
@@ -500,3 +510,14 @@
          and appends a snapshot",
     )
 }
+
+fn roster_step(roster: &Roster, text: &str) -> FollowerAction {
+    let handover = match Record::parse(text).map(|record| record.body) {
+        Ok(Body::Leave { vm }) => Handover::Left(vm),
+        _ => Handover::Lease,
+    };
+    FollowerAction::RosterStep {
+        roster: roster.clone(),
+        handover,
+    }
+}
--- a/lib/src/follower_message.rs
+++ b/lib/src/follower_message.rs
@@ -4,9 +4,11 @@
 use std::time::Instant;
 
 use crate::error::Error;
+use crate::key_history::Handover;
 use crate::log_page::LogPage;
 use crate::offset::Offset;
 use crate::record::Record;
+use crate::roster::Roster;
 use crate::vm_id::VmId;
 
 /// How a follower reads.
@@ -133,6 +135,16 @@
         /// Whether the roster differs.
         roster: bool,
     },
+    /// One record changed the roster. Emitted for every such record in the order of the log, also
+    /// for the records of one read: ownership of keys depends on every state of the roster.
+    RosterStep {
+        /// The roster after the record.
+        roster: Roster,
+        /// Whether the record is a `leave`, whose VM had stopped to accept keys.
+        handover: Handover,
+    },
+    /// The fold was replaced by a snapshot, so that states of the roster may have been missed.
+    Installed,
     /// The fold holds every record that was on the log when this read was issued. Only this renews
     /// the read lease.
     Current {
--- /dev/null
+++ b/lib/src/key_ownership.rs
@@ -0,0 +1,159 @@
+//! Since when this VM owns which keys, for all services.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use crate::config::Config;
+use crate::homes::Homes;
+use crate::homes::HomesSettings;
+use crate::key_history::Handover;
+use crate::key_history::KEY_LIFETIME;
+use crate::key_history::KeyHistory;
+use crate::key_history::MAX_SETS;
+use crate::key_history::SKEW_MARGIN;
+use crate::key_homes::KeyHomes;
+use crate::read_lease::LEASE_WAIT;
+use crate::roster::Roster;
+use crate::service::DEFAULT_CONNECTIONS;
+use crate::service::Service;
+use crate::service_id::ServiceId;
+use crate::target_time::TargetTime;
+use crate::version::Version;
+use crate::vm_id::VmId;
+
+/// How long a state of the roster matters after it ended.
+const KEPT: Duration = LEASE_WAIT.saturating_add(KEY_LIFETIME.saturating_add(SKEW_MARGIN));
+
+/// A state of the roster, and when and by what kind of record it began.
+#[derive(Clone, Debug)]
+struct RosterState {
+    roster: Roster,
+    now: Instant,
+    wall: SystemTime,
+    handover: Handover,
+}
+
+/// The key histories of all services, derived from the roster's states in the order of the log.
+///
+/// The owners of a service's keys follow from the roster and the service's id alone. The states of
+/// the roster are kept, so that a service that is added later gets the same history as if it had
+/// been there, and its keys are accepted at once.
+#[derive(Clone, Debug)]
+pub struct KeyOwnership {
+    vm: VmId,
+    states: VecDeque<RosterState>,
+    histories: BTreeMap<ServiceId, Arc<KeyHistory>>,
+}
+
+impl KeyOwnership {
+    /// Starts without any knowledge, so that the VM owns no key.
+    pub fn new(vm: VmId) -> Self {
+        Self {
+            vm,
+            states: VecDeque::new(),
+            histories: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the roster after one record. The clocks are read after the record was received.
+    pub fn roster_step(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        roster: Roster,
+        handover: Handover,
+    ) {
+        let state = RosterState {
+            roster,
+            now,
+            wall,
+            handover,
+        };
+        for (service, history) in &mut self.histories {
+            let homes = key_homes(service, &state.roster);
+            // The histories are shared with the data thread, which keeps reading the old ones.
+            state.record(Arc::make_mut(history), homes);
+        }
+        self.states.push_back(state);
+        self.prune(now);
+    }
+
+    /// Takes the roster of a snapshot, before which states may have been missed.
+    pub fn installed(&mut self, now: Instant, wall: SystemTime, roster: Roster) {
+        self.states.clear();
+        for history in self.histories.values_mut() {
+            Arc::make_mut(history).restart();
+        }
+        self.roster_step(now, wall, roster, Handover::Lease);
+    }
+
+    /// Gives this VM another id after it was displaced. Nothing that it owned before counts.
+    pub fn renamed(&mut self, vm: VmId) {
+        let services: Vec<_> = self.histories.keys().cloned().collect();
+        self.vm = vm;
+        for service in services {
+            let history = Arc::new(self.replay(&service));
+            self.histories.insert(service, history);
+        }
+    }
+
+    /// Takes the services of the confirmed configuration.
+    pub fn configured(&mut self, config: &Config) {
+        self.histories
+            .retain(|service, _| config.services.contains_key(service));
+        for service in config.services.keys() {
+            if !self.histories.contains_key(service) {
+                let history = Arc::new(self.replay(service));
+                self.histories.insert(service.clone(), history);
+            }
+        }
+    }
+
+    /// Returns the histories by service.
+    pub fn histories(&self) -> &BTreeMap<ServiceId, Arc<KeyHistory>> {
+        &self.histories
+    }
+
+    fn replay(&self, service: &ServiceId) -> KeyHistory {
+        let mut history = KeyHistory::new(self.vm.clone());
+        for state in &self.states {
+            state.record(&mut history, key_homes(service, &state.roster));
+        }
+        history
+    }
+
+    /// Drops states that ended longer ago than a key lives. The first state that is kept counts as
+    /// the beginning of all knowledge, which refuses more keys and never accepts more.
+    fn prune(&mut self, now: Instant) {
+        while let Some(second) = self.states.get(1) {
+            let expired = now.saturating_duration_since(second.now) > KEPT;
+            if !expired && self.states.len() <= MAX_SETS {
+                return;
+            }
+            self.states.pop_front();
+        }
+    }
+}
+
+impl RosterState {
+    fn record(&self, history: &mut KeyHistory, homes: KeyHomes) {
+        history.set_homes(self.now, self.wall, homes, self.handover.clone());
+    }
+}
+
+/// Returns the owners of a service's keys: one VM per failure domain, whatever the settings say.
+pub fn key_homes(service: &ServiceId, roster: &Roster) -> KeyHomes {
+    // The assignment of targets does not matter for keys.
+    let untargeted = Service {
+        version: Version(0),
+        targets: BTreeMap::new(),
+        measuring: TargetTime(0),
+        connections: DEFAULT_CONNECTIONS,
+    };
+    let homes = Homes::assign(service, &untargeted, roster, &HomesSettings::default());
+    KeyHomes::from(&homes)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,26 +4,19 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
-<<<<<<< HEAD
-pub mod backoff;
-=======
-
-mod canonical;
-mod draft;
-mod peer_offers;
-mod snapshot_schedule;
-
 pub mod appender;
 pub mod attempt_table;
+pub mod backoff;
 pub mod baseline;
->>>>>>> entry
 pub mod byte_size;
+mod canonical;
 pub mod change;
 pub mod charge_window;
 pub mod clock;
 pub mod config;
 pub mod connection_pool;
 pub mod domain_id;
+mod draft;
 pub mod error;
 pub mod exchange;
 pub mod fair_queue;
@@ -37,6 +30,7 @@
 pub mod intent;
 pub mod key_history;
 pub mod key_homes;
+pub mod key_ownership;
 pub mod key_table;
 pub mod leaving;
 pub mod log_page;
@@ -48,6 +42,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod peer_load;
+mod peer_offers;
 pub mod peer_table;
 pub mod pending;
 pub mod plan;
@@ -80,6 +75,7 @@
 pub mod snapshot;
 pub mod snapshot_marks;
 pub mod snapshot_scan;
+mod snapshot_schedule;
 pub mod target;
 pub mod target_entry;
 pub mod target_id;
