--- /dev/null
+++ b/entry/src/peer_client.rs
@@ -0,0 +1,50 @@
+//! The clients of the other entry VMs' procedures.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+
+/// Longest wait for a peer's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer of a peer, in bytes: a snapshot of 21,000 targets takes about 4 MB.
+const ANSWER_BYTES: u32 = 64 << 20;
+/// Clients that are kept. A VM calls its watchers and one random peer a second, so the oldest
+/// client is of no use when there are more.
+const KEPT: usize = 64;
+
+/// Keeps one client per peer, so that heartbeats reuse their connections.
+#[derive(Clone, Debug, Default)]
+pub struct PeerClients {
+    clients: Rc<RefCell<BTreeMap<SocketAddr, HttpClient>>>,
+}
+
+impl PeerClients {
+    /// Returns the client of the peer at `addr`.
+    pub fn client(&self, addr: SocketAddr) -> eyre::Result<HttpClient> {
+        let mut clients = self.clients.borrow_mut();
+        if let Some(client) = clients.get(&addr) {
+            return Ok(client.clone());
+        }
+        if clients.len() >= KEPT {
+            clients.clear();
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(ANSWER_TIMEOUT)
+            .connect_timeout(ANSWER_TIMEOUT)
+            .max_response_size(ANSWER_BYTES)
+            .max_request_size(ANSWER_BYTES)
+            .build(format!("http://{addr}"))?;
+        clients.insert(addr, client.clone());
+        Ok(client)
+    }
+
+    /// Drops the client of a peer that did not answer, so that the next call opens a connection.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.clients.borrow_mut().remove(&addr);
+    }
+}
