slot_pool: ask another home for a report by spilling one request

Cause: a home learnt of free slots elsewhere only from heartbeats (1/s, used for 100 ms) and from the responses to spilled requests, so that it hardly spilled. Change: when the queue would delay a request and there is no recent report of a home, one request is spilled to it; its response brings a report. At most one each 100 ms and home. At 85% with a straggler a home stays overloaded, as no home reports free slots.

--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -7,6 +7,9 @@
 use crate::peer_load::PeerLoad;
 use crate::vm_id::VmId;
 
+/// A home that has not reported for this long is not asked either: it misses its heartbeats.
+const MAX_AGE: Duration = Duration::from_secs(3);
+
 /// The reports of the other homes of a service.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -18,6 +21,7 @@
 struct Report {
     seen: Instant,
     free: u32,
+    asked: Option<Instant>,
 }
 
 impl PeerTable {
@@ -33,7 +37,12 @@
     pub fn observe(&mut self, now: Instant, load: PeerLoad) {
         // A home with a queue has no slot to spare, even when one is free at this instant.
         let free = if load.queued == 0 { load.free } else { 0 };
-        self.peers.insert(load.vm, Report { seen: now, free });
+        let report = Report {
+            seen: now,
+            free,
+            asked: None,
+        };
+        self.peers.insert(load.vm, report);
     }
 
     /// Returns the home with the most free slots, and counts one of them as taken, so that one
@@ -48,10 +57,24 @@
         Some(vm.clone())
     }
 
-    /// Forgets reports that are too old to be used.
-    pub fn forget_old(&mut self, now: Instant) {
+    /// Returns a home without a recent report, to which one request may be spilled for the report
+    /// that its response brings. Without this a home would learn of free slots elsewhere only from
+    /// heartbeats, once a second.
+    pub fn ask(&mut self, now: Instant) -> Option<VmId> {
         let age = self.age;
+        let old = |at: Instant| now.saturating_duration_since(at) >= age;
+        let unknown = self
+            .peers
+            .iter_mut()
+            .filter(|(_, report)| old(report.seen) && report.asked.is_none_or(old));
+        let (vm, report) = unknown.max_by_key(|(_, report)| report.free)?;
+        report.asked = Some(now);
+        Some(vm.clone())
+    }
+
+    /// Forgets homes that have not reported for long.
+    pub fn forget_old(&mut self, now: Instant) {
         self.peers
-            .retain(|_, report| now.saturating_duration_since(report.seen) < age);
+            .retain(|_, report| now.saturating_duration_since(report.seen) < MAX_AGE);
     }
 }
--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -199,13 +199,13 @@
         if ticket.spilled || !self.settings.policy.owns_slots() {
             return false;
         }
-        let Some(vm) = self.peers.take(now) else {
-            return false;
-        };
-        self.counters.spilled += 1;
-        let ticket = ticket.id;
-        actions.push(PoolAction::Spill { ticket, vm });
-        true
+        let vm = self.peers.take(now).or_else(|| self.peers.ask(now));
+        if let Some(vm) = &vm {
+            self.counters.spilled += 1;
+            let (ticket, vm) = (ticket.id, vm.clone());
+            actions.push(PoolAction::Spill { ticket, vm });
+        }
+        vm.is_some()
     }
 
     /// Starts a request on a free target.
@@ -433,7 +433,7 @@
         }
         while self.expected_wait() > self.settings.spill_delay
             && self.queue.has_spillable()
-            && let Some(vm) = self.peers.take(now)
+            && let Some(vm) = self.peers.take(now).or_else(|| self.peers.ask(now))
             && let Some(ticket) = self.queue.pop_spillable()
         {
             self.counters.spilled += 1;
@@ -472,6 +472,7 @@
             return;
         }
         self.searched = now;
+        self.peers.forget_old(now);
         let due: Vec<usize> = self.targets.due_trials(now).collect();
         for at in due {
             if self.targets.entry(at).trial_overdue(now, TRIAL_PATIENCE) {
