--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod history;
 pub mod homes;
 pub mod intent;
+pub mod key_histories;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_ownership;
