--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -15,7 +15,7 @@
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
-use carobshore_lib::roster::Roster;
+use carobshore_lib::service::Service;
 use carobshore_lib::ticket::TicketId;
 use ntex::http::Request;
 use ntex::http::Response;
@@ -34,7 +34,6 @@
 use crate::prober;
 use crate::refusal::Closing;
 use crate::refusal::Refusal;
-use crate::service_plane::LONGEST_PAUSE;
 use crate::service_plane::SeatKind;
 use crate::service_plane::ServicePlane;
 use crate::settings::Settings;
@@ -56,7 +55,6 @@
     view: RefCell<Arc<View>>,
     services: RefCell<HashMap<ServiceId, Rc<ServicePlane>>>,
     tickets: Cell<u64>,
-    seen: Cell<Instant>,
 }
 
 impl Plane {
@@ -77,38 +75,23 @@
             view: RefCell::new(Arc::clone(view)),
             services: RefCell::default(),
             tickets: Cell::new(0),
-            seen: Cell::new(Instant::now()),
         });
-        plane.take_over(view, &Roster::default(), true);
+        plane.take_over(view, true);
         plane
     }
 
     /// Takes over a newer view.
     pub(crate) fn update(self: &Rc<Self>, view: &Arc<View>) {
         let old = self.view.replace(Arc::clone(view));
-        let paused = self.seen.replace(Instant::now()).elapsed() > LONGEST_PAUSE;
-        let lapsed = old.lease_until.is_none_or(|until| until < Instant::now());
-        let changed = !Arc::ptr_eq(&old.config, &view.config)
+        if old.me != view.me {
+            // This VM was displaced and has joined again; nothing that it owned before counts.
+            self.services.borrow_mut().clear();
+        }
+        let changed = old.me != view.me
+            || !Arc::ptr_eq(&old.config, &view.config)
             || !Arc::ptr_eq(&old.roster, &view.roster)
             || !Arc::ptr_eq(&old.leaving, &view.leaving);
-        if paused || lapsed {
-            self.restart_history();
-        }
-        if changed || paused || lapsed {
-            self.take_over(view, &old.roster, changed);
-        }
-        self.renew_leases(view);
-        for service in self.services.borrow().values() {
-            view.down.iter().for_each(|vm| service.unreachable(vm));
-        }
-    }
-
-    /// Notes that the data thread is running, so that a pause of it is noticed.
-    pub(crate) fn tick(&self) {
-        let paused = self.seen.replace(Instant::now()).elapsed() > LONGEST_PAUSE;
-        if paused {
-            self.restart_history();
-        }
+        self.take_over(view, changed);
     }
 
     /// Returns the latest view.
@@ -236,36 +219,38 @@
         view.roster.member(vm).map(|member| member.forward)
     }
 
-    fn restart_history(&self) {
-        for service in self.services.borrow().values() {
-            service.restart_history();
-        }
-    }
-
-    fn take_over(self: &Rc<Self>, view: &View, old: &Roster, changed: bool) {
+    fn take_over(self: &Rc<Self>, view: &View, changed: bool) {
         let mut services = self.services.borrow_mut();
-        services.retain(|id, _| view.config.services.contains_key(id));
-        for (id, spec) in &view.config.services {
-            let service = services.entry(id.clone()).or_insert_with(|| {
-                let seed = self.tickets.get() ^ u64::from(std::process::id());
-                let policy = self.settings.policy;
-                let (service, probes) = ServicePlane::new(id, spec, view, policy, seed);
-                prober::start(self, &service, probes);
-                service
-            });
-            if changed {
+        if changed {
+            services.retain(|id, _| view.config.services.contains_key(id));
+            for (id, spec) in &view.config.services {
+                let service = services
+                    .entry(id.clone())
+                    .or_insert_with(|| self.new_service(id, spec, view));
                 service.update(spec, view, self.settings.homes);
             }
-            service.update_keys(spec, view, old);
         }
-        drop(services);
-        self.renew_leases(view);
+        for service in services.values() {
+            service.update_keys(view);
+            view.down.iter().for_each(|vm| service.unreachable(vm));
+        }
+        for (id, load) in &view.loads {
+            if let Some(service) = services.get(id) {
+                service.observe(load.clone());
+            }
+        }
     }
 
-    fn renew_leases(&self, view: &View) {
-        for service in self.services.borrow().values() {
-            service.renew_lease(view.lease_until);
-        }
+    fn new_service(
+        self: &Rc<Self>,
+        id: &ServiceId,
+        spec: &Service,
+        view: &View,
+    ) -> Rc<ServicePlane> {
+        let policy = self.settings.policy;
+        let (service, probes) = ServicePlane::new(id, spec, view, policy, rand::random());
+        prober::start(self, &service, probes);
+        service
     }
 
     fn refuse(&self, port: Port, refusal: Refusal) -> Result<Response, Closing> {
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -1,18 +1,17 @@
 //! What the data thread keeps for one service.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
 use std::time::Instant;
 use std::time::SystemTime;
 
 use carobshore_lib::homes::Homes;
 use carobshore_lib::homes::HomesSettings;
-use carobshore_lib::key_history::Handover;
 use carobshore_lib::key_history::KeyHistory;
-use carobshore_lib::key_homes::KeyHomes;
 use carobshore_lib::key_table::KeyDecision;
 use carobshore_lib::key_table::KeyLimits;
 use carobshore_lib::key_table::KeyTable;
@@ -27,9 +26,7 @@
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
-use carobshore_lib::read_lease::LEASE;
 use carobshore_lib::read_lease::ReadLease;
-use carobshore_lib::roster::Roster;
 use carobshore_lib::router::Call;
 use carobshore_lib::router::Route;
 use carobshore_lib::router::Router;
@@ -43,9 +40,6 @@
 use crate::pool_seat::ProbeOrder;
 use crate::view::View;
 
-/// Homes per failure domain that own keys. It is no setting: two VMs with different settings would
-/// both own a key.
-const KEY_HOMES_PER_DOMAIN: u32 = 1;
 /// Part of a target's connection budget that one home uses, in eighths. A quarter of the budget is
 /// for VMs in fallback mode, and two homes may own a target while their views differ.
 const HOME_EIGHTHS: u32 = 3;
@@ -73,8 +67,8 @@
     router: RefCell<Router>,
     key_router: RefCell<Router>,
     keys: RefCell<KeyTable>,
-    history: RefCell<KeyHistory>,
-    lease: RefCell<ReadLease>,
+    history: RefCell<Arc<KeyHistory>>,
+    lease: Cell<ReadLease>,
     waiters: RefCell<HashMap<RequestKey, Vec<oneshot::Sender<KeyDecision>>>>,
 }
 
@@ -123,8 +117,8 @@
             router: router(policy),
             key_router: router(Policy::Homes),
             keys: RefCell::new(KeyTable::new(now, wall, KeyLimits::default())),
-            history: RefCell::new(KeyHistory::new(view.me.clone())),
-            lease: RefCell::default(),
+            history: RefCell::new(Arc::new(KeyHistory::new(view.me.clone()))),
+            lease: Cell::default(),
             waiters: RefCell::default(),
         };
         let probes = [(owned, owned_probes), (shared, shared_probes)];
@@ -144,22 +138,20 @@
         let shared = PoolTargets::shared(spec, vms, sharers);
         self.shared.set_targets(&self.mark_leaving(shared, view));
         self.router.borrow_mut().set_homes(homes);
+        // The owners of keys do not depend on settings: two VMs that differ would both own a key.
+        let settings = HomesSettings::default();
+        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
+        self.key_router.borrow_mut().set_homes(homes);
     }
 
-    /// Forgets which VMs owned keys, after a time in which changes of the roster may have been
-    /// missed: a view shows the latest roster only. The next view starts a new history.
-    pub(crate) fn restart_history(&self) {
-        self.history.borrow_mut().restart();
-    }
-
-    /// Takes over the read lease.
-    pub(crate) fn renew_lease(&self, until: Option<Instant>) {
-        let mut lease = ReadLease::default();
-        if let Some(issued) = until.and_then(|until| until.checked_sub(LEASE)) {
-            lease.read_ok(issued, true);
+    /// Takes over who owns keys, and the read lease. Both are of the same view: a lease proves
+    /// only what the records before its read say.
+    pub(crate) fn update_keys(&self, view: &View) {
+        if let Some(history) = view.keys.get(&self.id) {
+            *self.history.borrow_mut() = Arc::clone(history);
         }
-        *self.lease.borrow_mut() = lease;
-        if let Some(until) = until {
+        self.lease.set(view.lease);
+        if let Some(until) = view.lease.until() {
             self.owned.handle(PoolEvent::Lease { until });
             self.shared.handle(PoolEvent::Lease { until });
         }
@@ -216,17 +208,16 @@
             .history
             .borrow()
             .owned_since_creation(&call.key, now, wall);
-        let lease = self.lease.borrow();
-        self.keys
-            .borrow_mut()
-            .begin(now, wall, call, ownership, &lease)
+        let lease = self.lease.get();
+        let mut keys = self.keys.borrow_mut();
+        keys.begin(now, wall, call, ownership, &lease)
     }
 
     /// Returns whether a request with a key may be handed to a connection now.
     pub(crate) fn may_send_key(&self) -> bool {
         let wall = SystemTime::now();
         let now = Instant::now();
-        let lease = self.lease.borrow();
+        let lease = self.lease.get();
         self.keys.borrow_mut().may_send(now, wall, &lease)
     }
 
@@ -275,31 +266,4 @@
         }
         targets
     }
-
-    /// Takes over the owners of keys.
-    pub(crate) fn update_keys(&self, spec: &Service, view: &View, old: &Roster) {
-        let settings = HomesSettings {
-            per_domain: KEY_HOMES_PER_DOMAIN,
-        };
-        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
-        let key_homes = KeyHomes::new(homes.vms().cloned().collect());
-        self.key_router.borrow_mut().set_homes(homes);
-        let wall = SystemTime::now() - view.roster_seen.elapsed();
-        let handover = handover(view, old);
-        let mut history = self.history.borrow_mut();
-        history.set_homes(view.roster_seen, wall, key_homes, handover);
-    }
-}
-
-/// Returns why ownership changed. Only a single VM that left is known to have stopped before.
-fn handover(view: &View, old: &Roster) -> Handover {
-    let gone = |vm: &&VmId| !view.roster.contains(vm);
-    let gone: Vec<_> = old.members.keys().filter(gone).collect();
-    match gone.as_slice() {
-        [vm] if view.released => Handover::Left((*vm).clone()),
-        _ => Handover::Lease,
-    }
 }
-
-/// Returns the time for which a VM may have been away before another one owned its keys.
-pub(crate) const LONGEST_PAUSE: Duration = Duration::from_secs(5);
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use carobshore_entry::data;
 use carobshore_entry::flags::Flags;
@@ -20,12 +21,15 @@
 use carobshore_entry::view::DataRequest;
 use carobshore_entry::view::View;
 use carobshore_lib::config::Config;
+use carobshore_lib::key_history::Handover;
+use carobshore_lib::key_ownership::KeyOwnership;
 use carobshore_lib::prelude::Offset;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetTime;
 use carobshore_lib::prelude::Version;
 use carobshore_lib::prelude::VmId;
+use carobshore_lib::read_lease::ReadLease;
 use carobshore_lib::roster::Member;
 use carobshore_lib::roster::Roster;
 use carobshore_lib::service::Service;
@@ -106,15 +110,21 @@
 /// Returns the view of a VM that has been in the roster for a minute and holds the read lease.
 pub fn view(me: &VmId, config: Config, roster: Roster) -> View {
     let now = Instant::now();
+    let joined = now - Duration::from_secs(60);
+    let wall = SystemTime::now() - Duration::from_secs(60);
+    let mut ownership = KeyOwnership::new(me.clone());
+    ownership.configured(&config);
+    ownership.roster_step(joined, wall, roster.clone(), Handover::Lease);
+    let mut lease = ReadLease::default();
+    lease.read_ok(now, true);
     View {
         me: me.clone(),
         domain: "a".parse().unwrap(),
         config: Arc::new(config),
         roster: Arc::new(roster),
         applied: Offset(1),
-        roster_seen: now - Duration::from_secs(60),
-        released: false,
-        lease_until: Some(now + Duration::from_secs(10)),
+        keys: Arc::new(ownership.histories().clone()),
+        lease,
         leaving: Arc::new(BTreeSet::new()),
         down: Arc::new(BTreeSet::new()),
         loads: Vec::new(),
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -62,6 +62,8 @@
     DuplicateRecord = 2009,
     /// The digest of the confirm is not the digest of the plan.
     DigestMismatch = 2010,
+    /// The platform's VM list cannot be read.
+    VmListUnavailable = 2015,
     /// The request cannot be parsed or is ambiguous.
     BadRequest = 3001,
     /// The request names no known service.
