entry: test forwarding, keys and targets that leave

Cause: calls between VMs and keys had not been run. Change: tests with two VMs and with keys. A request whose home VM cannot be reached goes elsewhere without a charge to the retry budget: no target saw it, and all requests of a home that crashes move at the same moment. Conclusion: the loss of a home costs no call that was not handed over.

--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -78,6 +78,10 @@
     tasks: JoinSet<Step>,
     next_attempt: u64,
     retried: bool,
+    /// The last attempt ended because a VM could not be reached. No target saw the request, so
+    /// the next attempt is no retry at a target and is not charged as one: all requests for a home
+    /// that crashes have to go elsewhere at the same moment.
+    unreached: bool,
     spilled: bool,
     timing_out: bool,
     refusal: Option<Refusal>,
@@ -122,6 +126,7 @@
             tasks: JoinSet::new(),
             next_attempt: 0,
             retried: false,
+            unreached: false,
             timing_out: false,
             refusal: None,
             answering: None,
@@ -197,7 +202,7 @@
         while let Some(action) = self.outbox.pop_front() {
             match action {
                 ExchangeAction::Retry => {
-                    self.retried = true;
+                    self.retried |= !std::mem::take(&mut self.unreached);
                     self.dispatch();
                 }
                 ExchangeAction::Answer { attempt } => self.answering = Some(attempt),
@@ -375,6 +380,7 @@
     fn on_connect_failed(&mut self, id: AttemptId) {
         if let Some(vm) = self.vm_of(id) {
             self.plane.vm_unreachable(&self.service, &vm);
+            self.unreached = true;
         }
         self.end(id, AttemptResult::ConnectFailed);
         self.tell(ExchangeEvent::ConnectFailed { attempt: id });
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -21,6 +21,8 @@
 use carobshore_entry::view::DataRequest;
 use carobshore_entry::view::View;
 use carobshore_lib::config::Config;
+use carobshore_lib::homes::Homes;
+use carobshore_lib::homes::HomesSettings;
 use carobshore_lib::key_history::Handover;
 use carobshore_lib::key_ownership::KeyOwnership;
 use carobshore_lib::prelude::Offset;
@@ -56,7 +58,6 @@
 pub fn settings(extra: &[&str]) -> Settings {
     let fixed = [
         "carobshore-entry",
-        "--vm-name=entry-1",
         "--domain=a",
         "--log=127.0.0.1:1",
         "--vm-list=127.0.0.1:1",
@@ -65,7 +66,9 @@
         "--rpc=127.0.0.1:0",
         "--admin=127.0.0.1:0",
     ];
-    let flags = Flags::parse_from(fixed.iter().chain(extra));
+    let named = extra.iter().any(|arg| arg.starts_with("--vm-name"));
+    let name: &[&str] = if named { &[] } else { &["--vm-name=entry-1"] };
+    let flags = Flags::parse_from(fixed.iter().chain(name).chain(extra));
     Settings::try_from(flags).unwrap()
 }
 
@@ -144,6 +147,36 @@
         Self::start(settings, listeners, view)
     }
 
+    /// Starts two VMs in one failure domain that serve `status` with the given targets. The home of
+    /// the service is the first one.
+    pub fn pair(targets: &[SocketAddr], extra: &[&str]) -> [Self; 2] {
+        let ids = ["entry-1.00000001", "entry-2.00000001"].map(|id| id.parse::<VmId>().unwrap());
+        let names = ["--vm-name=entry-1", "--vm-name=entry-2"];
+        let starts = names.map(|name| {
+            let settings = settings(&[extra, &[name]].concat());
+            let listeners = Listeners::bind(&settings).unwrap();
+            (settings, listeners)
+        });
+        let forwards = starts
+            .each_ref()
+            .map(|(_, listeners)| listeners.forward().unwrap());
+        let roster = roster(&[(&ids[0], forwards[0]), (&ids[1], forwards[1])]);
+        let config = config("status", targets);
+        let id = "status".parse().unwrap();
+        let spec = &config.services[&id];
+        let homes = Homes::assign(&id, spec, &roster, &HomesSettings::default());
+        let home = homes.vms().next().unwrap().clone();
+        let mut starts = starts.into_iter();
+        let mut vms = ids.map(|me| {
+            let (settings, listeners) = starts.next().unwrap();
+            let is_home = me == home;
+            let view = view(&me, config.clone(), roster.clone());
+            (is_home, Self::start(settings, listeners, view))
+        });
+        vms.sort_by_key(|(is_home, _)| !is_home);
+        vms.map(|(_, vm)| vm)
+    }
+
     /// Starts a VM with the given view.
     pub fn start(settings: Settings, listeners: Listeners, view: View) -> Self {
         let (views, view_receiver) = watch::channel(Arc::new(view));
--- /dev/null
+++ b/entry/tests/test_forwarding.rs
@@ -0,0 +1,149 @@
+//! Calls between entry VMs.
+
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use carobshore_entry::view::DataReport;
+use common::PATIENCE;
+use common::field;
+use common::raw_call;
+use common::raw_server;
+use common::read_head;
+use common::vm::Vm;
+
+const QUIET: Duration = Duration::from_millis(400);
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: status\r\nx: kept\r\n\r\n";
+
+/// Starts a target that reports the head of each request and answers it.
+fn reporting() -> (SocketAddr, mpsc::Receiver<String>) {
+    let (heads, seen) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        let heads = heads.clone();
+        thread::spawn(move || {
+            loop {
+                let head = read_head(&mut stream);
+                if head.is_empty() {
+                    return;
+                }
+                let _ = heads.send(head);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            }
+        });
+    });
+    (addr, seen)
+}
+
+/// Guards against a VM that is not the home sending work to the home's targets itself, and against
+/// fields between VMs that reach the caller or the target.
+#[test]
+fn other_vm_forwards_to_the_home() {
+    let (target, seen) = reporting();
+    let [home, other] = Vm::pair(&[target], &[]);
+    let answer = raw_call(home.listen, GET, QUIET);
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+    let head = seen.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(head.matches("via: ").count(), 1, "{head}");
+
+    let answer = raw_call(other.listen, GET, QUIET);
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+    assert_eq!(answer.matches("via: ").count(), 2, "{answer}");
+    for name in ["carobshore-free", "carobshore-queued"] {
+        assert_eq!(field(&answer, name), None, "{answer}");
+    }
+    let head = seen.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(head.matches("via: ").count(), 2, "{head}");
+    assert_eq!(head.matches("forwarded: ").count(), 1, "{head}");
+    assert_eq!(field(&head, "x"), Some("kept"), "{head}");
+    for name in ["carobshore-hops", "carobshore-origin", "carobshore-caller"] {
+        assert_eq!(field(&head, name), None, "{head}");
+    }
+}
+
+/// Guards against a forwarded response without the home's load, and against a forwarded call
+/// without its hops being served.
+#[test]
+fn forward_port_reports_the_load_and_wants_the_hops() {
+    let (target, _seen) = reporting();
+    let [home, _other] = Vm::pair(&[target], &[]);
+    let call = |hops: &str| {
+        let request = format!("GET / HTTP/1.1\r\nhost: status\r\n{hops}\r\n");
+        raw_call(home.forward, request.as_bytes(), QUIET)
+    };
+    let answer = call("carobshore-hops: 1\r\n");
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+    assert!(field(&answer, "carobshore-free").is_some(), "{answer}");
+    assert!(field(&answer, "carobshore-queued").is_some(), "{answer}");
+    for hops in ["", "carobshore-hops: 0\r\n", "carobshore-hops: 3\r\n"] {
+        let answer = call(hops);
+        assert_eq!(field(&answer, "carobshore-code"), Some("3004"), "{answer}");
+    }
+}
+
+/// Guards against calls that fail because the home of their service is down.
+#[test]
+fn calls_continue_when_the_home_is_down() {
+    let (target, _seen) = reporting();
+    let [home, mut other] = Vm::pair(&[target], &[]);
+    drop(home);
+    for _ in 0..3 {
+        let post = b"POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n";
+        let answer = raw_call(other.listen, post, QUIET);
+        assert_eq!(
+            field(&answer, "carobshore-outcome"),
+            Some("whole"),
+            "{answer}"
+        );
+    }
+    let reports = std::iter::from_fn(|| other.reports.try_recv().ok());
+    let unreachable = reports.filter(|report| matches!(report, DataReport::Unreachable { .. }));
+    assert!(unreachable.count() > 0);
+}
+
+/// Guards against new work on a target that says that it leaves, and against a home that keeps the
+/// sign to itself.
+#[test]
+fn leaving_target_gets_no_new_work() {
+    let (heads, seen) = mpsc::channel();
+    let leaving = raw_server(move |mut stream| {
+        let heads = heads.clone();
+        thread::spawn(move || {
+            while !read_head(&mut stream).is_empty() {
+                let _ = heads.send(());
+                let answer = "HTTP/1.1 200 OK\r\ntarget-drain: yes\r\ncontent-length: 2\r\n\r\nok";
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        });
+    });
+    let (staying, _seen) = reporting();
+    let mut vm = Vm::alone(&[leaving, staying], &[]);
+    for _ in 0..12 {
+        let answer = raw_call(vm.listen, GET, Duration::from_millis(100));
+        assert_eq!(
+            field(&answer, "carobshore-outcome"),
+            Some("whole"),
+            "{answer}"
+        );
+    }
+    assert_eq!(seen.try_iter().count(), 1);
+    let mut reports = std::iter::from_fn(|| vm.reports.try_recv().ok());
+    let drained =
+        |report| matches!(report, DataReport::Drain { target, .. } if target.as_str() == "t0");
+    assert!(reports.any(drained));
+}
--- /dev/null
+++ b/entry/tests/test_keys.rs
@@ -0,0 +1,151 @@
+//! Requests with an idempotency key.
+
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use carobshore_lib::key_history::SKEW_MARGIN;
+use carobshore_lib::read_lease::ReadLease;
+use common::PATIENCE;
+use common::field;
+use common::raw_call;
+use common::raw_server;
+use common::read_head;
+use common::vm::Vm;
+use uuid::Uuid;
+
+const QUIET: Duration = Duration::from_millis(400);
+
+/// Starts a target that counts its requests and answers each with its number after `delay`.
+fn counting(delay: Duration) -> (SocketAddr, mpsc::Receiver<usize>) {
+    let (tell, told) = mpsc::channel();
+    let count = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let addr = raw_server(move |mut stream| {
+        let tell = tell.clone();
+        let count = std::sync::Arc::clone(&count);
+        thread::spawn(move || {
+            while !read_head(&mut stream).is_empty() {
+                let number = count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                let _ = tell.send(number);
+                thread::sleep(delay);
+                let answer = format!(
+                    "HTTP/1.1 201 Created\r\nx: {number}\r\ncontent-length: 1\r\n\r\n{number}"
+                );
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        });
+    });
+    (addr, told)
+}
+
+/// Starts a VM and waits until it accepts keys: those created before it started may have been
+/// accepted by its predecessor.
+fn vm(targets: &[SocketAddr]) -> Vm {
+    let vm = Vm::alone(targets, &[]);
+    thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
+    vm
+}
+
+fn post(path: &str, key: Uuid) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: status\r\ncarobshore-caller: c\r\n\
+         idempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+fn call(vm: &Vm, path: &str, key: Uuid) -> String {
+    raw_call(vm.listen, post(path, key).as_bytes(), QUIET)
+}
+
+/// Guards against a duplicate that runs the request again, or gets another answer than the first.
+#[test]
+fn duplicates_get_the_first_answer_and_run_nothing() {
+    let (target, runs) = counting(Duration::ZERO);
+    let vm = vm(&[target]);
+    let key = Uuid::now_v7();
+    for _ in 0..3 {
+        let answer = call(&vm, "/seat", key);
+        assert!(answer.starts_with("HTTP/1.1 201 "), "{answer}");
+        assert_eq!(field(&answer, "x"), Some("0"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\n0"), "{answer}");
+    }
+    assert_eq!(runs.try_iter().count(), 1);
+    let answer = call(&vm, "/other", key);
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("not-run"),
+        "{answer}"
+    );
+    let answer = call(&vm, "/seat", Uuid::now_v7());
+    assert_eq!(field(&answer, "x"), Some("1"), "{answer}");
+}
+
+/// Guards against a duplicate that runs while the first request is under way, and against a
+/// request that is cancelled because its first caller left.
+#[test]
+fn duplicate_waits_for_the_first_even_if_its_caller_left() {
+    let (target, runs) = counting(Duration::from_millis(600));
+    let vm = vm(&[target]);
+    let key = Uuid::now_v7();
+    let mut first = TcpStream::connect(vm.listen).unwrap();
+    first.write_all(post("/seat", key).as_bytes()).unwrap();
+    assert_eq!(runs.recv_timeout(PATIENCE), Ok(0));
+    drop(first);
+    let answer = raw_call(
+        vm.listen,
+        post("/seat", key).as_bytes(),
+        Duration::from_secs(2),
+    );
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+    assert_eq!(field(&answer, "x"), Some("0"), "{answer}");
+    assert_eq!(runs.try_iter().count(), 0);
+}
+
+/// Guards against keys being accepted without the read lease, while other requests have to go on.
+#[test]
+fn without_the_lease_only_keys_are_refused() {
+    let (target, runs) = counting(Duration::ZERO);
+    let vm = vm(&[target]);
+    vm.update(|view| view.lease = ReadLease::default());
+    thread::sleep(Duration::from_millis(100));
+    let answer = call(&vm, "/seat", Uuid::now_v7());
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("not-run"),
+        "{answer}"
+    );
+    assert_eq!(field(&answer, "carobshore-code"), Some("4008"), "{answer}");
+    assert_eq!(runs.try_iter().count(), 0);
+    let plain = b"POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n";
+    let answer = raw_call(vm.listen, plain, QUIET);
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+}
+
+/// Guards against a key that is served by a VM other than its owner.
+#[test]
+fn keys_are_served_by_their_owner_whichever_vm_is_called() {
+    let (target, runs) = counting(Duration::ZERO);
+    let vms = Vm::pair(&[target], &[]);
+    thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
+    for _ in 0..3 {
+        let key = Uuid::now_v7();
+        let answers = vms.each_ref().map(|vm| call(vm, "/seat", key));
+        let numbers = answers.each_ref().map(|answer| field(answer, "x"));
+        assert!(numbers[0].is_some(), "{}", answers[0]);
+        assert_eq!(numbers[0], numbers[1], "{}", answers[1]);
+    }
+    assert_eq!(runs.try_iter().count(), 3);
+}
