entry: free each slot exactly once, and bound the state of connections and keys

Cause: a slot that was granted while its request ended was never reported back; each request left a disconnect hook on its caller's connection; the pause timer of a body also ran while the target held the body up; each service could hold 32 MiB of stored responses; a view with an empty roster divided by zero. Change: a granted slot is a guard; one task per connection waits for the disconnect; the timer runs only while the caller is waited for; the memory for keys is divided among the services; only services that changed are assigned again. Conclusion: no path of a request keeps a slot, a hook or a timer.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -8,7 +8,6 @@
 use carobshore_lib::pool_event::AttemptId;
 use carobshore_lib::pool_event::AttemptResult;
 use carobshore_lib::prelude::ServiceId;
-use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
 use ntex::http::HeaderMap;
 use ntex::http::body::Body;
@@ -26,26 +25,16 @@
 use crate::links::Link;
 use crate::links::Links;
 use crate::plane::Plane;
-use crate::pool_seat::PoolSeat;
-use crate::service_plane::SeatKind;
+use crate::pool_seat::Slot;
 
 /// A connection counts as silent if nothing came back for this long before the deadline.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
 
 /// Where an attempt goes.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) enum Place {
     /// To a target, in a slot of a pool.
-    Target {
-        /// The pool.
-        seat: Rc<PoolSeat>,
-        /// Which of the two pools it is.
-        kind: SeatKind,
-        /// The attempt's name within the pool.
-        slot: AttemptId,
-        /// The target.
-        target: TargetId,
-    },
+    Target(Slot),
     /// To another entry VM.
     Vm {
         /// The VM.
@@ -136,7 +125,7 @@
             return;
         }
         let place = match self.place {
-            Place::Target { .. } => "target",
+            Place::Target(_) => "target",
             Place::Vm { .. } => "vm",
         };
         plane.metrics.attempted(service, place, result);
@@ -151,8 +140,8 @@
             return;
         }
         self.ended = true;
-        if let Place::Target { seat, slot, .. } = &self.place {
-            seat.finished(*slot, result);
+        if let Place::Target(slot) = &mut self.place {
+            slot.finish(result);
         }
     }
 }
--- a/entry/src/data.rs
+++ b/entry/src/data.rs
@@ -144,6 +144,7 @@
                     self.tell_stop(StopEvent::Tick);
                     if ticks.is_multiple_of(HOUSEKEEPING_TICKS) {
                         self.plane.links.sweep(Instant::now());
+                        self.plane.expire_keys();
                         self.plane.report_loads();
                     }
                 }
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -20,7 +20,6 @@
 use carobshore_lib::pool_event::PoolEvent;
 use carobshore_lib::prelude::Outcome;
 use carobshore_lib::prelude::ResultCode;
-use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
 use carobshore_lib::router::Call;
 use carobshore_lib::router::Route;
@@ -29,10 +28,7 @@
 use carobshore_lib::ticket::Ticket;
 use carobshore_lib::ticket::TicketId;
 use ntex::http::Payload;
-use ntex::http::Response;
-use ntex::io::IoRef;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
@@ -47,11 +43,12 @@
 use crate::call_head::Port;
 use crate::caller_end::CallerEnd;
 use crate::connection::SendFailure;
-use crate::in_flight::InFlight;
 use crate::links::Link;
 use crate::links::Links;
 use crate::plane::Plane;
 use crate::pool_seat::Grant;
+use crate::pool_seat::Slot;
+use crate::pool_seat::SlotName;
 use crate::refusal::Refusal;
 use crate::request_body::BodyFault;
 use crate::request_body::BodyLimits;
@@ -90,15 +87,14 @@
 }
 
 impl Driver {
-    /// Serves a request whose head was accepted.
-    pub(crate) async fn serve(
+    /// Starts the task of a request whose head was accepted.
+    pub(crate) fn start(
         plane: Rc<Plane>,
         service: Rc<ServicePlane>,
         head: CallHead,
         payload: Payload,
-        io: Option<IoRef>,
-        in_flight: Rc<InFlight>,
-    ) -> Response {
+        caller: CallerEnd,
+    ) {
         let limits = BodyLimits {
             bytes: plane.settings.limits.body.0,
             pause: plane.settings.timeouts.body,
@@ -132,16 +128,7 @@
             answering: None,
             done: None,
         };
-        let (reply, response) = oneshot::channel();
-        let caller = CallerEnd {
-            reply,
-            io,
-            in_flight,
-        };
         ntex::rt::spawn(driver.run(caller, granted));
-        response.await.unwrap_or_else(|_| {
-            Refusal::of_outcome(Outcome::MayHaveRun, ResultCode::Internal).response()
-        })
     }
 
     async fn run(mut self, caller: CallerEnd, mut granted: mpsc::UnboundedReceiver<Grant>) {
@@ -278,8 +265,8 @@
 
     fn on_grant(&mut self, grant: Grant) {
         match grant {
-            Grant::Start(slot, target) => self.start_target(slot, target),
-            Grant::Hedge(slot, target) => self.start_hedge(slot, target),
+            Grant::Start(slot) => self.start_target(slot),
+            Grant::Hedge(slot) => self.start_hedge(slot),
             Grant::Reject(code) => self.tell(ExchangeEvent::Rejected { code }),
             Grant::Spill(vm) => {
                 self.leave_pool();
@@ -290,37 +277,28 @@
         }
     }
 
-    fn start_hedge(&mut self, slot: AttemptId, target: TargetId) {
-        // The body is needed a second time while the first copy may still read it.
+    fn start_hedge(&mut self, slot: Slot) {
+        // The body is needed a second time while the first copy may still read it. A slot that is
+        // not used is free again when it is dropped.
         if self.exchange.may_hedge(Instant::now()) && self.body.is_kept() {
             self.plane.metrics.hedged(&self.service.id);
-            self.start_target(slot, target);
-        } else if let Some((kind, _)) = self.ticket {
-            let seat = self.service.seat(kind);
-            seat.finished(slot, AttemptResult::Cancelled);
+            self.start_target(slot);
         }
     }
 
-    fn start_target(&mut self, slot: AttemptId, target: TargetId) {
-        let Some((kind, _)) = self.ticket else {
-            return;
-        };
-        let links = self.plane.target_links(&self.service, &target, kind);
-        let place = Place::Target {
-            seat: Rc::clone(self.service.seat(kind)),
-            kind,
-            slot,
-            target,
-        };
-        self.start(place, links);
+    fn start_target(&mut self, slot: Slot) {
+        let links = self
+            .plane
+            .target_links(&self.service, slot.target(), slot.kind());
+        self.begin(Place::Target(slot), links);
     }
 
     fn start_vm(&mut self, vm: VmId, spill: bool) {
         let links = self.plane.vm_links(&vm);
-        self.start(Place::Vm { vm, spill }, links);
+        self.begin(Place::Vm { vm, spill }, links);
     }
 
-    fn start(&mut self, place: Place, links: Option<Rc<Links>>) {
+    fn begin(&mut self, place: Place, links: Option<Rc<Links>>) {
         let id = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let mut attempt = Attempt::new(id, place);
@@ -444,16 +422,20 @@
         let Some(attempt) = self.attempts.iter().find(|attempt| attempt.id == id) else {
             return;
         };
-        match attempt.place.clone() {
-            Place::Target { kind, target, .. } => {
+        match &attempt.place {
+            Place::Target(slot) => {
                 let fields = &answer.headers;
-                let refused = target_signs::note(&self.plane, &self.service, &target, kind, fields);
+                let (target, kind) = (slot.target(), slot.kind());
+                let refused = target_signs::note(&self.plane, &self.service, target, kind, fields);
                 match refused {
                     Some(by) => self.on_refused(id, by, link, answer),
                     None => self.on_head(id, link, answer),
                 }
             }
-            Place::Vm { vm, .. } => self.on_vm_answer(id, &vm, link, answer),
+            Place::Vm { vm, .. } => {
+                let vm = vm.clone();
+                self.on_vm_answer(id, &vm, link, answer);
+            }
         }
     }
 
@@ -465,16 +447,18 @@
 
     pub(crate) fn on_head(&mut self, id: AttemptId, link: Link, answer: Answer) {
         let status = answer.status.as_u16();
-        let mut slot = None;
+        let mut first_byte = None;
         if let Some(attempt) = self.attempts.iter_mut().find(|attempt| attempt.id == id) {
             attempt.answer = Some((link, answer));
-            if let Place::Target { seat, slot: at, .. } = &attempt.place {
-                slot = Some((Rc::clone(seat), *at));
+            if let Place::Target(slot) = &attempt.place {
+                first_byte = Some(slot.name());
             }
         }
         let attempt = id;
         self.tell(ExchangeEvent::Head { attempt, status });
-        if let Some((seat, attempt)) = slot {
+        // The exchange has chosen by now; the pool cancels the other copy.
+        if let Some((kind, attempt)) = first_byte {
+            let seat = self.service.seat(kind);
             seat.handle(PoolEvent::FirstByte { attempt });
         }
     }
@@ -483,7 +467,7 @@
         let attempt = self.attempts.iter().find(|attempt| attempt.id == id)?;
         match &attempt.place {
             Place::Vm { vm, .. } => Some(vm.clone()),
-            Place::Target { .. } => None,
+            Place::Target(_) => None,
         }
     }
 
@@ -507,12 +491,13 @@
         }
     }
 
-    fn cancel_slot(&mut self, slot: AttemptId) {
-        let in_slot = |attempt: &&Attempt| match &attempt.place {
-            Place::Target { slot: at, .. } => *at == slot,
+    /// Cancels an attempt on the pool's demand.
+    fn cancel_slot(&mut self, name: SlotName) {
+        let named = |attempt: &&Attempt| match &attempt.place {
+            Place::Target(slot) => slot.name() == name,
             Place::Vm { .. } => false,
         };
-        let Some(id) = self.attempts.iter().find(in_slot).map(|attempt| attempt.id) else {
+        let Some(id) = self.attempts.iter().find(named).map(|attempt| attempt.id) else {
             return;
         };
         self.end(id, AttemptResult::Cancelled);
--- a/entry/src/http_server.rs
+++ b/entry/src/http_server.rs
@@ -25,9 +25,9 @@
 use ntex::http::h1::ControlAck;
 use ntex::http::h1::ProtocolError;
 use ntex::http::h1::control::Reason;
-use ntex::io::Base;
 use ntex::io::Io;
 use ntex::io::IoConfig;
+use ntex::io::Layer;
 use ntex::service::Pipeline;
 use ntex::service::ServiceFactory;
 use ntex::service::fn_service;
@@ -42,6 +42,8 @@
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::socket_options;
+use crate::wire::Wire;
+use crate::wire::WireFilter;
 
 /// Pause after a failed accept, which mostly means that no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -50,6 +52,9 @@
     carobshore-outcome: not-run\r\ncarobshore-code: 4001\r\ncarobshore-retry: no\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
+/// The connections of callers, with the filter that observes them.
+type Filtered = Layer<WireFilter>;
+
 /// When a server accepts and serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Serving {
@@ -78,7 +83,7 @@
         let handler = handler.clone();
         async move { handler(request).await }
     }))
-    .control(fn_service(async |control: Control<Base, Closing>| {
+    .control(fn_service(async |control: Control<Filtered, Closing>| {
         Ok::<_, io::Error>(on_control(control))
     }));
     let service = service.create(config.clone()).await;
@@ -90,7 +95,7 @@
     let mut serving = serving;
     let _ = serving.wait_for(|state| *state == Serving::Ended).await;
     // Responses that are still in a send buffer get the time that a body's pause may take.
-    let _ = timeout(linger, service.shutdown::<Io>()).await;
+    let _ = timeout(linger, service.shutdown::<Io<Filtered>>()).await;
     Ok(())
 }
 
@@ -101,7 +106,7 @@
     limit: usize,
     mut serving: watch::Receiver<Serving>,
 ) where
-    S: ntex::Service<Io> + 'static,
+    S: ntex::Service<Io<Filtered>> + 'static,
 {
     let open = Rc::new(Cell::new(0));
     loop {
@@ -130,9 +135,17 @@
     }
 }
 
-fn io_of(stream: TcpStream, config: &SharedCfg) -> io::Result<Io> {
+fn io_of(stream: TcpStream, config: &SharedCfg) -> io::Result<Io<Filtered>> {
     socket_options::set(&stream)?;
-    ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())
+    let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
+    let wire = Rc::new(Wire::default());
+    let io = io.add_filter(WireFilter(Rc::clone(&wire)));
+    let disconnect = io.on_disconnect();
+    ntex::rt::spawn(async move {
+        disconnect.await;
+        wire.close();
+    });
+    Ok(io)
 }
 
 /// One open connection.
@@ -164,7 +177,7 @@
 }
 
 /// Answers what never becomes a request, and refuses upgrades.
-fn on_control(control: Control<Base, Closing>) -> ControlAck<Base> {
+fn on_control(control: Control<Filtered, Closing>) -> ControlAck<Filtered> {
     match control {
         Control::Upgrade(upgrade) => {
             let error = Error::new(
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,15 +16,17 @@
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
-use carobshore_lib::service::Service;
 use carobshore_lib::ticket::TicketId;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use ntex::http::Version;
+use tokio::sync::oneshot;
 
 use crate::call_head::CallHead;
 use crate::call_head::Port;
+use crate::caller_end::CallerConnection;
+use crate::caller_end::CallerEnd;
 use crate::driver::Driver;
 use crate::headers;
 use crate::in_flight::InFlight;
@@ -87,11 +90,8 @@
             // This VM was displaced and has joined again; nothing that it owned before counts.
             self.services.borrow_mut().clear();
         }
-        let changed = old.me != view.me
-            || !Arc::ptr_eq(&old.config, &view.config)
-            || !Arc::ptr_eq(&old.roster, &view.roster)
-            || !Arc::ptr_eq(&old.leaving, &view.leaving);
-        self.take_over(view, changed);
+        let roster = old.me != view.me || !Arc::ptr_eq(&old.roster, &view.roster);
+        self.take_over(view, roster);
     }
 
     /// Returns the latest view.
@@ -124,10 +124,17 @@
             Err(refusal) => return self.refuse(port, refusal),
         };
         let payload = request.take_payload();
-        let io = request.io().cloned();
-        let in_flight = InFlight::start(&self.load);
-        let plane = Rc::clone(&self);
-        Ok(Driver::serve(plane, service, head, payload, io, in_flight).await)
+        let connection = request.io().and_then(CallerConnection::of);
+        let (reply, response) = oneshot::channel();
+        let caller = CallerEnd {
+            reply,
+            connection,
+            in_flight: InFlight::start(&self.load),
+        };
+        Driver::start(Rc::clone(&self), service, head, payload, caller);
+        Ok(response.await.unwrap_or_else(|_| {
+            Refusal::of_outcome(Outcome::MayHaveRun, ResultCode::Internal).response()
+        }))
     }
 
     /// Returns the connections to a target of a service.
@@ -163,7 +170,8 @@
 
     /// Reports the load of this VM as a home, for its heartbeats.
     pub(crate) fn report_loads(&self) {
-        for service in self.services.borrow().values() {
+        let services = self.services.borrow();
+        for service in services.values().filter(|service| service.is_home()) {
             let (free, queued) = service.seat(SeatKind::Owned).load();
             let service = service.id.clone();
             self.control.send(DataReport::Load {
@@ -174,6 +182,14 @@
         }
     }
 
+    /// Drops the outcomes of keys that have expired.
+    pub(crate) fn expire_keys(&self) {
+        self.services
+            .borrow()
+            .values()
+            .for_each(|service| service.expire_keys());
+    }
+
     /// Returns the state for the dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let services = self.services.borrow();
@@ -219,15 +235,16 @@
         view.roster.member(vm).map(|member| member.forward)
     }
 
-    fn take_over(self: &Rc<Self>, view: &View, changed: bool) {
+    fn take_over(self: &Rc<Self>, view: &View, roster_changed: bool) {
         let mut services = self.services.borrow_mut();
-        if changed {
-            services.retain(|id, _| view.config.services.contains_key(id));
-            for (id, spec) in &view.config.services {
-                let service = services
-                    .entry(id.clone())
-                    .or_insert_with(|| self.new_service(id, spec, view));
-                service.update(spec, view, self.settings.homes);
+        services.retain(|id, _| view.config.services.contains_key(id));
+        for (id, spec) in &view.config.services {
+            let service = services
+                .entry(id.clone())
+                .or_insert_with(|| self.new_service(id, view));
+            let leaving = leaving(view, id);
+            if roster_changed || service.differs(spec, &leaving) {
+                service.update(spec, view, leaving, self.settings.homes);
             }
         }
         for service in services.values() {
@@ -241,14 +258,9 @@
         }
     }
 
-    fn new_service(
-        self: &Rc<Self>,
-        id: &ServiceId,
-        spec: &Service,
-        view: &View,
-    ) -> Rc<ServicePlane> {
+    fn new_service(self: &Rc<Self>, id: &ServiceId, view: &View) -> Rc<ServicePlane> {
         let policy = self.settings.policy;
-        let (service, probes) = ServicePlane::new(id, spec, view, policy, rand::random());
+        let (service, probes) = ServicePlane::new(id, view, policy, rand::random());
         prober::start(self, &service, probes);
         service
     }
@@ -279,6 +291,12 @@
     }
 }
 
+/// Returns the targets of a service that leave.
+fn leaving(view: &View, service: &ServiceId) -> BTreeSet<TargetId> {
+    let of_service = view.leaving.iter().filter(|(id, _)| id == service);
+    of_service.map(|(_, target)| target.clone()).collect()
+}
+
 /// Adds the load of this VM to a response for another entry VM.
 pub(crate) fn add_load(response: &mut Response, service: &ServicePlane) {
     let (free, queued) = service.seat(SeatKind::Owned).load();
--- a/entry/src/pool_seat.rs
+++ b/entry/src/pool_seat.rs
@@ -22,19 +22,64 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::service_plane::SeatKind;
+
+/// The name of a slot that is taken: the pool, and the attempt within it.
+pub(crate) type SlotName = (SeatKind, AttemptId);
+
+/// A slot that the pool has given to a request. It is free again when it is dropped, also when it
+/// is dropped on its way to a request that has ended meanwhile.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    seat: Rc<PoolSeat>,
+    attempt: AttemptId,
+    target: TargetId,
+    finished: bool,
+}
+
+impl Slot {
+    /// Returns the target.
+    pub(crate) fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// Returns the pool that the slot belongs to.
+    pub(crate) fn kind(&self) -> SeatKind {
+        self.seat.kind
+    }
+
+    /// Returns the name.
+    pub(crate) fn name(&self) -> SlotName {
+        (self.seat.kind, self.attempt)
+    }
+
+    /// Reports how the attempt in the slot ended.
+    pub(crate) fn finish(&mut self, result: AttemptResult) {
+        if !std::mem::replace(&mut self.finished, true) {
+            self.seat.finished(self.attempt, result);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.finish(AttemptResult::Cancelled);
+    }
+}
+
 /// What the pool decided about a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum Grant {
     /// Send it to the target.
-    Start(AttemptId, TargetId),
+    Start(Slot),
     /// Send a second copy to the target.
-    Hedge(AttemptId, TargetId),
+    Hedge(Slot),
     /// Answer "not run".
     Reject(ResultCode),
     /// Forward it to another home.
     Spill(VmId),
     /// Close the connection of the attempt.
-    Cancel(AttemptId),
+    Cancel(SlotName),
 }
 
 /// The channel to a waiting request.
@@ -57,6 +102,8 @@
 
 /// A slot pool with its alarm clock and the requests in it.
 pub(crate) struct PoolSeat {
+    kind: SeatKind,
+    me: Weak<Self>,
     pool: RefCell<SlotPool>,
     requests: RefCell<HashMap<TicketId, Waiting>>,
     attempts: RefCell<HashMap<AttemptId, TicketId>>,
@@ -67,10 +114,15 @@
 
 impl PoolSeat {
     /// Seats a pool. The probes that it wants come through the returned receiver.
-    pub(crate) fn new(pool: SlotPool) -> (Rc<Self>, mpsc::UnboundedReceiver<ProbeOrder>) {
+    pub(crate) fn new(
+        kind: SeatKind,
+        pool: SlotPool,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<ProbeOrder>) {
         let (probes, orders) = mpsc::unbounded_channel();
         let alarm = Rc::new(Notify::new());
-        let seat = Rc::new(Self {
+        let seat = Rc::new_cyclic(|me| Self {
+            kind,
+            me: Weak::clone(me),
             pool: RefCell::new(pool),
             requests: RefCell::default(),
             attempts: RefCell::default(),
@@ -147,18 +199,14 @@
                 ticket,
                 attempt,
                 target,
-            } => self.start(ticket, attempt, Grant::Start(attempt, target)),
+            } => self.start(ticket, attempt, target, Grant::Start),
             PoolAction::Hedge {
                 ticket,
                 attempt,
                 target,
-            } => self.start(ticket, attempt, Grant::Hedge(attempt, target)),
-            PoolAction::Reject { ticket, code } => {
-                self.tell(ticket, Grant::Reject(code));
-            }
-            PoolAction::Spill { ticket, vm } => {
-                self.tell(ticket, Grant::Spill(vm));
-            }
+            } => self.start(ticket, attempt, target, Grant::Hedge),
+            PoolAction::Reject { ticket, code } => self.tell(ticket, Grant::Reject(code)),
+            PoolAction::Spill { ticket, vm } => self.tell(ticket, Grant::Spill(vm)),
             PoolAction::Probe { attempt, target } => {
                 let order = ProbeOrder { attempt, target };
                 if self.probes.send(order).is_err() {
@@ -168,27 +216,42 @@
             PoolAction::Cancel { attempt } => {
                 let ticket = self.attempts.borrow().get(&attempt).copied();
                 if let Some(ticket) = ticket {
-                    self.tell(ticket, Grant::Cancel(attempt));
+                    self.tell(ticket, Grant::Cancel((self.kind, attempt)));
                 }
             }
         }
     }
 
-    fn start(&self, ticket: TicketId, attempt: AttemptId, grant: Grant) {
+    fn start(
+        &self,
+        ticket: TicketId,
+        attempt: AttemptId,
+        target: TargetId,
+        grant: impl FnOnce(Slot) -> Grant,
+    ) {
+        let Some(seat) = self.me.upgrade() else {
+            return;
+        };
         self.attempts.borrow_mut().insert(attempt, ticket);
-        if !self.tell(ticket, grant) {
-            self.finished(attempt, AttemptResult::Cancelled);
-        }
+        let slot = Slot {
+            seat,
+            attempt,
+            target,
+            finished: false,
+        };
+        self.tell(ticket, grant(slot));
     }
 
-    /// Passes a decision to a request and returns whether the request is still there.
-    fn tell(&self, ticket: TicketId, grant: Grant) -> bool {
-        let mut requests = self.requests.borrow_mut();
-        let Some(waiting) = requests.get_mut(&ticket) else {
-            return false;
-        };
-        waiting.queued = false;
-        waiting.sender.send(grant).is_ok()
+    /// Passes a decision to a request, if the request is still there.
+    fn tell(&self, ticket: TicketId, grant: Grant) {
+        let sender = self.requests.borrow_mut().get_mut(&ticket).map(|waiting| {
+            waiting.queued = false;
+            waiting.sender.clone()
+        });
+        // A slot that is not received is dropped here, which needs the borrow above to have ended.
+        if let Some(sender) = sender {
+            let _ = sender.send(grant);
+        }
     }
 }
 
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -1,5 +1,7 @@
 //! Passes a response on to the caller.
 
+use std::rc::Rc;
+
 use carobshore_lib::exchange::ExchangeEvent;
 use carobshore_lib::key_table::StoredOutcome;
 use carobshore_lib::pool_event::AttemptResult;
@@ -50,7 +52,10 @@
         let wanted = self.key_accepted;
         let mut recording = Recording::start(wanted, answer.status, &fields);
         let size = body_size(&self.head.method, &answer);
-        let (sender, body) = RelayBody::new(size, caller.io.clone(), caller.in_flight);
+        // A request with a key goes on without its caller, and a planned stop waits for it.
+        let in_flight = Rc::clone(&caller.in_flight);
+        let io = caller.connection.map(|connection| connection.io);
+        let (sender, body) = RelayBody::new(size, io, caller.in_flight);
         let response = self.response(answer.status, fields, body);
         let mut sender = caller.reply.send(response).is_ok().then_some(sender);
         loop {
@@ -85,6 +90,7 @@
         link.answered(answer.body.into_reusable().is_some());
         self.end_answering(result, |attempt| ExchangeEvent::Ended { attempt });
         self.finish(recording.finish());
+        drop(in_flight);
         pass(sender.as_ref(), Part::End).await;
     }
 
--- a/entry/src/request_body.rs
+++ b/entry/src/request_body.rs
@@ -75,7 +75,8 @@
     ended: bool,
     fault: Option<BodyFault>,
     received: u64,
-    pause: Pin<Box<Sleep>>,
+    /// Runs while the next part is waited for, and not while the target holds the body up.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl fmt::Debug for Source {
@@ -101,7 +102,7 @@
             ended: size.is_eof(),
             fault: None,
             received: 0,
-            pause: Box::pin(tokio::time::sleep(limits.pause)),
+            pause: None,
         };
         Self {
             size,
@@ -160,10 +161,18 @@
                 self.ended = true;
                 Poll::Ready(None)
             }
-            Poll::Pending => match self.pause.as_mut().poll(cx) {
-                Poll::Ready(()) => self.fail(BodyFault::Slow),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => self.poll_pause(cx),
+        }
+    }
+
+    fn poll_pause(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyFault>>> {
+        let limit = self.limits.pause;
+        let pause = self
+            .pause
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        match pause.as_mut().poll(cx) {
+            Poll::Ready(()) => self.fail(BodyFault::Slow),
+            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -173,8 +182,7 @@
             self.fault = Some(BodyFault::TooLarge);
             return Err(BodyFault::TooLarge);
         }
-        let until = Instant::now() + self.limits.pause;
-        self.pause.as_mut().reset(until);
+        self.pause = None;
         self.kept_bytes += part.len();
         if self.kept_bytes > KEPT_BYTES {
             self.lost = true;
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use carobshore_lib::pool_event::PoolEvent;
 use carobshore_lib::pool_settings::PoolSettings;
 use carobshore_lib::pool_targets::PoolTargets;
+use carobshore_lib::prelude::ByteSize;
 use carobshore_lib::prelude::RequestKey;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
@@ -46,6 +48,13 @@
 /// All VMs in fallback mode together use one in so many of a target's connections.
 const FALLBACK_DIVISOR: u32 = 4;
 
+/// Keys of all services together, and of each one at least.
+const KEYS: usize = 200_000;
+const LEAST_KEYS: usize = 1_000;
+/// Memory for stored responses of all services together, and of each one at least.
+const ANSWER_BYTES: usize = 32 << 20;
+const LEAST_ANSWER_BYTES: usize = 64 << 10;
+
 /// The two pools in which a request can wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SeatKind {
@@ -60,8 +69,10 @@
     pub(crate) id: ServiceId,
     me: VmId,
     policy: Policy,
-    spec: RefCell<Service>,
-    vms: RefCell<u32>,
+    spec: RefCell<Option<Service>>,
+    leaving: RefCell<BTreeSet<TargetId>>,
+    vms: Cell<u32>,
+    home: Cell<bool>,
     owned: Rc<PoolSeat>,
     shared: Rc<PoolSeat>,
     router: RefCell<Router>,
@@ -79,7 +90,6 @@
     /// Builds the state of a service that appears in the configuration.
     pub(crate) fn new(
         id: &ServiceId,
-        spec: &Service,
         view: &View,
         policy: Policy,
         seed: u64,
@@ -96,8 +106,8 @@
         };
         let owned = SlotPool::new(id.clone(), settings(Policy::Homes), now);
         let shared = SlotPool::new(id.clone(), settings(fallback), now);
-        let (owned, owned_probes) = PoolSeat::new(owned);
-        let (shared, shared_probes) = PoolSeat::new(shared);
+        let (owned, owned_probes) = PoolSeat::new(SeatKind::Owned, owned);
+        let (shared, shared_probes) = PoolSeat::new(SeatKind::Shared, shared);
         let router = |policy| {
             let settings = RouterSettings {
                 policy,
@@ -110,13 +120,15 @@
             id: id.clone(),
             me: view.me.clone(),
             policy,
-            spec: RefCell::new(spec.clone()),
-            vms: RefCell::new(1),
+            spec: RefCell::default(),
+            leaving: RefCell::default(),
+            vms: Cell::new(1),
+            home: Cell::new(false),
             owned: Rc::clone(&owned),
             shared: Rc::clone(&shared),
             router: router(policy),
             key_router: router(Policy::Homes),
-            keys: RefCell::new(KeyTable::new(now, wall, KeyLimits::default())),
+            keys: RefCell::new(KeyTable::new(now, wall, key_limits(view))),
             history: RefCell::new(Arc::new(KeyHistory::new(view.me.clone()))),
             lease: Cell::default(),
             waiters: RefCell::default(),
@@ -125,18 +137,33 @@
         (Rc::new(plane), probes)
     }
 
+    /// Returns whether the configuration or the leaving targets are others than those in use.
+    pub(crate) fn differs(&self, spec: &Service, leaving: &BTreeSet<TargetId>) -> bool {
+        let known = self.spec.borrow();
+        let version = known.as_ref().map(|known| known.version);
+        version != Some(spec.version) || *self.leaving.borrow() != *leaving
+    }
+
     /// Takes over a new configuration, roster or set of leaving targets.
-    pub(crate) fn update(&self, spec: &Service, view: &View, homes: u32) {
-        *self.spec.borrow_mut() = spec.clone();
+    pub(crate) fn update(
+        &self,
+        spec: &Service,
+        view: &View,
+        leaving: BTreeSet<TargetId>,
+        homes: u32,
+    ) {
+        *self.spec.borrow_mut() = Some(spec.clone());
+        *self.leaving.borrow_mut() = leaving;
         let vms = u32::try_from(view.roster.members.len()).unwrap_or(u32::MAX);
-        *self.vms.borrow_mut() = vms;
+        self.vms.set(vms.max(1));
         let settings = HomesSettings { per_domain: homes };
         let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
+        self.home.set(homes.contains(&self.me));
         let owned = PoolTargets::owned(spec, &homes, &self.me);
-        self.owned.set_targets(&self.mark_leaving(owned, view));
+        self.owned.set_targets(&self.mark_leaving(owned));
         let sharers = if self.policy == Policy::Homes { 0 } else { vms };
         let shared = PoolTargets::shared(spec, vms, sharers);
-        self.shared.set_targets(&self.mark_leaving(shared, view));
+        self.shared.set_targets(&self.mark_leaving(shared));
         self.router.borrow_mut().set_homes(homes);
         // The owners of keys do not depend on settings: two VMs that differ would both own a key.
         let settings = HomesSettings::default();
@@ -151,12 +178,22 @@
             *self.history.borrow_mut() = Arc::clone(history);
         }
         self.lease.set(view.lease);
-        if let Some(until) = view.lease.until() {
-            self.owned.handle(PoolEvent::Lease { until });
+        let Some(until) = view.lease.until() else {
+            return;
+        };
+        // The lease is for probes, which only homes send, or all VMs without homes.
+        if self.policy != Policy::Homes {
             self.shared.handle(PoolEvent::Lease { until });
+        } else if self.home.get() {
+            self.owned.handle(PoolEvent::Lease { until });
         }
     }
 
+    /// Returns whether this VM is a home of the service.
+    pub(crate) fn is_home(&self) -> bool {
+        self.home.get()
+    }
+
     /// Decides where a call goes.
     pub(crate) fn route(&self, call: &Call) -> Route {
         let router = match call.key {
@@ -192,10 +229,11 @@
     /// Returns where a target is, and how many connections to it this VM may hold.
     pub(crate) fn target(&self, id: &TargetId, kind: SeatKind) -> Option<(SocketAddr, u32)> {
         let spec = self.spec.borrow();
+        let spec = spec.as_ref()?;
         let addr = spec.targets.get(id)?.addr;
         let limit = match kind {
             SeatKind::Owned => spec.connections * HOME_EIGHTHS / 8,
-            SeatKind::Shared => spec.connections / FALLBACK_DIVISOR / *self.vms.borrow(),
+            SeatKind::Shared => spec.connections / FALLBACK_DIVISOR / self.vms.get(),
         };
         Some((addr, limit.max(1)))
     }
@@ -243,12 +281,21 @@
         }
     }
 
+    /// Drops the outcomes of keys that have expired.
+    pub(crate) fn expire_keys(&self) {
+        let mut keys = self.keys.borrow_mut();
+        if !keys.is_empty() {
+            let wall = SystemTime::now();
+            keys.tick(Instant::now(), wall);
+        }
+    }
+
     /// Returns the state for the dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let keys = self.keys.borrow();
         let homes: Vec<_> = self.router.borrow().homes().vms().cloned().collect();
         serde_json::json!({
-            "version": self.spec.borrow().version,
+            "version": self.spec.borrow().as_ref().map(|spec| spec.version),
             "homes": homes,
             "owned": self.owned.dump(),
             "shared": self.shared.dump(),
@@ -259,11 +306,21 @@
         })
     }
 
-    fn mark_leaving(&self, mut targets: PoolTargets, view: &View) -> PoolTargets {
+    fn mark_leaving(&self, mut targets: PoolTargets) -> PoolTargets {
+        let leaving = self.leaving.borrow();
         for target in &mut targets.targets {
-            let name = (self.id.clone(), target.id.clone());
-            target.leaving |= view.leaving.contains(&name);
+            target.leaving |= leaving.contains(&target.id);
         }
         targets
     }
 }
+
+/// Returns one service's share of the memory for keys.
+fn key_limits(view: &View) -> KeyLimits {
+    let services = view.config.services.len().max(1);
+    let share = |total: usize, least: usize| (total / services).max(least);
+    KeyLimits {
+        keys: share(KEYS, LEAST_KEYS),
+        answers: ByteSize(share(ANSWER_BYTES, LEAST_ANSWER_BYTES) as u64),
+    }
+}
--- a/entry/src/wire.rs
+++ b/entry/src/wire.rs
@@ -1,17 +1,22 @@
 //! Observes the bytes that pass over a connection.
 
+use std::any::Any;
+use std::any::TypeId;
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 
 use ntex::io::FilterBuf;
 use ntex::io::FilterLayer;
+use tokio::sync::Notify;
 
-/// Counters of one connection, shared between its filter and its owner.
+/// What is known about one connection, shared between its filter and its owner.
 #[derive(Debug, Default)]
 pub struct Wire {
     written: Cell<u64>,
     muted: Cell<bool>,
+    closed: Cell<bool>,
+    closing: Notify,
 }
 
 impl Wire {
@@ -27,17 +32,43 @@
         self.muted.get()
     }
 
+    /// Waits until the connection is closed.
+    ///
+    /// A connection of a caller serves many requests, and each `on_disconnect` of it occupies
+    /// memory until the connection ends. Therefore one task per connection waits for the
+    /// disconnect, and the requests wait here.
+    pub async fn closed(&self) {
+        while !self.closed.get() {
+            self.closing.notified().await;
+        }
+    }
+
+    /// Notes that the connection was closed.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+        self.closing.notify_waiters();
+    }
+
     /// Drops everything that is written from now on.
     pub fn mute(&self) {
         self.muted.set(true);
     }
 }
 
-/// The filter that counts, installed below the HTTP codec.
+/// Finds the observer of a connection through [`ntex::io::IoRef::query`].
+#[derive(Clone, Debug)]
+pub(crate) struct WireHandle(pub(crate) Rc<Wire>);
+
+/// The filter that observes, installed below the HTTP codec.
 #[derive(Debug)]
 pub(crate) struct WireFilter(pub(crate) Rc<Wire>);
 
 impl FilterLayer for WireFilter {
+    fn query(&self, id: TypeId) -> Option<Box<dyn Any>> {
+        let wanted = id == TypeId::of::<WireHandle>();
+        wanted.then(|| Box::new(WireHandle(Rc::clone(&self.0))) as Box<dyn Any>)
+    }
+
     fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
         buf.with_read_buffers(|source, destination| {
             if let Some(mut bytes) = source.take() {
