entry: add the control thread

Cause: configuration, membership and ownership need the platform and peers.

Change: a thread that drives the follower, the membership, the appender and the key histories, answers peers and operators over jsonrpsee, and publishes views; one crate holds the clients of the platform for daemon and client.

Measured: nothing yet; the data thread still expects the old view.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::args::Args;
 use crate::exit::Exit;
-use crate::log_client::LogClient;
+use carobshore_platform::log_client::LogClient;
 
 /// What the client can do.
 #[derive(Debug, Subcommand)]
--- a/cli/src/log_append.rs
+++ b/cli/src/log_append.rs
@@ -10,9 +10,9 @@
 use ntex::time::Millis;
 use ntex::time::sleep;
 
-use crate::log_client::AppendAnswer;
-use crate::log_client::LogClient;
-use crate::log_client::ReadAnswer;
+use carobshore_platform::log_client::AppendAnswer;
+use carobshore_platform::log_client::LogClient;
+use carobshore_platform::log_client::ReadAnswer;
 
 /// The pause after which the appender is asked again whether a repeat is due.
 const TICK: Millis = Millis(50);
--- a/cli/src/log_follow.rs
+++ b/cli/src/log_follow.rs
@@ -12,8 +12,8 @@
 use ntex::time::Millis;
 use ntex::time::sleep;
 
-use crate::log_client::LogClient;
-use crate::log_client::ReadAnswer;
+use carobshore_platform::log_client::LogClient;
+use carobshore_platform::log_client::ReadAnswer;
 
 /// The pause after which the follower is asked again whether a read is due.
 const TICK: Millis = Millis(50);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,7 +8,6 @@
 mod dump_view;
 mod exit;
 mod log_append;
-mod log_client;
 mod log_follow;
 mod output;
 mod table;
--- /dev/null
+++ b/entry/src/control.rs
@@ -0,0 +1,599 @@
+//! The control thread's state: it feeds the decisions about configuration and membership and
+//! carries out what they ask for.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::appender::AppendAction;
+use carobshore_lib::appender::AppendEvent;
+use carobshore_lib::appender::Appender;
+use carobshore_lib::follower::Follower;
+use carobshore_lib::follower_message::FollowerAction;
+use carobshore_lib::follower_message::FollowerEvent;
+use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::key_ownership::KeyOwnership;
+use carobshore_lib::prelude::*;
+use carobshore_lib::record::Join;
+use carobshore_platform::log_client::AppendAnswer;
+use carobshore_platform::log_client::LogClient;
+use carobshore_platform::log_client::ReadAnswer;
+use carobshore_platform::vm_list_client::ListedState;
+use carobshore_platform::vm_list_client::VmListClient;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+use crate::peer_client::PeerClients;
+use crate::rpc::VmRpcClient;
+use crate::settings::Settings;
+use crate::supervisor::Supervisor;
+use crate::view::DataReport;
+use crate::view::DataRequest;
+use crate::view::View;
+
+/// How long an append is tried. After it, the decision that asked for the record asks again.
+const APPEND_LIMIT: Duration = Duration::from_secs(30);
+/// How long a report of another home's load is passed on. It is sent once a second.
+const LOAD_AGE: Duration = Duration::from_secs(3);
+
+/// The ends of the channels to the data thread.
+#[derive(Debug)]
+pub struct DataEnds {
+    /// Publishes views.
+    pub views: watch::Sender<Arc<View>>,
+    /// Sends requests.
+    pub requests: mpsc::UnboundedSender<DataRequest>,
+}
+
+/// The clients of the platform's services.
+#[derive(Debug)]
+pub struct PlatformClients {
+    /// The log.
+    pub log: LogClient,
+    /// The list of VMs.
+    pub vm_list: VmListClient,
+}
+
+/// Counts of what the control thread did, for the dump and the metrics.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct ControlCounts {
+    /// Successful reads of the log.
+    pub reads: u64,
+    /// Failed reads of the log.
+    pub read_failures: u64,
+    /// Records that were appended.
+    pub appends: u64,
+    /// Records that were given up.
+    pub append_failures: u64,
+    /// Heartbeats that were answered.
+    pub heartbeats: u64,
+    /// Heartbeats that were not answered.
+    pub heartbeat_failures: u64,
+    /// Successful reads of the platform's list.
+    pub list_reads: u64,
+    /// Failed reads of the platform's list.
+    pub list_failures: u64,
+    /// Views that were published to the data thread.
+    pub views: u64,
+}
+
+/// Everything that the control thread decides on.
+pub(crate) struct Control {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) supervisor: Supervisor,
+    pub(crate) platform: PlatformClients,
+    pub(crate) peers: PeerClients,
+    pub(crate) data: DataEnds,
+    pub(crate) follower: RefCell<Follower>,
+    pub(crate) membership: RefCell<Membership>,
+    pub(crate) appender: RefCell<Appender>,
+    pub(crate) ownership: RefCell<KeyOwnership>,
+    pub(crate) leaving: RefCell<Leaving>,
+    pub(crate) lease: RefCell<ReadLease>,
+    pub(crate) down: RefCell<BTreeSet<VmId>>,
+    pub(crate) counts: RefCell<ControlCounts>,
+    pub(crate) last_report: RefCell<Option<Error>>,
+    config: RefCell<Arc<Config>>,
+    roster: RefCell<Arc<Roster>>,
+    own_loads: RefCell<BTreeMap<ServiceId, PeerLoad>>,
+    loads: RefCell<BTreeMap<(ServiceId, VmId), (Instant, PeerLoad)>>,
+    appending: RefCell<BTreeMap<RecordId, Body>>,
+    /// Addresses of peers that are known from the settings and may not be in the roster yet.
+    addresses: RefCell<BTreeMap<VmId, SocketAddr>>,
+    leave_asked: Cell<bool>,
+    changed: Cell<bool>,
+}
+
+impl Control {
+    /// Builds the state of a VM that knows nothing yet.
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        clock: Rc<dyn Clock>,
+        vm: VmId,
+        platform: PlatformClients,
+        data: DataEnds,
+    ) -> Rc<Self> {
+        let now = clock.now();
+        let follower = FollowerSettings {
+            vm: Some(vm.clone()),
+            ..FollowerSettings::default()
+        };
+        let join = Join {
+            vm: vm.clone(),
+            domain: settings.domain.clone(),
+            rpc: settings.rpc,
+            forward: settings.forward,
+        };
+        let seed = rand::random();
+        Rc::new(Self {
+            settings,
+            clock,
+            supervisor: Supervisor::new("control"),
+            platform,
+            peers: PeerClients::default(),
+            data,
+            follower: RefCell::new(Follower::new(now, follower)),
+            membership: RefCell::new(Membership::new(SelfInfo { join, seed })),
+            appender: RefCell::new(Appender::new(APPEND_LIMIT)),
+            ownership: RefCell::new(KeyOwnership::new(vm)),
+            leaving: RefCell::default(),
+            lease: RefCell::default(),
+            down: RefCell::default(),
+            counts: RefCell::default(),
+            last_report: RefCell::default(),
+            config: RefCell::default(),
+            roster: RefCell::default(),
+            own_loads: RefCell::default(),
+            loads: RefCell::default(),
+            appending: RefCell::default(),
+            addresses: RefCell::default(),
+            leave_asked: Cell::new(false),
+            changed: Cell::new(false),
+        })
+    }
+
+    /// Lets time pass for every decision and publishes what changed.
+    pub(crate) fn tick(self: &Rc<Self>) {
+        self.follow(FollowerEvent::Tick);
+        self.member(MembershipEvent::Tick);
+        self.append_event(AppendEvent::Tick);
+        self.publish();
+    }
+
+    /// Starts ownership anew after a component of this thread failed: it may have lost a step
+    /// between reading a record and recording the ownership that follows from it.
+    pub(crate) fn recover(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let roster = self.follower.borrow().fold().roster().clone();
+        self.lease.borrow_mut().distrust(now);
+        let mut ownership = self.ownership.borrow_mut();
+        ownership.installed(now, self.clock.wall(), roster);
+        self.changed.set(true);
+    }
+
+    /// Passes an event to the follower and carries out what it asks for.
+    pub(crate) fn follow(self: &Rc<Self>, event: FollowerEvent) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        self.follower.borrow_mut().handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: FollowerAction) {
+        match action {
+            FollowerAction::Read { from, max } => self.read(from, max),
+            FollowerAction::FetchRecords { vm, from } => self.fetch_records(vm, from),
+            FollowerAction::FetchSnapshot { vm } => self.fetch_snapshot(vm),
+            FollowerAction::RosterStep { roster, handover } => {
+                let (now, wall) = (self.clock.now(), self.clock.wall());
+                let mut ownership = self.ownership.borrow_mut();
+                ownership.roster_step(now, wall, roster, handover);
+            }
+            FollowerAction::Installed => {
+                let (now, wall) = (self.clock.now(), self.clock.wall());
+                let roster = self.follower.borrow().fold().roster().clone();
+                let mut ownership = self.ownership.borrow_mut();
+                ownership.installed(now, wall, roster);
+            }
+            FollowerAction::Advanced { config, roster } => self.advanced(config, roster),
+            FollowerAction::Current { issued } => self.current(issued),
+            FollowerAction::Ready => {
+                log::info!(offset = self.follower.borrow().fold().applied().0; "configuration is current; joining the roster");
+                self.member(MembershipEvent::Ready);
+            }
+            FollowerAction::AppendSnapshot { records } => {
+                records.into_iter().for_each(|record| self.submit(record));
+            }
+            FollowerAction::Report(error) => self.report(error),
+        }
+        self.changed.set(true);
+    }
+
+    fn advanced(self: &Rc<Self>, config: bool, roster: bool) {
+        let applied = self.follower.borrow().fold().applied();
+        if config {
+            let config = Arc::new(self.follower.borrow().fold().config().clone());
+            self.leaving.borrow_mut().configured(&config);
+            self.ownership.borrow_mut().configured(&config);
+            *self.config.borrow_mut() = config;
+        }
+        if roster {
+            let roster = self.follower.borrow().fold().roster().clone();
+            self.down.borrow_mut().retain(|vm| roster.contains(vm));
+            *self.roster.borrow_mut() = Arc::new(roster.clone());
+            self.member(MembershipEvent::Roster { roster });
+        }
+        self.member(MembershipEvent::Applied(applied));
+    }
+
+    fn current(self: &Rc<Self>, issued: Instant) {
+        let vm = self.membership.borrow().vm().clone();
+        let listed = self.follower.borrow().fold().roster().contains(&vm);
+        self.lease.borrow_mut().read_ok(issued, listed);
+        self.member(MembershipEvent::LogRead { issued });
+    }
+
+    /// Logs a report of the follower when it differs from the one before.
+    fn report(&self, error: Error) {
+        let news = self.last_report.replace(Some(error.clone()));
+        if news.as_ref() != Some(&error) {
+            log::warn!(code = error.code.number(), help = &*error.help; "{}", error.message);
+        }
+    }
+
+    /// Passes an event to the membership and carries out what it asks for.
+    pub(crate) fn member(self: &Rc<Self>, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        let mut membership = self.membership.borrow_mut();
+        membership.handle(now, event, &mut actions);
+        drop(membership);
+        for action in actions {
+            self.carry_out_member(action);
+        }
+    }
+
+    fn carry_out_member(self: &Rc<Self>, action: MembershipAction) {
+        match action {
+            MembershipAction::Heartbeat { to, round } => self.beat(&to, round),
+            MembershipAction::Append(body) => self.append(body),
+            MembershipAction::Suspect(vm) => {
+                log::warn!(vm = vm.as_str(); "VM misses heartbeats; routing avoids it");
+                self.down.borrow_mut().insert(vm);
+            }
+            MembershipAction::Recovered(vm) => {
+                log::info!(vm = vm.as_str(); "VM sends heartbeats again");
+                self.down.borrow_mut().remove(&vm);
+            }
+            MembershipAction::PeerAhead { vm, applied } => {
+                self.follow(FollowerEvent::Offer { vm, applied });
+            }
+            MembershipAction::PeerLeaving(targets) => {
+                let mut leaving = self.leaving.borrow_mut();
+                targets.iter().for_each(|target| {
+                    leaving.drained(target);
+                });
+            }
+            MembershipAction::NeedNewId => self.rejoin(),
+        }
+        self.changed.set(true);
+    }
+
+    fn rejoin(self: &Rc<Self>) {
+        let id = VmId::with_incarnation(&self.settings.vm_name, rand::random());
+        let Ok(vm) = id else { return };
+        log::warn!(vm = vm.as_str(); "this VM was displaced from the roster; joining again under a new id");
+        self.ownership.borrow_mut().renamed(vm.clone());
+        self.lease.borrow_mut().distrust(self.clock.now());
+        self.member(MembershipEvent::NewId(vm));
+    }
+
+    fn append(self: &Rc<Self>, body: Body) {
+        let id = RecordId(Uuid::now_v7());
+        self.appending.borrow_mut().insert(id, body.clone());
+        self.submit(Record { id, body });
+    }
+
+    fn submit(self: &Rc<Self>, record: Record) {
+        let known = self.follower.borrow().fold().applied();
+        self.append_event(AppendEvent::Submit { record, known });
+    }
+
+    fn append_event(self: &Rc<Self>, event: AppendEvent) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        self.appender.borrow_mut().handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out_append(action);
+        }
+    }
+
+    fn carry_out_append(self: &Rc<Self>, action: AppendAction) {
+        match action {
+            AppendAction::Append(record) => self.send_append(record),
+            AppendAction::Read { id, from, max } => self.read_back(id, from, max),
+            AppendAction::Done { id, offset } => {
+                self.counts.borrow_mut().appends += 1;
+                let body = self.appending.borrow_mut().remove(&id);
+                if let Some(body) = body {
+                    self.appended(offset, body);
+                }
+            }
+            AppendAction::Failed { id, error, .. } => {
+                self.counts.borrow_mut().append_failures += 1;
+                self.report(error);
+                let body = self.appending.borrow_mut().remove(&id);
+                if let Some(body) = body {
+                    self.member(MembershipEvent::AppendFailed { body });
+                }
+            }
+        }
+    }
+
+    fn appended(self: &Rc<Self>, offset: Offset, body: Body) {
+        if let Body::Displace { vm, .. } = &body {
+            log::warn!(vm = vm.as_str(), offset = offset.0; "displaced a VM that sends no heartbeats");
+        }
+        self.member(MembershipEvent::Appended { offset, body });
+    }
+
+    fn send_append(self: &Rc<Self>, record: Record) {
+        let control = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let id = record.id;
+            let event = match control.platform.log.append(&record).await {
+                AppendAnswer::Appended(offset) => AppendEvent::Appended { id, offset },
+                AppendAnswer::Refused(message) => AppendEvent::Refused { id, message },
+                AppendAnswer::Lost => AppendEvent::Lost { id },
+            };
+            control.append_event(event);
+        });
+    }
+
+    fn read_back(self: &Rc<Self>, id: RecordId, from: Offset, max: u32) {
+        let control = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let event = match control.platform.log.read(from, max).await {
+                ReadAnswer::Page(page) => AppendEvent::Page { id, from, page },
+                ReadAnswer::Expired(_) => AppendEvent::Expired { id },
+                ReadAnswer::Failed => AppendEvent::ReadFailed { id },
+            };
+            control.append_event(event);
+        });
+    }
+
+    fn read(self: &Rc<Self>, from: Offset, max: u32) {
+        let control = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let issued = control.clock.now();
+            let answer = control.platform.log.read(from, max).await;
+            let failed = matches!(answer, ReadAnswer::Failed);
+            let mut counts = control.counts.borrow_mut();
+            counts.reads += u64::from(!failed);
+            counts.read_failures += u64::from(failed);
+            drop(counts);
+            control.follow(match answer {
+                ReadAnswer::Page(page) => FollowerEvent::Page { from, issued, page },
+                ReadAnswer::Expired(first) => FollowerEvent::Expired { first },
+                ReadAnswer::Failed => FollowerEvent::ReadFailed,
+            });
+            control.publish();
+        });
+    }
+
+    fn peer_addr(&self, vm: &VmId) -> Option<SocketAddr> {
+        let member = self.roster.borrow().member(vm).map(|member| member.rpc);
+        member.or_else(|| self.addresses.borrow().get(vm).copied())
+    }
+
+    fn fetch_records(self: &Rc<Self>, vm: VmId, from: Offset) {
+        let control = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let client = control.peer_addr(&vm).map(|addr| control.peers.client(addr));
+            let answer = match client {
+                Some(Ok(client)) => client.records_since(from).await.ok(),
+                _ => None,
+            };
+            control.follow(match answer {
+                Some(page) => FollowerEvent::PeerRecords { vm, page },
+                None => FollowerEvent::PeerLost { vm },
+            });
+            control.publish();
+        });
+    }
+
+    fn fetch_snapshot(self: &Rc<Self>, vm: VmId) {
+        let control = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let client = control.peer_addr(&vm).map(|addr| control.peers.client(addr));
+            let answer = match client {
+                Some(Ok(client)) => client.snapshot().await.ok().flatten(),
+                _ => None,
+            };
+            control.follow(match answer {
+                Some(records) => FollowerEvent::PeerSnapshot { vm, records },
+                None => FollowerEvent::PeerLost { vm },
+            });
+            control.publish();
+        });
+    }
+
+    fn beat(self: &Rc<Self>, to: &[VmId], round: u64) {
+        let beat = self.heartbeat(round);
+        for vm in to {
+            if let Some(addr) = self.peer_addr(vm) {
+                let control = Rc::clone(self);
+                let beat = beat.clone();
+                let vm = vm.clone();
+                ntex::rt::spawn(async move { control.beat_one(vm, addr, beat).await });
+            }
+        }
+    }
+
+    async fn beat_one(self: &Rc<Self>, vm: VmId, addr: SocketAddr, beat: Heartbeat) {
+        let answer = match self.peers.client(addr) {
+            Ok(client) => client.heartbeat(beat).await.ok(),
+            Err(_) => None,
+        };
+        match answer {
+            Some(beat) => {
+                self.counts.borrow_mut().heartbeats += 1;
+                self.heard(beat);
+            }
+            None => {
+                self.counts.borrow_mut().heartbeat_failures += 1;
+                self.peers.forget(addr);
+                self.member(MembershipEvent::Unreachable(vm));
+            }
+        }
+    }
+
+    /// Asks a peer from the settings how far it is, before this VM knows the roster.
+    pub(crate) async fn ask_peer(self: &Rc<Self>, addr: SocketAddr) {
+        let Ok(client) = self.peers.client(addr) else {
+            return;
+        };
+        if let Ok(beat) = client.heartbeat(self.heartbeat(0)).await {
+            let vm = beat.from.clone();
+            let applied = beat.applied;
+            self.addresses.borrow_mut().insert(vm.clone(), addr);
+            self.follow(FollowerEvent::Offer { vm, applied });
+        }
+    }
+
+    /// Returns this VM's heartbeat of the given round.
+    pub(crate) fn heartbeat(&self, round: u64) -> Heartbeat {
+        let leaving: Vec<_> = self.leaving.borrow().certain().collect();
+        let own_loads = self.own_loads.borrow();
+        let loads: Vec<_> = own_loads.clone().into_iter().collect();
+        self.membership.borrow().heartbeat(round, &leaving, &loads)
+    }
+
+    /// Takes a heartbeat of a peer.
+    pub(crate) fn heard(self: &Rc<Self>, beat: Heartbeat) {
+        let now = self.clock.now();
+        let mut loads = self.loads.borrow_mut();
+        for (service, load) in &beat.loads {
+            let key = (service.clone(), load.vm.clone());
+            loads.insert(key, (now, load.clone()));
+        }
+        drop(loads);
+        self.changed.set(true);
+        self.member(MembershipEvent::Heard(beat));
+    }
+
+    /// Reads the platform's list.
+    pub(crate) async fn read_list(self: &Rc<Self>) {
+        let Ok(list) = self.platform.vm_list.read().await else {
+            self.counts.borrow_mut().list_failures += 1;
+            return;
+        };
+        self.counts.borrow_mut().list_reads += 1;
+        let now = self.clock.now();
+        let by_addr: Vec<_> = list
+            .iter()
+            .map(|vm| ListedAddr {
+                addr: vm.addr,
+                leaving: vm.state == ListedState::Leaving,
+            })
+            .collect();
+        self.leaving.borrow_mut().listed(now, &by_addr);
+        let vms = list.into_iter().map(|vm| ListedVm {
+            name: vm.name,
+            domain: vm.domain,
+            live: vm.state == ListedState::Live,
+        });
+        self.member(MembershipEvent::Listed(vms.collect()));
+        self.changed.set(true);
+        self.publish();
+    }
+
+    /// Takes a report of the data thread.
+    pub(crate) fn take_report(self: &Rc<Self>, report: DataReport) {
+        match report {
+            DataReport::Drain { service, target } => self.drained(service, target),
+            DataReport::Load {
+                service,
+                free,
+                queued,
+            } => {
+                let vm = self.membership.borrow().vm().clone();
+                let load = PeerLoad { vm, free, queued };
+                self.own_loads.borrow_mut().insert(service, load);
+            }
+            DataReport::Unreachable { vm } => self.member(MembershipEvent::Unreachable(vm)),
+            DataReport::KeyedIdle => self.leave(),
+        }
+        self.publish();
+    }
+
+    fn drained(&self, service: ServiceId, target: TargetId) {
+        let config = self.config.borrow();
+        let spec = config.service(&service);
+        let Some(spec) = spec.and_then(|spec| spec.targets.get(&target)) else {
+            return;
+        };
+        let generation = spec.generation;
+        let sign = LeavingTarget {
+            service,
+            target,
+            generation,
+        };
+        if self.leaving.borrow_mut().drained(&sign) {
+            log::info!(service = sign.service.as_str(), target = sign.target.as_str(); "target drains; it gets no new work");
+            self.changed.set(true);
+        }
+    }
+
+    /// Appends this VM's `leave` in a planned stop.
+    fn leave(self: &Rc<Self>) {
+        if self.leave_asked.replace(true) {
+            return;
+        }
+        self.member(MembershipEvent::Stopping);
+        let vm = self.membership.borrow().vm().clone();
+        self.append(Body::Leave { vm });
+    }
+
+    /// Publishes a view if something changed since the last one.
+    pub(crate) fn publish(&self) {
+        if !self.changed.replace(false) {
+            return;
+        }
+        self.counts.borrow_mut().views += 1;
+        self.data.views.send_replace(Arc::new(self.view()));
+    }
+
+    fn view(&self) -> View {
+        let now = self.clock.now();
+        let mut loads = self.loads.borrow_mut();
+        loads.retain(|_, (at, _)| now < *at + LOAD_AGE);
+        let loads = loads.iter();
+        let targets = self.leaving.borrow();
+        let targets = targets.targets();
+        let follower = self.follower.borrow();
+        View {
+            me: self.membership.borrow().vm().clone(),
+            domain: self.settings.domain.clone(),
+            config: Arc::clone(&self.config.borrow()),
+            roster: Arc::clone(&self.roster.borrow()),
+            applied: follower.fold().applied(),
+            keys: Arc::new(self.ownership.borrow().histories().clone()),
+            lease: *self.lease.borrow(),
+            leaving: Arc::new(targets.map(|sign| (sign.service, sign.target)).collect()),
+            down: Arc::new(self.down.borrow().clone()),
+            loads: loads.map(|((service, _), (_, load))| (service.clone(), load.clone())).collect(),
+            ready: follower.is_ready(),
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/control_dump.rs
@@ -0,0 +1,57 @@
+//! The control thread's part of the dump.
+
+use carobshore_lib::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::control::Control;
+
+/// Returns what the control thread knows, without the data thread's part.
+pub(crate) fn control_dump(control: &Control) -> Value {
+    let now = control.clock.now();
+    let follower = control.follower.borrow();
+    let fold = follower.fold();
+    let membership = control.membership.borrow();
+    let lease = control.lease.borrow();
+    let lease_left = lease.until().map(|until| until.saturating_duration_since(now));
+    let current = follower.current().map(|at| now.saturating_duration_since(at));
+    let leaving: Vec<_> = control.leaving.borrow().targets().collect();
+    let services: serde_json::Map<_, _> = fold
+        .config()
+        .services
+        .iter()
+        .map(|(id, service)| (id.to_string(), service_dump(service)))
+        .collect();
+    json!({
+        "vm": membership.vm(),
+        "domain": control.settings.domain,
+        "policy": format!("{:?}", control.settings.policy),
+        "ready": follower.is_ready(),
+        "member": membership.is_member(),
+        "applied": fold.applied(),
+        "confirms": fold.confirms(),
+        "skipped_records": fold.skipped(),
+        "log_current_ms_ago": current.map(|age| age.as_millis() as u64),
+        "lease_left_ms": lease_left.map(|left| left.as_millis() as u64),
+        "services": services,
+        "roster": fold.roster().members,
+        "down": *control.down.borrow(),
+        "leaving": leaving,
+        "appender_idle": control.appender.borrow().is_idle(),
+        "last_report": *control.last_report.borrow(),
+        "counts": *control.counts.borrow(),
+        "components": control.supervisor.children(),
+    })
+}
+
+fn service_dump(service: &Service) -> Value {
+    let serving = service.serving().count();
+    json!({
+        "version": service.version,
+        "targets": service.targets.len(),
+        "serving": serving,
+        "slots": service.serving_slots(),
+        "measuring_us_per_s": service.measuring,
+        "connections": service.connections,
+    })
+}
--- /dev/null
+++ b/entry/src/control_run.rs
@@ -0,0 +1,215 @@
+//! The control thread: one ntex system whose components a supervisor restarts.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobshore_lib::prelude::*;
+use carobshore_platform::log_client::LogClient;
+use carobshore_platform::vm_list_client::VmListClient;
+use eyre::WrapErr;
+use jsonrpsee::server::ServerBuilder;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::control::Control;
+use crate::control::DataEnds;
+use crate::control::PlatformClients;
+use crate::control_dump::control_dump;
+use crate::rpc::RpcCall;
+use crate::rpc::RpcRelay;
+use crate::rpc::VmRpcServer;
+use crate::settings::Settings;
+use crate::view::DataReport;
+use crate::view::DataRequest;
+
+/// How often time passes for the decisions.
+const TICK: Duration = Duration::from_millis(100);
+/// How often the platform's list is read. A leaving target must get no new work after 3 s.
+const LIST_EVERY: Duration = Duration::from_secs(1);
+/// How often the peers of the settings are asked until this VM is ready.
+const PEERS_EVERY: Duration = Duration::from_millis(500);
+/// Most procedure calls that wait for the control thread.
+const WAITING_CALLS: usize = 1_024;
+/// How long a dump waits for the data thread.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The ends of the control thread's channels and its listener.
+#[derive(Debug)]
+pub struct ControlEnds {
+    /// Where peers and operators call procedures.
+    pub rpc: TcpListener,
+    /// To the data thread.
+    pub data: DataEnds,
+    /// From the data thread.
+    pub reports: mpsc::UnboundedReceiver<DataReport>,
+    /// Ends the thread when it resolves or is dropped.
+    pub stop: oneshot::Receiver<()>,
+}
+
+/// Runs the control thread until it is stopped. It blocks the calling thread.
+pub fn run(settings: Arc<Settings>, vm: VmId, ends: ControlEnds) -> eyre::Result<()> {
+    System::build()
+        .name("control")
+        .disable_signals()
+        .panic_handling(false)
+        .build(DefaultRuntime)
+        .block_on(async move { serve(settings, vm, ends).await })
+}
+
+async fn serve(settings: Arc<Settings>, vm: VmId, ends: ControlEnds) -> eyre::Result<()> {
+    let platform = PlatformClients {
+        log: LogClient::new(settings.log).await,
+        vm_list: VmListClient::new(settings.vm_list).await?,
+    };
+    let control = Control::new(settings, Rc::new(SystemClock), vm, platform, ends.data);
+    let (relay, calls) = RpcRelay::channel(WAITING_CALLS);
+    ends.rpc
+        .set_nonblocking(true)
+        .wrap_err("cannot prepare the procedure port")?;
+    spawn_ticker(&control);
+    spawn_list(&control);
+    spawn_peers(&control);
+    spawn_calls(&control, calls);
+    spawn_reports(&control, ends.reports);
+    spawn_rpc(&control, ends.rpc, relay);
+    // An error means that the sender is gone, which ends the thread as well.
+    let _ = ends.stop.await;
+    Ok(())
+}
+
+fn spawn_ticker(control: &Rc<Control>) {
+    let component = Rc::clone(control);
+    let started = Rc::new(std::cell::Cell::new(false));
+    control.supervisor.spawn("decisions", move || {
+        let control = Rc::clone(&component);
+        if started.replace(true) {
+            control.recover();
+        }
+        async move {
+            let mut ticks = interval(TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                control.tick();
+            }
+        }
+    });
+}
+
+fn spawn_list(control: &Rc<Control>) {
+    let component = Rc::clone(control);
+    control.supervisor.spawn("vm-list", move || {
+        let control = Rc::clone(&component);
+        async move {
+            let mut ticks = interval(LIST_EVERY);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                control.read_list().await;
+            }
+        }
+    });
+}
+
+fn spawn_peers(control: &Rc<Control>) {
+    let component = Rc::clone(control);
+    control.supervisor.spawn("peers", move || {
+        let control = Rc::clone(&component);
+        async move {
+            while !control.follower.borrow().is_ready() {
+                for addr in &control.settings.peers {
+                    control.ask_peer(*addr).await;
+                }
+                tokio::time::sleep(PEERS_EVERY).await;
+            }
+            Ok(())
+        }
+    });
+}
+
+fn spawn_calls(control: &Rc<Control>, calls: mpsc::Receiver<RpcCall>) {
+    let component = Rc::clone(control);
+    let calls = Rc::new(Mutex::new(calls));
+    control.supervisor.spawn("procedures", move || {
+        let control = Rc::clone(&component);
+        let calls = Rc::clone(&calls);
+        async move {
+            let mut calls = calls.lock().await;
+            while let Some(call) = calls.recv().await {
+                answer(&control, call);
+            }
+            Ok(())
+        }
+    });
+}
+
+/// Answers a procedure call. A caller that is gone is no error.
+fn answer(control: &Rc<Control>, call: RpcCall) {
+    match call {
+        RpcCall::Heartbeat(beat, sender) => {
+            control.heard(beat);
+            let _ = sender.send(control.heartbeat(0));
+        }
+        RpcCall::RecordsSince(from, sender) => {
+            let _ = sender.send(control.follower.borrow().records_since(from));
+        }
+        RpcCall::Snapshot(sender) => {
+            let _ = sender.send(control.follower.borrow().snapshot());
+        }
+        RpcCall::Dump(sender) => {
+            let control = Rc::clone(control);
+            ntex::rt::spawn(async move {
+                let _ = sender.send(dump(&control).await);
+            });
+        }
+    }
+}
+
+async fn dump(control: &Control) -> serde_json::Value {
+    let (sender, receiver) = oneshot::channel();
+    let _ = control.data.requests.send(DataRequest::Dump(sender));
+    let data = timeout(DUMP_TIMEOUT, receiver).await;
+    let mut whole = control_dump(control);
+    // The data thread may be gone or busy; the rest of the dump is the more useful then.
+    whole["data"] = data.ok().and_then(Result::ok).unwrap_or_default();
+    whole
+}
+
+fn spawn_reports(control: &Rc<Control>, reports: mpsc::UnboundedReceiver<DataReport>) {
+    let component = Rc::clone(control);
+    let reports = Rc::new(Mutex::new(reports));
+    control.supervisor.spawn("reports", move || {
+        let control = Rc::clone(&component);
+        let reports = Rc::clone(&reports);
+        async move {
+            let mut reports = reports.lock().await;
+            while let Some(report) = reports.recv().await {
+                control.take_report(report);
+            }
+            Ok(())
+        }
+    });
+}
+
+fn spawn_rpc(control: &Rc<Control>, listener: TcpListener, relay: RpcRelay) {
+    let addr: SocketAddr = control.settings.rpc;
+    control.supervisor.spawn("rpc-server", move || {
+        let listener = listener.try_clone();
+        let relay = relay.clone();
+        async move {
+            let listener = listener.wrap_err_with(|| format!("cannot share the port {addr}"))?;
+            let server = ServerBuilder::default().build_from_tcp(listener)?;
+            server.start(relay.into_rpc()).stopped().await;
+            Err(eyre::eyre!("the procedure server on {addr} has stopped"))
+        }
+    });
+}
--- a/entry/src/view.rs
+++ b/entry/src/view.rs
@@ -1,16 +1,18 @@
 //! The contract between the control thread and the data thread.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Instant;
 
 use carobshore_lib::config::Config;
+use carobshore_lib::key_history::KeyHistory;
 use carobshore_lib::peer_load::PeerLoad;
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::Offset;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
+use carobshore_lib::read_lease::ReadLease;
 use carobshore_lib::roster::Roster;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -29,18 +31,17 @@
     pub roster: Arc<Roster>,
     /// The last applied offset of the log.
     pub applied: Offset,
-    /// When the read that showed the latest change of the roster returned.
-    pub roster_seen: Instant,
-    /// Whether all removals in that change were `leave` records, so that no lease wait is needed.
-    pub released: bool,
-    /// Until when the read lease holds.
-    pub lease_until: Option<Instant>,
+    /// The histories of key ownership by service. They and the lease belong together: a lease
+    /// proves only what the records before its read say.
+    pub keys: Arc<BTreeMap<ServiceId, Arc<KeyHistory>>>,
+    /// The read lease.
+    pub lease: ReadLease,
     /// Targets that the platform's list or peers report as leaving.
     pub leaving: Arc<BTreeSet<(ServiceId, TargetId)>>,
     /// Members that miss heartbeats.
     pub down: Arc<BTreeSet<VmId>>,
     /// Loads of other homes, from heartbeats.
-    pub loads: Vec<PeerLoad>,
+    pub loads: Vec<(ServiceId, PeerLoad)>,
     /// Whether the configuration is as new as that of any reachable peer.
     pub ready: bool,
 }
