--- a/lib/src/key_history.rs
+++ b/lib/src/key_history.rs
@@ -13,14 +13,15 @@
 /// How far in the future, by the VM's own wall clock, a key may have been created.
 pub const FUTURE_LIMIT: Duration = Duration::from_secs(2);
 
-/// By how much the wall clocks of two VMs may differ while both accept keys.
+/// By how much the wall clocks of two VMs may differ while both accept keys. A step of up to
+/// [`crate::wall_guard::STEP_LIMIT`], which goes unnoticed, is part of it.
 pub const VM_SKEW: Duration = Duration::from_secs(2);
 
 /// How far a key's creation has to lie after the start of an ownership.
 ///
 /// The earlier owner accepted keys up to `FUTURE_LIMIT` ahead of its own clock, which may be
 /// `VM_SKEW` ahead of this VM's, so the margin has to be their sum.
-pub const SKEW_MARGIN: Duration = Duration::from_secs(4);
+pub const SKEW_MARGIN: Duration = FUTURE_LIMIT.saturating_add(VM_SKEW);
 
 /// How long outcomes are kept after a key's creation, and how long sets of homes are remembered.
 pub const KEY_LIFETIME: Duration = Duration::from_secs(600);
@@ -141,6 +142,11 @@
         self.past.clear();
     }
 
+    /// Returns whether a set is known.
+    pub fn is_started(&self) -> bool {
+        self.homes.is_some()
+    }
+
     /// Returns whether this VM alone can have run requests with the key.
     pub fn owned_since_creation(
         &self,
--- a/lib/src/key_table.rs
+++ b/lib/src/key_table.rs
@@ -124,9 +124,9 @@
 
 /// The keys of one service that this VM accepted.
 ///
-/// Keys sort by their creation time, so the oldest outcomes are given up first. `floor` is the
-/// latest creation time whose outcome was given up: it never goes back, also when the wall clock
-/// does, so a key whose outcome is gone is never taken for a new one.
+/// Keys sort by their creation time, so the oldest outcomes are given up first. No key created
+/// before `floor` is accepted, and `floor` lies after every key whose outcome was given up. It
+/// never goes back, also when the wall clock does, so such a key is never taken for a new one.
 #[derive(Clone, Debug)]
 pub struct KeyTable {
     limits: KeyLimits,
@@ -149,7 +149,7 @@
             limits,
             guard: WallGuard::new(now, wall),
             born: wall + SKEW_MARGIN,
-            floor: wall - KEY_LIFETIME,
+            floor: SystemTime::UNIX_EPOCH,
             running: HashMap::new(),
             done: BTreeMap::new(),
             answers: BTreeSet::new(),
@@ -174,9 +174,9 @@
         if let Some(known) = self.known(call) {
             return known;
         }
-        let verdict = self
-            .check_age(call.key.created(), wall)
-            .or_else(|| self.check_lease(now, trusted, lease))
+        let verdict = check_clock(trusted)
+            .or_else(|| self.check_age(call.key.created(), wall))
+            .or_else(|| self.check_lease(now, lease))
             .or_else(|| check_ownership(ownership))
             .or_else(|| self.check_room());
         if let Some(refusal) = verdict {
@@ -194,7 +194,7 @@
     /// be asked just before the first byte is written.
     pub fn may_send(&mut self, now: Instant, wall: SystemTime, lease: &ReadLease) -> bool {
         let trusted = self.tick(now, wall);
-        self.check_lease(now, trusted, lease).is_none()
+        trusted && self.check_lease(now, lease).is_none()
     }
 
     /// Takes note of a request's end and returns the decision for the duplicates that waited.
@@ -227,17 +227,20 @@
         }
     }
 
-    /// Drops expired outcomes, compares the clocks, and returns whether the wall clock is trusted.
+    /// Compares the clocks, drops expired outcomes, and returns whether the wall clock is trusted.
     pub fn tick(&mut self, now: Instant, wall: SystemTime) -> bool {
+        let trusted = self.guard.observe(now, wall);
+        if !trusted {
+            return false;
+        }
         let oldest = wall - KEY_LIFETIME;
-        self.floor = self.floor.max(oldest);
         while let Some(entry) = self.done.first_entry() {
-            if entry.key().created() >= self.floor {
+            if entry.key().created() >= oldest {
                 break;
             }
             self.drop_oldest();
         }
-        self.guard.observe(now, wall)
+        true
     }
 
     /// Returns the number of running requests, for which a planned stop waits.
@@ -287,16 +290,13 @@
         if created > wall + FUTURE_LIMIT {
             return Some(refuse(Outcome::NotRun, ResultCode::KeyFromFuture));
         }
-        if created < self.floor {
+        if created < self.floor || created < wall - KEY_LIFETIME {
             return Some(refuse(Outcome::MayHaveRun, ResultCode::KeyTooOld));
         }
         (created < self.born).then(|| refuse(Outcome::MayHaveRun, ResultCode::KeyBeforeOwnership))
     }
 
-    fn check_lease(&self, now: Instant, trusted: bool, lease: &ReadLease) -> Option<KeyDecision> {
-        if !trusted {
-            return Some(refuse(Outcome::NotRun, ResultCode::ClockStepped));
-        }
+    fn check_lease(&self, now: Instant, lease: &ReadLease) -> Option<KeyDecision> {
         let current = match self.guard.last_step() {
             Some(step) => lease.issued_after(step),
             None => true,
@@ -346,6 +346,10 @@
 /// The resolution of a key's creation time.
 const KEY_TICK: Duration = Duration::from_millis(1);
 
+fn check_clock(trusted: bool) -> Option<KeyDecision> {
+    (!trusted).then(|| refuse(Outcome::NotRun, ResultCode::ClockStepped))
+}
+
 fn check_ownership(ownership: Ownership) -> Option<KeyDecision> {
     match ownership {
         Ownership::Owned => None,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod history;
 pub mod homes;
 pub mod intent;
+pub mod key_histories;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_table;
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -58,8 +58,8 @@
     signalled: Option<Instant>,
     accepting: bool,
     leave: Leave,
-    keyed: usize,
-    other: usize,
+    /// The numbers in flight, absent until they were reported after the announcement.
+    in_flight: Option<(usize, usize)>,
     /// Since when only the `leave` is missing.
     idle: Option<Instant>,
     exited: bool,
@@ -71,8 +71,7 @@
             signalled: None,
             accepting: true,
             leave: Leave::Waiting,
-            keyed: 0,
-            other: 0,
+            in_flight: None,
             idle: None,
             exited: false,
         }
@@ -90,10 +89,7 @@
         }
         match event {
             StopEvent::Signal => return self.signal(now, out),
-            StopEvent::InFlight { keyed, other } => {
-                self.keyed = keyed;
-                self.other = other;
-            }
+            StopEvent::InFlight { keyed, other } => self.in_flight = Some((keyed, other)),
             StopEvent::LeaveAppended => self.leave = Leave::Appended,
             StopEvent::Tick => {}
         }
@@ -113,6 +109,7 @@
     fn signal(&mut self, now: Instant, out: &mut Vec<StopAction>) {
         if self.signalled.is_none() {
             self.signalled = Some(now);
+            self.in_flight = None;
             out.push(StopAction::Announce);
             return;
         }
@@ -132,11 +129,12 @@
             self.accepting = false;
             out.push(StopAction::StopAccepting);
         }
-        if self.leave == Leave::Waiting && self.keyed == 0 {
+        let keyless = matches!(self.in_flight, Some((0, _)));
+        if self.leave == Leave::Waiting && keyless {
             self.leave = Leave::Requested;
             out.push(StopAction::AppendLeave);
         }
-        let ended = !self.accepting && self.keyed == 0 && self.other == 0;
+        let ended = !self.accepting && self.in_flight == Some((0, 0));
         if !ended {
             self.idle = None;
             return;
--- /dev/null
+++ b/lib/tests/test_planned_stop.rs
@@ -0,0 +1,106 @@
+//! Tests of the sequence of a planned stop.
+
+use std::time::Duration;
+
+use carobshore_lib::planned_stop::LEAVE_PATIENCE;
+use carobshore_lib::planned_stop::NOTICE;
+use carobshore_lib::prelude::*;
+use carobshore_testutils::manual_clock::ManualClock;
+
+struct Fixture {
+    clock: ManualClock,
+    stop: PlannedStop,
+}
+
+impl Fixture {
+    fn signalled() -> Self {
+        let mut fixture = Self {
+            clock: ManualClock::default(),
+            stop: PlannedStop::default(),
+        };
+        assert_eq!(fixture.give(StopEvent::Tick), []);
+        assert_eq!(fixture.give(StopEvent::Signal), [StopAction::Announce]);
+        fixture
+    }
+
+    fn give(&mut self, event: StopEvent) -> Vec<StopAction> {
+        let mut out = Vec::new();
+        self.stop.handle(self.clock.now(), event, &mut out);
+        out
+    }
+
+    fn in_flight(&mut self, keyed: usize, other: usize) -> Vec<StopAction> {
+        self.give(StopEvent::InFlight { keyed, other })
+    }
+
+    fn tick_after(&mut self, time: Duration) -> Vec<StopAction> {
+        self.clock.advance(time);
+        self.give(StopEvent::Tick)
+    }
+}
+
+/// Guards against a `leave` before the last keyed request ended, and against an exit that cuts off
+/// a request, however long it takes.
+#[test]
+fn the_sequence_waits_for_every_request() {
+    let mut fixture = Fixture::signalled();
+    assert!(fixture.stop.is_stopping() && fixture.stop.is_accepting());
+    assert_eq!(
+        fixture.tick_after(Duration::ZERO),
+        [],
+        "nothing was counted yet"
+    );
+    assert_eq!(fixture.in_flight(1, 2), []);
+    assert_eq!(fixture.tick_after(NOTICE), [StopAction::StopAccepting]);
+    assert!(!fixture.stop.is_accepting());
+    assert_eq!(fixture.tick_after(Duration::from_secs(3_600)), []);
+    assert_eq!(fixture.in_flight(0, 1), [StopAction::AppendLeave]);
+    assert_eq!(fixture.give(StopEvent::LeaveAppended), []);
+    assert_eq!(fixture.tick_after(Duration::from_secs(3_600)), []);
+    assert_eq!(fixture.in_flight(0, 0), [StopAction::Exit]);
+    assert_eq!(
+        fixture.give(StopEvent::Signal),
+        [],
+        "nothing follows the exit"
+    );
+}
+
+/// Guards against an exit before the platform's load balancer noticed.
+#[test]
+fn an_idle_vm_still_accepts_for_the_notice_time() {
+    let mut fixture = Fixture::signalled();
+    assert_eq!(fixture.in_flight(0, 0), [StopAction::AppendLeave]);
+    assert_eq!(fixture.give(StopEvent::LeaveAppended), []);
+    assert_eq!(fixture.tick_after(NOTICE - Duration::from_millis(1)), []);
+    let end = [StopAction::StopAccepting, StopAction::Exit];
+    assert_eq!(fixture.tick_after(Duration::from_millis(1)), end);
+}
+
+/// Guards against a VM that never stops because the log is down, and against one that asks twice.
+#[test]
+fn a_log_outage_delays_the_exit_by_a_bounded_time() {
+    let mut fixture = Fixture::signalled();
+    assert_eq!(fixture.in_flight(0, 0), [StopAction::AppendLeave]);
+    assert_eq!(fixture.tick_after(NOTICE), [StopAction::StopAccepting]);
+    assert_eq!(
+        fixture.tick_after(LEAVE_PATIENCE - Duration::from_millis(1)),
+        []
+    );
+    assert_eq!(
+        fixture.tick_after(Duration::from_millis(1)),
+        [StopAction::Exit]
+    );
+}
+
+/// The second signal is the operator's way to cut off what remains.
+#[test]
+fn a_second_signal_cuts_off() {
+    let mut fixture = Fixture::signalled();
+    fixture.in_flight(1, 1);
+    let end = [
+        StopAction::StopAccepting,
+        StopAction::CutOff,
+        StopAction::Exit,
+    ];
+    assert_eq!(fixture.give(StopEvent::Signal), end);
+}
