load: add the open-loop load with checked responses

Latencies and outcomes through an entry VM have to be measured without coordinated omission, and a response has to be compared with the request that it answers.

- Poisson arrivals drawn from a seed beforehand, released by a thread that never waits for responses; latency counts from the scheduled time.
- Each response is checked for its own id, its whole body and agreeing outcome headers.
- An audit compares the responses with the targets' execution counts: ran twice, ran although "not run", complete although nothing ran.

--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,2 +1,27 @@
-//! Placeholder.
-fn main() {}
+//! The load tool.
+
+use carobshore_load::cmd_run;
+use clap::Parser;
+use clap::Subcommand;
+
+/// Load, comparison of routing policies and the demonstration.
+#[derive(Debug, Parser)]
+#[command(name = "carobshore-load", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Sends an open-loop load to entry VMs and checks every response.
+    Run(cmd_run::RunArgs),
+}
+
+fn main() -> eyre::Result<()> {
+    let args = Args::parse();
+    let _logger = carobshore_standin::logging::start()?;
+    match args.command {
+        Command::Run(args) => cmd_run::run(&args),
+    }
+}
