--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -88,3 +88,8 @@
 pub mod vm_id;
 pub mod wall_guard;
 pub mod watch_ring;
+
+mod canonical;
+mod draft;
+mod peer_offers;
+mod snapshot_schedule;
