--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -45,43 +45,43 @@
 
 /// The ends of the channels to the data thread.
 #[derive(Debug)]
-pub struct DataEnds {
+pub(crate) struct DataEnds {
     /// Publishes views.
-    pub views: watch::Sender<Arc<View>>,
+    pub(crate) views: watch::Sender<Arc<View>>,
     /// Sends requests.
-    pub requests: mpsc::UnboundedSender<DataRequest>,
+    pub(crate) requests: mpsc::UnboundedSender<DataRequest>,
 }
 
 /// The clients of the platform's services.
 #[derive(Debug)]
-pub struct PlatformClients {
+pub(crate) struct PlatformClients {
     /// The log.
-    pub log: LogClient,
+    pub(crate) log: LogClient,
     /// The list of VMs.
-    pub vm_list: VmListClient,
+    pub(crate) vm_list: VmListClient,
 }
 
 /// Counts of what the control thread did, for the dump and the metrics.
 #[derive(Clone, Debug, Default, serde::Serialize)]
-pub struct ControlCounts {
+pub(crate) struct ControlCounts {
     /// Successful reads of the log.
-    pub reads: u64,
+    pub(crate) reads: u64,
     /// Failed reads of the log.
-    pub read_failures: u64,
+    pub(crate) read_failures: u64,
     /// Records that were appended.
-    pub appends: u64,
+    pub(crate) appends: u64,
     /// Records that were given up.
-    pub append_failures: u64,
+    pub(crate) append_failures: u64,
     /// Heartbeats that were answered.
-    pub heartbeats: u64,
+    pub(crate) heartbeats: u64,
     /// Heartbeats that were not answered.
-    pub heartbeat_failures: u64,
+    pub(crate) heartbeat_failures: u64,
     /// Successful reads of the platform's list.
-    pub list_reads: u64,
+    pub(crate) list_reads: u64,
     /// Failed reads of the platform's list.
-    pub list_failures: u64,
+    pub(crate) list_failures: u64,
     /// Views that were published to the data thread.
-    pub views: u64,
+    pub(crate) views: u64,
 }
 
 /// Everything that the control thread decides on.
@@ -214,7 +214,7 @@
             FollowerAction::AppendSnapshot { records } => {
                 records.into_iter().for_each(|record| self.submit(record));
             }
-            FollowerAction::Report(error) => self.report(error),
+            FollowerAction::Report(error) => self.report(&error),
         }
         self.changed.set(true);
     }
@@ -244,9 +244,9 @@
     }
 
     /// Logs a report of the follower when it differs from the one before.
-    fn report(&self, error: Error) {
+    fn report(&self, error: &Error) {
         let news = self.last_report.replace(Some(error.clone()));
-        if news.as_ref() != Some(&error) {
+        if news.as_ref() != Some(error) {
             log::warn!(code = error.code.number(), help = &*error.help; "{}", error.message);
         }
     }
@@ -331,7 +331,7 @@
             }
             AppendAction::Failed { id, error, .. } => {
                 self.counts.borrow_mut().append_failures += 1;
-                self.report(error);
+                self.report(&error);
                 let body = self.appending.borrow_mut().remove(&id);
                 if let Some(body) = body {
                     self.member(MembershipEvent::AppendFailed { body });
@@ -399,7 +399,9 @@
     fn fetch_records(self: &Rc<Self>, vm: VmId, from: Offset) {
         let control = Rc::clone(self);
         ntex::rt::spawn(async move {
-            let client = control.peer_addr(&vm).map(|addr| control.peers.client(addr));
+            let client = control
+                .peer_addr(&vm)
+                .map(|addr| control.peers.client(addr));
             let answer = match client {
                 Some(Ok(client)) => client.records_since(from).await.ok(),
                 _ => None,
@@ -415,7 +417,9 @@
     fn fetch_snapshot(self: &Rc<Self>, vm: VmId) {
         let control = Rc::clone(self);
         ntex::rt::spawn(async move {
-            let client = control.peer_addr(&vm).map(|addr| control.peers.client(addr));
+            let client = control
+                .peer_addr(&vm)
+                .map(|addr| control.peers.client(addr));
             let answer = match client {
                 Some(Ok(client)) => client.snapshot().await.ok().flatten(),
                 _ => None,
@@ -592,7 +596,9 @@
             lease: *self.lease.borrow(),
             leaving: Arc::new(targets.map(|sign| (sign.service, sign.target)).collect()),
             down: Arc::new(self.down.borrow().clone()),
-            loads: loads.map(|((service, _), (_, load))| (service.clone(), load.clone())).collect(),
+            loads: loads
+                .map(|((service, _), (_, load))| (service.clone(), load.clone()))
+                .collect(),
             ready: follower.is_ready(),
         }
     }
--- a/entry/src/control_dump.rs
+++ b/entry/src/control_dump.rs
@@ -13,8 +13,12 @@
     let fold = follower.fold();
     let membership = control.membership.borrow();
     let lease = control.lease.borrow();
-    let lease_left = lease.until().map(|until| until.saturating_duration_since(now));
-    let current = follower.current().map(|at| now.saturating_duration_since(at));
+    let lease_left = lease
+        .until()
+        .map(|until| until.saturating_duration_since(now));
+    let current = follower
+        .current()
+        .map(|at| now.saturating_duration_since(at));
     let leaving: Vec<_> = control.leaving.borrow().targets().collect();
     let services: serde_json::Map<_, _> = fold
         .config()
--- a/entry/src/control_run.rs
+++ b/entry/src/control_run.rs
@@ -44,19 +44,19 @@
 
 /// The ends of the control thread's channels and its listener.
 #[derive(Debug)]
-pub struct ControlEnds {
+pub(crate) struct ControlEnds {
     /// Where peers and operators call procedures.
-    pub rpc: TcpListener,
+    pub(crate) rpc: TcpListener,
     /// To the data thread.
-    pub data: DataEnds,
+    pub(crate) data: DataEnds,
     /// From the data thread.
-    pub reports: mpsc::UnboundedReceiver<DataReport>,
+    pub(crate) reports: mpsc::UnboundedReceiver<DataReport>,
     /// Ends the thread when it resolves or is dropped.
-    pub stop: oneshot::Receiver<()>,
+    pub(crate) stop: oneshot::Receiver<()>,
 }
 
 /// Runs the control thread until it is stopped. It blocks the calling thread.
-pub fn run(settings: Arc<Settings>, vm: VmId, ends: ControlEnds) -> eyre::Result<()> {
+pub(crate) fn run(settings: Arc<Settings>, vm: VmId, ends: ControlEnds) -> eyre::Result<()> {
     System::build()
         .name("control")
         .disable_signals()
--- a/entry/src/peer_client.rs
+++ b/entry/src/peer_client.rs
@@ -19,13 +19,13 @@
 
 /// Keeps one client per peer, so that heartbeats reuse their connections.
 #[derive(Clone, Debug, Default)]
-pub struct PeerClients {
+pub(crate) struct PeerClients {
     clients: Rc<RefCell<BTreeMap<SocketAddr, HttpClient>>>,
 }
 
 impl PeerClients {
     /// Returns the client of the peer at `addr`.
-    pub fn client(&self, addr: SocketAddr) -> eyre::Result<HttpClient> {
+    pub(crate) fn client(&self, addr: SocketAddr) -> eyre::Result<HttpClient> {
         let mut clients = self.clients.borrow_mut();
         if let Some(client) = clients.get(&addr) {
             return Ok(client.clone());
@@ -44,7 +44,7 @@
     }
 
     /// Drops the client of a peer that did not answer, so that the next call opens a connection.
-    pub fn forget(&self, addr: SocketAddr) {
+    pub(crate) fn forget(&self, addr: SocketAddr) {
         self.clients.borrow_mut().remove(&addr);
     }
 }
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -4,15 +4,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
 use std::time::Instant;
 use std::time::SystemTime;
 
 use carobshore_lib::homes::Homes;
 use carobshore_lib::homes::HomesSettings;
-use carobshore_lib::key_history::Handover;
 use carobshore_lib::key_history::KeyHistory;
-use carobshore_lib::key_homes::KeyHomes;
+use carobshore_lib::key_history::Ownership;
 use carobshore_lib::key_table::KeyDecision;
 use carobshore_lib::key_table::KeyLimits;
 use carobshore_lib::key_table::KeyTable;
@@ -27,9 +26,7 @@
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::VmId;
-use carobshore_lib::read_lease::LEASE;
 use carobshore_lib::read_lease::ReadLease;
-use carobshore_lib::roster::Roster;
 use carobshore_lib::router::Call;
 use carobshore_lib::router::Route;
 use carobshore_lib::router::Router;
@@ -43,9 +40,6 @@
 use crate::pool_seat::ProbeOrder;
 use crate::view::View;
 
-/// Homes per failure domain that own keys. It is no setting: two VMs with different settings would
-/// both own a key.
-const KEY_HOMES_PER_DOMAIN: u32 = 1;
 /// Part of a target's connection budget that one home uses, in eighths. A quarter of the budget is
 /// for VMs in fallback mode, and two homes may own a target while their views differ.
 const HOME_EIGHTHS: u32 = 3;
@@ -65,6 +59,7 @@
 pub(crate) struct ServicePlane {
     pub(crate) id: ServiceId,
     me: VmId,
+    policy: Policy,
     spec: RefCell<Service>,
     vms: RefCell<u32>,
     owned: Rc<PoolSeat>,
@@ -72,7 +67,7 @@
     router: RefCell<Router>,
     key_router: RefCell<Router>,
     keys: RefCell<KeyTable>,
-    history: RefCell<KeyHistory>,
+    history: RefCell<Option<Arc<KeyHistory>>>,
     lease: RefCell<ReadLease>,
     waiters: RefCell<HashMap<RequestKey, Vec<oneshot::Sender<KeyDecision>>>>,
 }
@@ -114,6 +109,7 @@
         let plane = Self {
             id: id.clone(),
             me: view.me.clone(),
+            policy,
             spec: RefCell::new(spec.clone()),
             vms: RefCell::new(1),
             owned: Rc::clone(&owned),
@@ -121,7 +117,7 @@
             router: router(policy),
             key_router: router(Policy::Homes),
             keys: RefCell::new(KeyTable::new(now, wall, KeyLimits::default())),
-            history: RefCell::new(KeyHistory::new(view.me.clone())),
+            history: RefCell::default(),
             lease: RefCell::default(),
             waiters: RefCell::default(),
         };
@@ -130,7 +126,7 @@
     }
 
     /// Takes over a new configuration, roster or set of leaving targets.
-    pub(crate) fn update(&self, spec: &Service, view: &View, old: &Roster, homes: u32) {
+    pub(crate) fn update(&self, spec: &Service, view: &View, homes: u32) {
         *self.spec.borrow_mut() = spec.clone();
         let vms = u32::try_from(view.roster.members.len()).unwrap_or(u32::MAX);
         *self.vms.borrow_mut() = vms;
@@ -138,25 +134,23 @@
         let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
         let owned = PoolTargets::owned(spec, &homes, &self.me);
         self.owned.set_targets(&self.mark_leaving(owned, view));
-        let shared = PoolTargets::shared(spec, vms);
+        let sharers = if self.policy == Policy::Homes { 0 } else { vms };
+        let shared = PoolTargets::shared(spec, vms, sharers);
         self.shared.set_targets(&self.mark_leaving(shared, view));
         self.router.borrow_mut().set_homes(homes);
-        self.update_keys(spec, view, old);
+        // The owners of keys must not depend on a setting.
+        let settings = HomesSettings::default();
+        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
+        self.key_router.borrow_mut().set_homes(homes);
     }
 
-    /// Takes over the read lease. After a lapse, the history of ownership starts anew: the views
-    /// show the latest roster only, and another VM may have owned keys in between.
-    pub(crate) fn renew_lease(&self, until: Option<Instant>, lapsed: bool) {
-        if lapsed {
-            self.history.borrow_mut().restart();
-        }
-        let mut lease = ReadLease::default();
-        if let Some(issued) = until.and_then(|until| until.checked_sub(LEASE)) {
-            lease.read_ok(issued, true);
-        }
-        *self.lease.borrow_mut() = lease;
-        if let Some(until) = until {
+    /// Takes over the key history and the read lease, which belong together.
+    pub(crate) fn update_keys(&self, view: &View) {
+        *self.history.borrow_mut() = view.keys.get(&self.id).cloned();
+        *self.lease.borrow_mut() = view.lease;
+        if let Some(until) = view.lease.until() {
             self.owned.handle(PoolEvent::Lease { until });
+            self.shared.handle(PoolEvent::Lease { until });
         }
     }
 
@@ -207,10 +201,10 @@
     pub(crate) fn begin_key(&self, call: KeyedCall) -> KeyDecision {
         let wall = SystemTime::now();
         let now = Instant::now();
-        let ownership = self
-            .history
-            .borrow()
-            .owned_since_creation(&call.key, now, wall);
+        let history = self.history.borrow();
+        let ownership = history.as_ref().map_or(Ownership::NotOwner, |history| {
+            history.owned_since_creation(&call.key, now, wall)
+        });
         let lease = self.lease.borrow();
         self.keys
             .borrow_mut()
@@ -270,32 +264,4 @@
         }
         targets
     }
-
-    fn update_keys(&self, spec: &Service, view: &View, old: &Roster) {
-        let settings = HomesSettings {
-            per_domain: KEY_HOMES_PER_DOMAIN,
-        };
-        let homes = Homes::assign(&self.id, spec, &view.roster, &settings);
-        let key_homes = KeyHomes::new(homes.vms().cloned().collect());
-        self.key_router.borrow_mut().set_homes(homes);
-        let age = view.roster_seen.elapsed();
-        let wall = SystemTime::now() - age;
-        let handover = handover(view, old);
-        self.history
-            .borrow_mut()
-            .set_homes(view.roster_seen, wall, key_homes, handover);
-    }
 }
-
-/// Returns why ownership changed. Only a single VM that left is known to have stopped before.
-fn handover(view: &View, old: &Roster) -> Handover {
-    let gone = |vm: &&VmId| !view.roster.contains(vm);
-    let gone: Vec<_> = old.members.keys().filter(gone).collect();
-    match gone.as_slice() {
-        [vm] if view.released => Handover::Left((*vm).clone()),
-        _ => Handover::Lease,
-    }
-}
-
-/// Returns the time for which a VM may have been away before another one owned its keys.
-pub(crate) const LONGEST_PAUSE: Duration = Duration::from_secs(5);
