--- a/entry/src/rpc.rs
+++ b/entry/src/rpc.rs
@@ -86,5 +86,9 @@
 }
 
 fn unavailable() -> ErrorObjectOwned {
-    ErrorObjectOwned::owned(UNAVAILABLE, "the control thread cannot answer now", None::<()>)
+    ErrorObjectOwned::owned(
+        UNAVAILABLE,
+        "the control thread cannot answer now",
+        None::<()>,
+    )
 }
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -13,6 +13,7 @@
 use carobshore_lib::homes::Homes;
 use carobshore_lib::homes::HomesSettings;
 use carobshore_lib::key_history::KeyHistory;
+use carobshore_lib::key_history::Ownership;
 use carobshore_lib::key_table::KeyDecision;
 use carobshore_lib::key_table::KeyLimits;
 use carobshore_lib::key_table::KeyTable;
@@ -78,7 +79,7 @@
     router: RefCell<Router>,
     key_router: RefCell<Router>,
     keys: RefCell<KeyTable>,
-    history: RefCell<Arc<KeyHistory>>,
+    history: RefCell<Option<Arc<KeyHistory>>>,
     lease: Cell<ReadLease>,
     waiters: RefCell<HashMap<RequestKey, Vec<oneshot::Sender<KeyDecision>>>>,
 }
@@ -129,7 +130,7 @@
             router: router(policy),
             key_router: router(Policy::Homes),
             keys: RefCell::new(KeyTable::new(now, wall, key_limits(view))),
-            history: RefCell::new(Arc::new(KeyHistory::new(view.me.clone()))),
+            history: RefCell::default(),
             lease: Cell::default(),
             waiters: RefCell::default(),
         };
@@ -174,9 +175,7 @@
     /// Takes over who owns keys, and the read lease. Both are of the same view: a lease proves
     /// only what the records before its read say.
     pub(crate) fn update_keys(&self, view: &View) {
-        if let Some(history) = view.keys.get(&self.id) {
-            *self.history.borrow_mut() = Arc::clone(history);
-        }
+        *self.history.borrow_mut() = view.keys.get(&self.id).cloned();
         self.lease.set(view.lease);
         let Some(until) = view.lease.until() else {
             return;
@@ -242,10 +241,10 @@
     pub(crate) fn begin_key(&self, call: KeyedCall) -> KeyDecision {
         let wall = SystemTime::now();
         let now = Instant::now();
-        let ownership = self
-            .history
-            .borrow()
-            .owned_since_creation(&call.key, now, wall);
+        let history = self.history.borrow();
+        let ownership = history.as_ref().map_or(Ownership::NotOwner, |history| {
+            history.owned_since_creation(&call.key, now, wall)
+        });
         let lease = self.lease.get();
         let mut keys = self.keys.borrow_mut();
         keys.begin(now, wall, call, ownership, &lease)
--- a/entry/src/supervisor.rs
+++ b/entry/src/supervisor.rs
@@ -19,13 +19,13 @@
 
 /// What the dump shows of one supervised component.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct ChildStatus {
+pub(crate) struct ChildStatus {
     /// Whether the component runs at this moment.
-    pub running: bool,
+    pub(crate) running: bool,
     /// How often it was restarted.
-    pub restarts: u64,
+    pub(crate) restarts: u64,
     /// Why it failed the last time.
-    pub failure: Option<Box<str>>,
+    pub(crate) failure: Option<Box<str>>,
 }
 
 /// Starts the components of one thread and restarts those that fail.
@@ -33,14 +33,14 @@
 /// A failed component never takes the thread down: callers keep being served with the last view
 /// that the control thread published.
 #[derive(Clone, Debug)]
-pub struct Supervisor {
+pub(crate) struct Supervisor {
     thread: &'static str,
     children: Rc<RefCell<BTreeMap<&'static str, ChildStatus>>>,
 }
 
 impl Supervisor {
     /// Creates the supervisor of the thread with the given name.
-    pub fn new(thread: &'static str) -> Self {
+    pub(crate) fn new(thread: &'static str) -> Self {
         Self {
             thread,
             children: Rc::default(),
@@ -48,7 +48,7 @@
     }
 
     /// Runs `start` again and again until it returns `Ok`, with a growing delay after a failure.
-    pub fn spawn<F, Fut>(&self, name: &'static str, start: F)
+    pub(crate) fn spawn<F, Fut>(&self, name: &'static str, start: F)
     where
         F: Fn() -> Fut + 'static,
         Fut: Future<Output = eyre::Result<()>> + 'static,
@@ -58,7 +58,7 @@
     }
 
     /// Returns the state of each component by name.
-    pub fn children(&self) -> BTreeMap<&'static str, ChildStatus> {
+    pub(crate) fn children(&self) -> BTreeMap<&'static str, ChildStatus> {
         self.children.borrow().clone()
     }
 
--- a/entry/src/view.rs
+++ b/entry/src/view.rs
@@ -46,6 +46,25 @@
     pub ready: bool,
 }
 
+impl View {
+    /// Returns the view of a VM that has not read anything yet.
+    pub fn empty(me: VmId, domain: DomainId) -> Self {
+        Self {
+            me,
+            domain,
+            config: Arc::default(),
+            roster: Arc::default(),
+            applied: Offset::default(),
+            keys: Arc::default(),
+            lease: ReadLease::default(),
+            leaving: Arc::default(),
+            down: Arc::default(),
+            loads: Vec::new(),
+            ready: false,
+        }
+    }
+}
+
 /// The data thread's ends of the channels between the threads.
 #[derive(Debug)]
 pub struct DataLink {
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Raw servers and callers that the tests of the daemon share.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod site;
 pub mod vm;
 
 use std::io::Read;
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -54,21 +54,24 @@
     thread: Option<JoinHandle<()>>,
 }
 
-/// Checks settings with all addresses chosen by the kernel.
+/// Checks settings of a VM that uses no platform, with all addresses chosen by the kernel.
 pub fn settings(extra: &[&str]) -> Settings {
+    let fixed = ["--domain=a", "--log=127.0.0.1:1", "--vm-list=127.0.0.1:1"];
+    let named = extra.iter().any(|flag| flag.starts_with("--vm-name"));
+    let name: &[&str] = if named { &[] } else { &["--vm-name=entry-1"] };
+    settings_of(&[&fixed, name, extra].concat())
+}
+
+/// Checks settings with all addresses chosen by the kernel.
+pub fn settings_of(flags: &[&str]) -> Settings {
     let fixed = [
         "carobshore-entry",
-        "--domain=a",
-        "--log=127.0.0.1:1",
-        "--vm-list=127.0.0.1:1",
         "--listen=127.0.0.1:0",
         "--forward=127.0.0.1:0",
         "--rpc=127.0.0.1:0",
         "--admin=127.0.0.1:0",
     ];
-    let named = extra.iter().any(|arg| arg.starts_with("--vm-name"));
-    let name: &[&str] = if named { &[] } else { &["--vm-name=entry-1"] };
-    let flags = Flags::parse_from(fixed.iter().chain(name).chain(extra));
+    let flags = Flags::parse_from(fixed.iter().chain(flags));
     Settings::try_from(flags).unwrap()
 }
 
--- /dev/null
+++ b/entry/tests/test_entry_vm.rs
@@ -0,0 +1,132 @@
+//! Whole entry VMs against stand-ins of the platform and of targets.
+
+mod common;
+
+use std::time::Duration;
+
+use carobshore_lib::prelude::*;
+use carobshore_standin::LogFaults;
+use carobshore_standin::Trigger;
+use common::field;
+use common::raw_call;
+use common::site::Site;
+use serde_json::Value;
+
+const QUIET: Duration = Duration::from_millis(500);
+
+fn is_member(dump: &Value) -> bool {
+    dump["ready"] == true && dump["member"] == true
+}
+
+fn members(count: usize) -> impl Fn(&Value) -> bool {
+    move |dump| {
+        is_member(dump)
+            && dump["roster"]
+                .as_object()
+                .is_some_and(|all| all.len() == count)
+    }
+}
+
+fn get(site: &Site, vm: usize, path: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: booking.test\r\n\r\n");
+    raw_call(site.vms[vm].addresses().listen, request.as_bytes(), QUIET)
+}
+
+/// Guards against any break in the path from an operator's confirm to a caller's whole answer.
+#[test]
+fn a_confirmed_service_is_served_through_every_vm() {
+    let mut site = Site::new(3);
+    (0..3).for_each(|at| {
+        site.start_vm(at, &[]);
+    });
+    for vm in 0..3 {
+        site.wait_for(vm, "membership of three", members(3));
+        for _ in 0..5 {
+            let answer = get(&site, vm, "/seats");
+            assert_eq!(
+                field(&answer, "carobshore-outcome"),
+                Some("whole"),
+                "{answer}"
+            );
+        }
+    }
+}
+
+/// Guards against a configuration that does not arrive, or arrives late, on some VM.
+#[test]
+fn a_confirmed_change_is_in_force_on_every_vm_within_four_seconds() {
+    let mut site = Site::new(3);
+    (0..3).for_each(|at| {
+        site.start_vm(at, &[]);
+    });
+    (0..3).for_each(|vm| {
+        site.wait_for(vm, "membership of three", members(3));
+    });
+    let started = std::time::Instant::now();
+    site.confirm(vec![Change::MarkLeaving {
+        service: "booking".parse().unwrap(),
+        target: "t0".parse().unwrap(),
+    }]);
+    for vm in 0..3 {
+        site.wait_for(vm, "the change", |dump| {
+            dump["services"]["booking"]["serving"] == 2
+        });
+    }
+    assert!(started.elapsed() < Duration::from_secs(4));
+}
+
+/// Guards against a VM that serves an older configuration, or none, when it starts without a log.
+#[test]
+fn a_vm_that_starts_during_an_outage_gets_the_configuration_from_a_peer() {
+    let mut site = Site::new(3);
+    site.start_vm(0, &[]);
+    site.wait_for(0, "membership", members(1));
+    site.log.set_faults(LogFaults {
+        refuse: Trigger::rate(1.0),
+        ..LogFaults::default()
+    });
+    let peer = format!("--peer={}", site.vms[0].addresses().rpc);
+    let late = site.start_vm(1, &[&peer]);
+    let dump = site.wait_for(late, "readiness", |dump| dump["ready"] == true);
+    assert_eq!(dump["services"]["booking"]["targets"], 3);
+    let answer = get(&site, late, "/seats");
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("whole"),
+        "{answer}"
+    );
+}
+
+/// Guards against a VM without log and peers that claims to be ready.
+#[test]
+fn a_vm_without_log_and_peers_is_not_ready() {
+    let mut site = Site::new(1);
+    site.log.set_faults(LogFaults {
+        refuse: Trigger::rate(1.0),
+        ..LogFaults::default()
+    });
+    site.start_vm(0, &[]);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(site.dump(0)["ready"], false);
+    let answer = get(&site, 0, "/seats");
+    assert_eq!(
+        field(&answer, "carobshore-outcome"),
+        Some("not-run"),
+        "{answer}"
+    );
+}
+
+/// Guards against a planned stop that leaves the VM in the roster, so that its keys wait for the
+/// watchers.
+#[test]
+fn a_planned_stop_leaves_the_roster() {
+    let mut site = Site::new(1);
+    (0..2).for_each(|at| {
+        site.start_vm(at, &[]);
+    });
+    site.wait_for(0, "membership of two", members(2));
+    let vm = site.vms.remove(1);
+    vm.stop_handle().request();
+    vm.wait().unwrap();
+    site.wait_for(0, "the leave", members(1));
+}
