cli: show the pools of every VM in the status

Cause: the daemon's dump has the pools under data.services and counts of targets, not the targets of the configuration. Change: status sums requests in flight and queued over the VMs asked, and names the home of each target; both shapes of the services are read. Conclusion: fields that a dump lacks are shown as '-'.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -7,7 +7,6 @@
 use carobshore_lib::prelude::*;
 use clap::Args as ClapArgs;
 use serde::Serialize;
-use serde_json::Value;
 
 use crate::commands::Context;
 use crate::dump_view;
@@ -73,33 +72,36 @@
     )
 }
 
-/// Takes the services from the VM that is furthest ahead.
+/// Takes the services from the VM that is furthest ahead, and the pools from every VM.
 fn collect(dumps: Vec<VmDump>) -> Status {
     let mut status = Status::default();
-    let mut ahead: Option<(u64, Value)> = None;
+    let mut answered = Vec::new();
     for vm in dumps {
         let addr = vm.addr.to_string();
-        match vm.dump {
+        let error = match vm.dump {
             Ok(dump) => {
                 let view = VmView::new(addr, &dump);
-                let applied = view.applied.unwrap_or(0);
-                if ahead.as_ref().is_none_or(|(best, _)| applied > *best) {
-                    ahead = Some((applied, dump));
-                }
-                status.vms.push(view);
+                status.vms.push(view.clone());
+                answered.push((view, dump));
+                continue;
             }
-            Err(error) => status.vms.push(VmView {
-                addr,
-                error: Some(error),
-                ..VmView::default()
-            }),
-        }
+            Err(error) => Some(error),
+        };
+        status.vms.push(VmView {
+            addr,
+            error,
+            ..VmView::default()
+        });
     }
+    let ahead = answered.iter().max_by_key(|(view, _)| view.applied);
     if let Some((best, dump)) = ahead {
+        status.services = dump_view::services(dump);
         for vm in &mut status.vms {
-            vm.lag = vm.applied.map(|applied| best - applied);
+            vm.lag = best.applied.zip(vm.applied).map(|(best, own)| best - own);
         }
-        status.services = dump_view::services(&dump);
+    }
+    for (view, dump) in &answered {
+        dump_view::add_pools(&mut status.services, view, dump);
     }
     status
 }
@@ -124,10 +126,14 @@
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
 
+fn yes_or_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
 fn vms(status: &Status) -> String {
     let mut rows = table(&["vm", "address", "domain", "ready", "applied", "lag"]);
     for vm in &status.vms {
-        let ready = vm.ready.map(|ready| if ready { "yes" } else { "no" });
+        let ready = vm.ready.map(yes_or_no);
         rows.add_row([
             shown(vm.vm.as_ref()),
             vm.addr.clone(),
@@ -144,33 +150,26 @@
 }
 
 fn services(status: &Status) -> String {
-    let header = [
+    let mut rows = table(&[
         "service",
         "version",
         "targets",
-        "leaving",
+        "serving",
         "slots",
+        "in flight",
+        "queued",
         "measuring",
         "connections",
-    ];
-    let mut rows = table(&header);
+    ]);
     for (id, service) in &status.services {
-        let leaving = |state: &Option<String>| state.as_deref() == Some("leaving");
-        let targets = service.targets.values();
-        let slots: u64 = targets
-            .clone()
-            .filter(|target| !leaving(&target.state))
-            .filter_map(|target| target.slots)
-            .sum();
         rows.add_row([
             id.clone(),
             shown(service.version),
-            targets.len().to_string(),
-            targets
-                .filter(|target| leaving(&target.state))
-                .count()
-                .to_string(),
-            slots.to_string(),
+            shown(service.count),
+            shown(service.serving),
+            shown(service.slots),
+            shown(service.in_flight),
+            shown(service.queued),
             shown(service.measuring),
             shown(service.connections),
         ]);
@@ -179,14 +178,23 @@
 }
 
 fn targets(status: &Status, all: bool) -> String {
-    let mut rows = table(&["target", "address", "domain", "slots", "state"]);
+    let mut rows = table(&[
+        "target",
+        "address",
+        "domain",
+        "slots",
+        "state",
+        "home",
+        "usable",
+        "in flight",
+    ]);
     let listed = status.services.iter().flat_map(|(service, view)| {
         let targets = view.targets.iter();
         targets.map(move |(id, target)| (format!("{service}/{id}"), target))
     });
     let count = listed.clone().count();
     if count == 0 {
-        return "no targets".to_owned();
+        return "the dumps list no targets".to_owned();
     }
     let shown_count = if all { count } else { count.min(MAX_TARGETS) };
     for (name, target) in listed.take(shown_count) {
@@ -196,6 +204,9 @@
             shown(target.domain.as_ref()),
             shown(target.slots),
             shown(target.state.as_ref()),
+            shown(target.home.as_ref()),
+            shown(target.usable.map(yes_or_no)),
+            shown(target.in_flight),
         ]);
     }
     let mut text = rows.trim_fmt();
--- a/cli/src/dump_view.rs
+++ b/cli/src/dump_view.rs
@@ -51,7 +51,7 @@
 }
 
 /// One target.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct TargetView {
     /// The target's address.
     pub(crate) addr: Option<String>,
@@ -61,10 +61,16 @@
     pub(crate) slots: Option<u64>,
     /// Whether the target serves or leaves.
     pub(crate) state: Option<String>,
+    /// The VM that owns the target's slots.
+    pub(crate) home: Option<String>,
+    /// Whether the home sends work to the target.
+    pub(crate) usable: Option<bool>,
+    /// The requests in flight from the home.
+    pub(crate) in_flight: Option<u64>,
 }
 
 /// One service.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct ServiceView {
     /// The version.
     pub(crate) version: Option<u64>,
@@ -72,6 +78,16 @@
     pub(crate) measuring: Option<TargetTime>,
     /// The connection budget per target.
     pub(crate) connections: Option<u64>,
+    /// The number of targets.
+    pub(crate) count: Option<u64>,
+    /// The number of targets that may get new work.
+    pub(crate) serving: Option<u64>,
+    /// The slots of these.
+    pub(crate) slots: Option<u64>,
+    /// The requests in flight on all homes that were asked.
+    pub(crate) in_flight: Option<u64>,
+    /// The requests that wait on all homes that were asked.
+    pub(crate) queued: Option<u64>,
     /// The targets.
     pub(crate) targets: BTreeMap<String, TargetView>,
 }
@@ -104,18 +120,31 @@
 }
 
 fn service_view(service: &Value) -> ServiceView {
+    let number = |name| service.get(name).and_then(Value::as_u64);
     let targets = service.get("targets").and_then(Value::as_object);
-    let targets = targets.into_iter().flatten();
+    let targets: BTreeMap<_, _> = targets
+        .into_iter()
+        .flatten()
+        .map(|(id, target)| (id.clone(), target_view(target)))
+        .collect();
+    let serving = || {
+        let all = targets.values();
+        all.filter(|target| target.state.as_deref() == Some("serving"))
+    };
+    let listed = !targets.is_empty();
     ServiceView {
-        version: service.get("version").and_then(Value::as_u64),
-        measuring: service
-            .get("measuring")
-            .and_then(Value::as_u64)
+        version: number("version"),
+        measuring: number("measuring")
+            .or(number("measuring_us_per_s"))
             .map(TargetTime),
-        connections: service.get("connections").and_then(Value::as_u64),
-        targets: targets
-            .map(|(id, target)| (id.clone(), target_view(target)))
-            .collect(),
+        connections: number("connections"),
+        count: number("targets").or(listed.then_some(targets.len() as u64)),
+        serving: number("serving").or(listed.then(|| serving().count() as u64)),
+        slots: number("slots")
+            .or(listed.then(|| serving().filter_map(|target| target.slots).sum())),
+        in_flight: None,
+        queued: None,
+        targets,
     }
 }
 
@@ -126,6 +155,36 @@
         domain: field("domain").and_then(text),
         slots: field("slots").and_then(Value::as_u64),
         state: field("state").and_then(text),
+        ..TargetView::default()
+    }
+}
+
+/// Adds what a VM knows as the home of targets.
+pub(crate) fn add_pools(services: &mut BTreeMap<String, ServiceView>, vm: &VmView, dump: &Value) {
+    let pools = dump.pointer("/data/services").and_then(Value::as_object);
+    for (id, pool) in pools.into_iter().flatten() {
+        let (Some(service), Some(owned)) = (services.get_mut(id), pool.get("owned")) else {
+            continue;
+        };
+        let number = |name| owned.get(name).and_then(Value::as_u64);
+        add(&mut service.in_flight, number("in_flight"));
+        add(&mut service.queued, number("queued"));
+        let targets = owned.get("targets").and_then(Value::as_array);
+        for target in targets.into_iter().flatten() {
+            let Some(id) = target.get("id").and_then(text) else {
+                continue;
+            };
+            let view = service.targets.entry(id).or_default();
+            view.home = vm.vm.clone();
+            view.usable = target.get("usable").and_then(Value::as_bool);
+            view.in_flight = target.get("in_flight").and_then(Value::as_u64);
+        }
+    }
+}
+
+fn add(sum: &mut Option<u64>, more: Option<u64>) {
+    if let Some(more) = more {
+        *sum = Some(sum.unwrap_or(0) + more);
     }
 }
 
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -205,7 +205,19 @@
                         "status-2": target("10.0.0.2:80", "leaving"),
                     },
                 },
-                "rack": {},
+                "rack": {"targets": 6, "serving": 5, "slots": 10, "measuring_us_per_s": 1_000},
+            },
+        },
+        "data": {
+            "services": {
+                "status": {
+                    "owned": {
+                        "in_flight": 3,
+                        "queued": 1,
+                        "targets": [{"id": "status-1", "usable": true, "in_flight": 3}],
+                    },
+                },
+                "unknown": {"owned": 7},
             },
         },
     })
@@ -242,13 +254,13 @@
         -                 VM-2             -       -            -        -
         -                 VM-3             -       unreachable  -        -
 
-        service  version  targets  leaving  slots  measuring  connections
-        rack     -        0        0        0      -          -
-        status   3        2        1        8      30000us/s  240
+        service  version  targets  serving  slots  in flight  queued  measuring  connections
+        rack     -        6        5        10     -          -       1000us/s   -
+        status   3        2        1        8      6          2       30000us/s  240
 
-        target           address      domain  slots  state
-        status/status-1  10.0.0.1:80  tawe-a  8      serving
-        status/status-2  10.0.0.2:80  tawe-a  8      leaving
+        target           address      domain  slots  state    home              usable  in flight
+        status/status-1  10.0.0.1:80  tawe-a  8      serving  entry-2.00000001  yes     3
+        status/status-2  10.0.0.2:80  tawe-a  8      leaving  -                 -       -
 
         warning [6002]: the VM at VM-3        gave no dump: client error (Connect)
           next: check the address of its control port; the platform's VM list shows whether it is live
@@ -260,10 +272,10 @@
         entry-1.00000001  VM-0             tawe-a  yes    41       3
         entry-2.00000001  VM-1             tawe-a  yes    44       0
 
-        service  version  targets  leaving  slots  measuring  connections
-        rack     -        0        0        0      -          -
+        service  version  targets  serving  slots  in flight  queued  measuring  connections
+        rack     -        6        5        10     -          -       1000us/s   -
 
-        no targets
+        the dumps list no targets
     "#]]
     .assert_eq(&text);
     assert_eq!(code, Some(0));
