--- a/cli/src/log_follow.rs
+++ b/cli/src/log_follow.rs
@@ -54,8 +54,11 @@
         for action in actions {
             match action {
                 FollowerAction::Read { from, max } => events.push_back(read(log, from, max).await),
-                // A client has no peer that could fill a gap.
-                FollowerAction::Report(error) => return Err(error),
+                // A client has no peer that could fill a gap. A snapshot that cannot be used is not
+                // the end, because an older one may be.
+                FollowerAction::Report(error) if error.code == ResultCode::LogGap => {
+                    return Err(error);
+                }
                 _ => {}
             }
         }
--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -19,16 +19,11 @@
 use crate::result_code::ResultCode;
 use crate::roster::Roster;
 use crate::snapshot::Snapshot;
-use crate::snapshot_scan::SnapshotScan;
 use crate::snapshot_schedule::SnapshotSchedule;
+use crate::snapshot_search::Found;
+use crate::snapshot_search::SnapshotSearch;
 use crate::vm_id::VmId;
 
-#[derive(Clone, Debug)]
-struct Scan {
-    at: Offset,
-    found: SnapshotScan,
-}
-
 /// Holds the fold and decides from where it is brought forward.
 ///
 /// The fold only ever moves to higher offsets, whatever the log or a peer answers. The log is the
@@ -41,7 +36,7 @@
     /// empty and means nothing.
     loaded: bool,
     ready: bool,
-    scan: Option<Scan>,
+    search: Option<SnapshotSearch>,
     /// Whether the log has lost records that the fold still needs.
     gap: bool,
     first: Offset,
@@ -74,7 +69,7 @@
             fold: Fold::default(),
             loaded: false,
             ready: false,
-            scan: None,
+            search: None,
             gap: false,
             first: Offset(0),
             started: now,
@@ -170,13 +165,11 @@
         }
         self.reading = Some(now);
         self.read_at = now + self.settings.poll;
-        actions.push(FollowerAction::Read {
-            from: self
-                .scan
-                .as_ref()
-                .map_or(self.fold.applied(), |scan| scan.at),
-            max: self.page,
-        });
+        let (from, max) = match &self.search {
+            Some(search) => (search.at(), search.limit(self.page)),
+            None => (self.fold.applied(), self.page),
+        };
+        actions.push(FollowerAction::Read { from, max });
     }
 
     fn read_failed(&mut self, now: Instant) {
@@ -201,8 +194,8 @@
         self.first = self.first.max(page.first);
         self.page = (self.page * 2).min(self.settings.page);
         self.read_ok = Some(now);
-        if self.scan.is_some() {
-            self.scan_page(now, from, &page, actions);
+        if self.search.is_some() {
+            self.search_page(now, from, &page, actions);
             return;
         }
         if page.next < from {
@@ -292,46 +285,35 @@
         self.reading = None;
         self.read_ok = Some(now);
         self.first = self.first.max(first);
-        if self.scan.is_none() && first <= self.fold.applied() {
+        if self.search.is_none() && first <= self.fold.applied() {
             return;
         }
         self.gap = true;
-        // Every retained record may be a chunk, so the scan starts at the oldest one. It starts
-        // again when the log has dropped records that it was about to read.
-        self.scan = Some(Scan {
-            at: first,
-            found: SnapshotScan::default(),
-        });
+        // The search starts again when the log has dropped records that it was about to read. Its
+        // first part is a little larger than the distance between two snapshots.
+        let span = self.settings.snapshot_every + self.settings.snapshot_every / 4;
+        self.search = Some(SnapshotSearch::new(first, span));
         self.read_at = now;
     }
 
-    fn scan_page(
+    fn search_page(
         &mut self,
         now: Instant,
         from: Offset,
         page: &LogPage,
         actions: &mut Vec<FollowerAction>,
     ) {
-        let Some(scan) = self.scan.as_mut().filter(|scan| scan.at == from) else {
+        let search = self.search.as_mut().filter(|search| search.at() == from);
+        let Some(search) = search else {
             return;
         };
-        for record in &page.records {
-            if record.offset != scan.at {
-                break;
-            }
-            scan.found.note(record.offset, &record.data);
-            scan.at = record.offset.next();
-        }
         self.read_at = now;
-        if scan.at > from && scan.at < page.next {
+        let Found::End { fold, error } = search.page(page) else {
             return;
-        }
-        let found = std::mem::take(&mut scan.found);
-        self.scan = None;
-        let (fold, error) = found.finish();
+        };
+        self.search = None;
         actions.extend(error.map(FollowerAction::Report));
-        let usable = fold.filter(|fold| fold.applied() >= self.first);
-        if !usable.is_some_and(|fold| self.install(fold, actions)) {
+        if !fold.is_some_and(|fold| self.install(*fold, actions)) {
             actions.push(FollowerAction::Report(no_snapshot(
                 self.fold.applied(),
                 self.first,
@@ -350,7 +332,7 @@
         self.fold = fold;
         self.loaded = true;
         self.gap = false;
-        self.scan = None;
+        self.search = None;
         self.recent.clear();
         actions.push(FollowerAction::Installed);
         self.advanced(&versions, actions);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod snapshot_marks;
 pub mod snapshot_scan;
 mod snapshot_schedule;
+mod snapshot_search;
 pub mod target;
 pub mod target_entry;
 pub mod target_id;
--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -151,7 +151,8 @@
     fn a_follower_shows_the_logs_configuration_or_an_error(seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
         let (mut log, mut fold) = (TestLog::default(), Fold::default());
-        let mut vm = Vm::new(settings(None));
+        // Small parts, so that the search for a snapshot has to go back in several steps.
+        let mut vm = Vm::new(FollowerSettings { snapshot_every: 8, ..settings(None) });
         let mut late: Vec<FollowerEvent> = Vec::new();
         let mut compared = None;
         for _ in 0..60 {
@@ -360,6 +361,53 @@
     assert_eq!(vm.follower.offer(), None);
 }
 
+/// Guards against a starting VM reading a whole day of records for the last snapshot, and against
+/// a corrupted last snapshot keeping it from an older one.
+#[test]
+fn the_search_for_a_snapshot_starts_at_the_end() {
+    let (mut log, mut fold) = sample();
+    let add = |log: &mut TestLog, fold: &mut Fold, corrupt: bool| {
+        for record in Snapshot::encode(fold) {
+            let text = record.to_json();
+            let text = match corrupt {
+                true => text.replace("\"data\":\"e", "\"data\":\"f"),
+                false => text,
+            };
+            let offset = log.append_text(text.clone());
+            fold.apply_text(offset, &text);
+        }
+    };
+    let fill = |log: &mut TestLog, fold: &mut Fold, count: usize| {
+        for _ in 0..count {
+            fold.apply_text(log.append_text("{}".to_owned()), "{}");
+        }
+    };
+    fill(&mut log, &mut fold, 500);
+    add(&mut log, &mut fold, false);
+    fill(&mut log, &mut fold, 60);
+    add(&mut log, &mut fold, true);
+    log.first = 1;
+    let small = FollowerSettings {
+        snapshot_every: 8,
+        ..settings(None)
+    };
+    let mut vm = Vm::new(small);
+    let mut lowest = log.next();
+    for _ in 0..200 {
+        vm.tick();
+        while let Some((from, max)) = vm.read() {
+            if from.0 > 1 {
+                lowest = lowest.min(from);
+            }
+            let event = answer(&log, vm.now, from, max);
+            vm.handle(event);
+        }
+    }
+    assert_eq!(vm.follower.fold(), &fold);
+    assert_eq!(vm.error().unwrap().code, ResultCode::BadSnapshot);
+    assert!(lowest.0 > 400, "read from {lowest}");
+}
+
 /// Guards against a log of another installation, or one that was emptied, taking a VM back.
 #[test]
 fn a_log_that_went_back_is_reported() {
