--- a/lib/src/outlier.rs
+++ b/lib/src/outlier.rs
@@ -9,7 +9,7 @@
 /// Scale at which the logistic distribution is closest to the normal distribution.
 const LOGISTIC: f64 = 1.702;
 /// Evidence at which a target is ejected, as a logarithm of a likelihood ratio.
-const LIMIT: f64 = 7.0;
+const LIMIT: f64 = 10.0;
 /// Evidence that a failed attempt adds.
 const FAILURE: f64 = 3.0;
 /// Evidence above this multiple of the limit is forgotten, so that recovery is seen soon.
