--- a/lib/src/homes.rs
+++ b/lib/src/homes.rs
@@ -99,10 +99,14 @@
             .map(|seat| &seat.vm)
     }
 
-    /// Returns the home that owns the key.
+    /// Returns the home that owns the key. Keys belong to seats, as targets do, so that the
+    /// replacement of a home's VM moves the keys of that home only.
     pub fn key_owner(&self, key: &RequestKey) -> Option<&VmId> {
-        self.vms()
-            .max_by_key(|vm| (score(&[key.as_bytes(), vm.as_str().as_bytes()]), *vm))
+        let rank = |seat: &&Seat| {
+            let domain = seat.domain.as_str().as_bytes();
+            score(&[key.as_bytes(), domain, &seat.index.to_le_bytes()])
+        };
+        self.seats.iter().max_by_key(rank).map(|seat| &seat.vm)
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_measuring_budget.rs
@@ -0,0 +1,119 @@
+//! Tests of the budgets for probes and retries.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::measuring_budget::MeasuringBudget;
+use carobshore_lib::measuring_budget::TRANSITION;
+use carobshore_lib::prelude::*;
+use carobshore_lib::retry_budget::RetryBudget;
+use common::MS;
+use proptest::prelude::*;
+
+const BUDGET: TargetTime = TargetTime(30_000);
+const COST: Duration = Duration::from_millis(6);
+const VMS: u32 = 5;
+const STEPS: u64 = 1_200;
+const STEP: Duration = Duration::from_millis(50);
+
+/// A change of the set of homes (a bit per VM) at a step.
+fn changes() -> impl Strategy<Value = Vec<(u64, u32)>> {
+    prop::collection::vec((0..STEPS, 1_u32..1 << VMS), 0..8).prop_map(|mut changes| {
+        changes.push((0, 0b00111));
+        changes.sort_unstable();
+        changes
+    })
+}
+
+/// The pauses between one VM's reads of the log, in steps; some are longer than a lease.
+fn pauses() -> impl Strategy<Value = Vec<u64>> {
+    let pause = prop_oneof![8 => 5..15_u64, 2 => 50..180_u64, 1 => 200..500_u64];
+    prop::collection::vec(pause, 10)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against a sum of probes over all VMs above the budget in some second, while VMs that
+    /// probe as often as they may learn of changed homes at different times.
+    #[test]
+    fn sum_over_vms_stays_within_budget(
+        changes in changes(),
+        pauses in prop::collection::vec(pauses(), VMS as usize),
+    ) {
+        let base = Instant::now();
+        let mut budgets = vec![MeasuringBudget::default(); VMS as usize];
+        let mut reads = vec![0; VMS as usize];
+        let mut applied = vec![0; VMS as usize];
+        let mut probes = Vec::new();
+        for step in 0..STEPS {
+            let now = base + STEP * step as u32;
+            for vm in 0..VMS as usize {
+                if step == reads[vm] {
+                    let known = changes.iter().filter(|(at, _)| *at <= step).count();
+                    for (_, homes) in &changes[applied[vm]..known] {
+                        let member = homes & (1 << vm) != 0;
+                        let sharers = if member { homes.count_ones() } else { 0 };
+                        budgets[vm].set_share(now, BUDGET, sharers);
+                    }
+                    applied[vm] = known;
+                    budgets[vm].set_lease(now + Duration::from_secs(10));
+                    reads[vm] = step + pauses[vm][step as usize % pauses[vm].len()];
+                }
+                while let Some(charge) = budgets[vm].charge(now, COST) {
+                    budgets[vm].settle(now + COST, charge);
+                    probes.push(now);
+                }
+            }
+            let second = probes.iter().rev().take_while(|at| now - **at < Duration::from_secs(1));
+            let used = COST * second.count() as u32;
+            prop_assert!(used <= BUDGET.per_second(), "{used:?} in the second before step {step}");
+        }
+    }
+}
+
+/// Guards against a new home that spends at once, and against homes that never probe.
+#[test]
+fn a_share_opens_after_the_transition_and_closes_with_the_lease() {
+    let start = Instant::now();
+    let mut budget = MeasuringBudget::default();
+    budget.set_share(start, BUDGET, 3);
+    budget.set_lease(start + TRANSITION + Duration::from_secs(10));
+    assert!(budget.charge(start + TRANSITION - MS, COST).is_none());
+    let open = start + TRANSITION;
+    let first = budget.charge(open, COST).expect("the share is open");
+    assert!(
+        budget.charge(open, COST).is_none(),
+        "10 ms/s hold one probe of 6 ms"
+    );
+    budget.settle(open + COST, first);
+    assert!(budget.charge(open + Duration::from_secs(1), COST).is_none());
+    let later = open + COST + Duration::from_secs(1);
+    assert!(
+        budget.charge(later, COST).is_some(),
+        "tokens return a second after the probe"
+    );
+    let lapsed = start + TRANSITION + Duration::from_secs(10);
+    assert_eq!(budget.limit(lapsed), Duration::ZERO);
+}
+
+/// Guards against retries that multiply the load when everything fails, and against none at all in
+/// a quiet service.
+#[test]
+fn retries_are_three_in_a_hundred_with_a_floor() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(start);
+    assert!(budget.retry(start), "the floor allows one");
+    assert!(!budget.retry(start));
+    assert!(budget.retry(start + Duration::from_secs(1)), "one a second");
+    let mut retries = 0;
+    for request in 0..10_000_u32 {
+        budget.first_attempt();
+        let now = start + Duration::from_secs(2) + MS * request;
+        retries += u32::from(budget.retry(now));
+    }
+    // 300 are the share, and 10 s of the floor add at most 10.
+    assert!((290..=310).contains(&retries), "{retries} retries");
+}
