testutils: add the fault matrix over fakes of the platform, targets and callers

Change: a seeded simulation drives the decision modules of three VMs (follower, appender, membership, key histories and table, exchanges, connection pools, leaving targets, planned stop) against a log, a list and targets with faults. 19 faults at 25 steps, each once, twice and with a log outage, make 1,425 cells; a cell whose step is not reached fails. The matrix found that a VM that starts may read the list before the configuration and then sends work to a leaving target, that a lagging list held back a target that was taken back, and that a planned stop could write `leave` before its requests were counted and exit while a peer forwards to it; all four are fixed and have a test of their own.

The default count is 20,000.

--- a/lib/src/leaving.rs
+++ b/lib/src/leaving.rs
@@ -1,6 +1,7 @@
 //! Which targets get no new work.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,7 @@
 
 use crate::config::Config;
 use crate::service_id::ServiceId;
+use crate::target::Target;
 use crate::target_id::TargetId;
 
 /// How long the platform's list has to show a target as live again before its earlier entry is
@@ -65,6 +67,9 @@
 pub struct Leaving {
     known: BTreeMap<(ServiceId, TargetId), Known>,
     by_addr: BTreeMap<SocketAddr, Vec<(ServiceId, TargetId)>>,
+    /// The addresses that the last list showed as leaving, and when. A VM that starts may read the
+    /// list before it has the configuration.
+    shown: Option<(Instant, BTreeSet<SocketAddr>)>,
 }
 
 impl Leaving {
@@ -75,15 +80,10 @@
         for (service, spec) in &config.services {
             for (id, target) in &spec.targets {
                 let key = (service.clone(), id.clone());
-                let old = self.known.remove(&key);
-                let mut entry = old
-                    .filter(|old| old.generation >= target.generation)
-                    .unwrap_or(Known {
-                        addr: target.addr,
-                        generation: target.generation,
-                        certain: false,
-                        list: None,
-                    });
+                let mut entry = match self.known.remove(&key) {
+                    Some(old) if old.generation >= target.generation => old,
+                    old => self.new_entry(target, old.and_then(|old| old.list)),
+                };
                 entry.addr = target.addr;
                 entry.certain |= !target.is_serving();
                 by_addr.entry(target.addr).or_default().push(key.clone());
@@ -94,6 +94,26 @@
         self.by_addr = by_addr;
     }
 
+    /// Builds the entry of a new generation. What the list showed before it was configured is
+    /// about the earlier one; only a VM that did not know that one believes it.
+    fn new_entry(&self, target: &Target, old: Option<ListEvidence>) -> Known {
+        let shown = self
+            .shown
+            .as_ref()
+            .filter(|(_, addrs)| addrs.contains(&target.addr));
+        let first = shown.and_then(|(at, _)| next_evidence(None, true, *at));
+        let overruled = old.map(|evidence| ListEvidence {
+            contradicted: true,
+            ..evidence
+        });
+        Known {
+            addr: target.addr,
+            generation: target.generation,
+            certain: false,
+            list: overruled.or(first),
+        }
+    }
+
     /// Takes a drain signal of the target or of a peer and returns whether it is news. Signals
     /// about an older generation than the configured one are late and have no effect.
     pub fn drained(&mut self, sign: &LeavingTarget) -> bool {
@@ -112,6 +132,8 @@
 
     /// Takes the platform's list. Targets that it does not show keep their state.
     pub fn listed(&mut self, now: Instant, list: &[ListedAddr]) {
+        let leaving = list.iter().filter(|entry| entry.leaving);
+        self.shown = Some((now, leaving.map(|entry| entry.addr).collect()));
         for entry in list {
             for key in self.by_addr.get(&entry.addr).into_iter().flatten() {
                 if let Some(known) = self.known.get_mut(key) {
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -11,6 +11,10 @@
 /// the record, the watchers displace the VM.
 pub const LEAVE_PATIENCE: Duration = Duration::from_secs(10);
 
+/// How long the process lives on after the `leave` was appended, so that its peers have read it and
+/// forward nothing more. A request that crosses the exit would have to be answered "may have run".
+pub const LEAVE_NOTICE: Duration = Duration::from_secs(2);
+
 /// What a planned stop is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopEvent {
@@ -49,7 +53,7 @@
 enum Leave {
     Waiting,
     Requested,
-    Appended,
+    Appended { at: Instant },
 }
 
 /// A planned stop, from the first signal to the exit.
@@ -90,7 +94,7 @@
         match event {
             StopEvent::Signal => return self.signal(now, out),
             StopEvent::InFlight { keyed, other } => self.in_flight = Some((keyed, other)),
-            StopEvent::LeaveAppended => self.leave = Leave::Appended,
+            StopEvent::LeaveAppended => self.leave = Leave::Appended { at: now },
             StopEvent::Tick => {}
         }
         self.advance(now, out);
@@ -140,7 +144,11 @@
             return;
         }
         let idle = *self.idle.get_or_insert(now);
-        if self.leave == Leave::Appended || now >= idle + LEAVE_PATIENCE {
+        let due = match self.leave {
+            Leave::Appended { at } => at + LEAVE_NOTICE,
+            Leave::Waiting | Leave::Requested => idle + LEAVE_PATIENCE,
+        };
+        if now >= due {
             self.exit(out);
         }
     }
--- /dev/null
+++ b/lib/tests/test_fault_matrix.rs
@@ -0,0 +1,299 @@
+//! The fault matrix: every fault at every step, judged by what callers, targets and the log saw.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobshore_testutils::sim_check::count;
+use carobshore_testutils::sim_check::violations;
+use carobshore_testutils::sim_fault::Cell;
+use carobshore_testutils::sim_fault::Fault;
+use carobshore_testutils::sim_fault::Step;
+use carobshore_testutils::sim_fault::Variant;
+use carobshore_testutils::sim_world::Policy;
+use carobshore_testutils::sim_world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The threads that share the cells.
+const THREADS: usize = 4;
+
+/// What happens besides the requests.
+fn script(world: &mut World, step: Step) {
+    let start = World::warm() + SECOND * 3;
+    world.after(start, move |world| match step {
+        Step::Intent | Step::Confirm | Step::ConfigRead | Step::TakenBack => {
+            world.drain_by_intent(0);
+        }
+        Step::Join | Step::Joined | Step::Silent | Step::Displace => {
+            world.end_vm(2);
+            world.after(SECOND * 2, |world| world.start_vm("vm-9", 2));
+        }
+        Step::Displaced => {
+            // Alive, but unheard for long enough to be displaced.
+            world.pause(1, SECOND * 19);
+        }
+        Step::Signal | Step::Announce | Step::Leave | Step::Left | Step::Closed | Step::Exit => {
+            // A slow target, so that requests are in flight at every step of the stop.
+            world.inject(Fault::Straggler, 1, 0);
+            world.after(SECOND * 2, |world| world.stop_vm(1));
+            world.after(SECOND * 3, |world| world.start_vm("vm-9", 1));
+        }
+        _ => {}
+    });
+}
+
+fn run_cell(seed: u64, cell: Option<Cell>, policy: Policy, traced: bool) -> World {
+    let mut world = World::new(seed, policy);
+    world.trace = traced.then(Vec::new);
+    let warm = World::warm();
+    script(&mut world, cell.map_or(Step::Deliver, |cell| cell.step));
+    world.cell = cell;
+    world.calls(warm, Duration::from_millis(150), 230, false);
+    world.run_until(warm + SECOND * 60);
+    world
+}
+
+fn cells() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for fault in Fault::ALL {
+        for step in Step::ALL {
+            for variant in [Variant::Once, Variant::Twice, Variant::WithOutage] {
+                let armed = World::warm() + SECOND * 2;
+                cells.push(Cell {
+                    fault,
+                    step,
+                    variant,
+                    armed,
+                });
+            }
+        }
+    }
+    cells
+}
+
+type Failure = (u64, Cell, Vec<String>);
+
+/// Runs the cells and returns the failures.
+fn run_matrix(seed: u64, policy: Policy, cells: &[Cell]) -> Vec<Failure> {
+    let next = AtomicUsize::new(0);
+    let failures = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(cell) = cells.get(n) else {
+                        return;
+                    };
+                    let seed = seed + n as u64;
+                    let world = run_cell(seed, Some(*cell), policy, false);
+                    let mut found = violations(&world);
+                    if world.cell.is_some() {
+                        found.push("the step was not reached".to_owned());
+                    }
+                    if !found.is_empty() {
+                        failures.lock().unwrap().push((seed, *cell, found));
+                    }
+                }
+            });
+        }
+    });
+    failures.into_inner().unwrap()
+}
+
+/// Prints the trace of a failed cell around its end.
+fn report(seed: u64, cell: Cell, found: &[String]) {
+    println!("seed {seed} {cell:?}");
+    for violation in found {
+        println!("  {violation}");
+    }
+    let world = run_cell(seed, Some(cell), Policy::default(), true);
+    for line in world.trace.unwrap() {
+        println!("    {line}");
+    }
+}
+
+/// Guards against a fault that breaks a promise at some step.
+#[test]
+fn no_fault_at_any_step_breaks_an_invariant() {
+    let seed = std::env::var("MATRIX_SEED").map_or(1, |text| text.parse().unwrap());
+    let start = std::time::Instant::now();
+    let cells = cells();
+    let failures = run_matrix(seed, Policy::default(), &cells);
+    println!(
+        "{} cells from seed {seed} in {:?}",
+        cells.len(),
+        start.elapsed()
+    );
+    if let Some((seed, cell, found)) = failures.first() {
+        report(*seed, *cell, found);
+    }
+    let failed: Vec<_> = failures
+        .iter()
+        .map(|(seed, cell, found)| (seed, cell, &found[0]))
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "{} cells failed: {failed:#?}",
+        failed.len()
+    );
+}
+
+/// Guards against a simulation in which nothing happens: without faults, requests succeed.
+#[test]
+fn without_faults_requests_succeed() {
+    let world = run_cell(1, None, Policy::default(), false);
+    assert_eq!(violations(&world), Vec::<String>::new());
+    let counts = count(&world);
+    println!("{counts:?} {} executions", world.records.executions.len());
+    assert!(counts.whole >= 190, "{counts:?}");
+}
+
+/// Guards against a matrix that cannot fail: each wrong rule breaks the invariant that it is about.
+#[test]
+fn wrong_rules_are_caught() {
+    let right = Policy::default();
+    let wrong = [
+        (
+            "4",
+            Fault::TargetCrash,
+            Policy {
+                resend_broken: true,
+                ..right
+            },
+        ),
+        (
+            "4",
+            Fault::VmIsolated,
+            Policy {
+                no_wait: true,
+                ..right
+            },
+        ),
+        (
+            "4",
+            Fault::VmIsolated,
+            Policy {
+                no_lease: true,
+                ..right
+            },
+        ),
+        (
+            "4",
+            Fault::VmCrash,
+            Policy {
+                no_history: true,
+                ..right
+            },
+        ),
+        (
+            "2",
+            Fault::LateResponse,
+            Policy {
+                reuse_silent: true,
+                ..right
+            },
+        ),
+        (
+            "2",
+            Fault::CutResponse,
+            Policy {
+                pass_cut: true,
+                ..right
+            },
+        ),
+        (
+            "3",
+            Fault::TargetCrash,
+            Policy {
+                claim_not_run: true,
+                ..right
+            },
+        ),
+        (
+            "5",
+            Fault::Drain,
+            Policy {
+                ignore_leaving: true,
+                ..right
+            },
+        ),
+        (
+            "6",
+            Fault::Straggler,
+            Policy {
+                exit_at_once: true,
+                ..right
+            },
+        ),
+        (
+            "8",
+            Fault::Straggler,
+            Policy {
+                no_freshness: true,
+                ..right
+            },
+        ),
+    ];
+    for (invariant, fault, policy) in wrong {
+        let cells: Vec<_> = cells()
+            .into_iter()
+            .filter(|cell| cell.fault == fault)
+            .collect();
+        let failures = run_matrix(1, policy, &cells);
+        let found = |(_, _, found): &&Failure| found.iter().any(|text| text.starts_with(invariant));
+        let caught = failures.iter().filter(found).count();
+        println!(
+            "{caught} of {} cells break invariant {invariant} with {policy:?}",
+            cells.len()
+        );
+        assert!(caught > 0, "not caught: {policy:?}");
+    }
+}
+
+/// Many run-once requests with duplicates on other VMs, under all faults at random.
+///
+/// `RUN_ONCE_CALLS=100000 cargo test -p carobshore-lib --test test_fault_matrix run_once -- \
+/// --nocapture` is the full count.
+#[test]
+fn run_once_requests_run_once() {
+    let calls = std::env::var("RUN_ONCE_CALLS").map_or(20_000, |text| text.parse().unwrap());
+    let seed: u64 = std::env::var("MATRIX_SEED").map_or(1, |text| text.parse().unwrap());
+    let start = std::time::Instant::now();
+    let every = Duration::from_millis(25);
+    let share = calls / THREADS as u32;
+    let worlds = (0..THREADS as u64).map(|n| {
+        std::thread::spawn(move || {
+            let mut world = World::new(seed * 1_000 + n, Policy::default());
+            let end = World::warm() + every * share;
+            world.calls(World::warm(), every, share, true);
+            world.disturb(end);
+            world.run_until(end + SECOND * 60);
+            let counts = count(&world);
+            let mut found = violations(&world);
+            found.retain(|text| text.starts_with(['2', '3', '4']));
+            (n, counts, world.records.executions.len(), found)
+        })
+    });
+    let mut whole = 0;
+    for thread in worlds.collect::<Vec<_>>() {
+        let (n, counts, executions, found) = thread.join().unwrap();
+        println!(
+            "seed {}: {counts:?}, {executions} executions",
+            seed * 1_000 + n
+        );
+        assert_eq!(found, Vec::<String>::new(), "seed {}", seed * 1_000 + n);
+        assert_eq!((counts.repeats, counts.false_not_run), (0, 0));
+        whole += counts.whole;
+    }
+    println!(
+        "{calls} run-once requests in {:?}, {whole} answered whole",
+        start.elapsed()
+    );
+    assert!(
+        whole * 2 > calls as usize,
+        "most requests have to succeed for the run to mean much"
+    );
+}
--- a/lib/tests/test_leaving.rs
+++ b/lib/tests/test_leaving.rs
@@ -157,3 +157,21 @@
     assert_eq!(fixture.leaving.targets().count(), 0);
     assert!(!fixture.leaves());
 }
+
+/// Guards against a VM that starts, reads the list before the configuration, and sends work to a
+/// leaving target, and against a lagging list that holds back a target that was taken back.
+#[test]
+fn the_list_counts_for_what_was_configured_when_it_changed() {
+    let mut fixture = Fixture::new();
+    fixture.leaving = Leaving::default();
+    fixture.list(true);
+    fixture.configure(1, TargetState::Serving);
+    assert!(fixture.leaves());
+    fixture.configure(2, TargetState::Serving);
+    assert!(!fixture.leaves());
+    fixture.list(true);
+    assert!(!fixture.leaves(), "the list has not changed since");
+    fixture.list(false);
+    fixture.list(true);
+    assert!(fixture.leaves(), "a new entry is a new sign");
+}
--- a/lib/tests/test_planned_stop.rs
+++ b/lib/tests/test_planned_stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobshore_lib::planned_stop::LEAVE_NOTICE;
 use carobshore_lib::planned_stop::LEAVE_PATIENCE;
 use carobshore_lib::planned_stop::NOTICE;
 use carobshore_lib::prelude::*;
@@ -92,6 +93,23 @@
     );
 }
 
+/// Guards against a request that a peer forwards at the moment of the exit.
+#[test]
+fn peers_get_time_to_read_the_leave() {
+    let mut fixture = Fixture::signalled();
+    assert_eq!(fixture.tick_after(NOTICE), [StopAction::StopAccepting]);
+    assert_eq!(fixture.in_flight(0, 0), [StopAction::AppendLeave]);
+    assert_eq!(fixture.give(StopEvent::LeaveAppended), []);
+    assert_eq!(
+        fixture.tick_after(LEAVE_NOTICE - Duration::from_millis(1)),
+        []
+    );
+    assert_eq!(
+        fixture.tick_after(Duration::from_millis(1)),
+        [StopAction::Exit]
+    );
+}
+
 /// The second signal is the operator's way to cut off what remains.
 #[test]
 fn a_second_signal_cuts_off() {
--- /dev/null
+++ b/testutils/src/sim_control.rs
@@ -0,0 +1,525 @@
+//! The control side of a simulated entry VM: log, membership, lists and the planned stop.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobshore_lib::appender::AppendAction;
+use carobshore_lib::appender::AppendEvent;
+use carobshore_lib::appender::Appender;
+use carobshore_lib::follower::Follower;
+use carobshore_lib::follower_message::FollowerAction;
+use carobshore_lib::follower_message::FollowerEvent;
+use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::prelude::*;
+use carobshore_lib::read_lease::LEASE_WAIT;
+use carobshore_lib::record::Join;
+use rand::RngExt;
+
+use crate::sim_data::Conn;
+use crate::sim_data::LiveCall;
+use crate::sim_data::Origin;
+use crate::sim_fault::Step;
+use crate::sim_record::Answer;
+use crate::sim_record::Served;
+use crate::sim_world::HOP;
+use crate::sim_world::World;
+
+/// How often a VM looks at its timers.
+const TICK: Duration = Duration::from_millis(250);
+
+/// One run of an entry VM. It holds the decision modules and carries out their actions.
+pub struct SimVm {
+    /// The VM's name on the platform's list.
+    pub name: String,
+    /// The number of its failure domain.
+    pub domain: usize,
+    /// Whether the process runs.
+    pub alive: bool,
+    /// When it started.
+    pub started: Duration,
+    /// Until when it is paused.
+    pub paused_until: Duration,
+    /// Until when it reaches neither the log nor its peers.
+    pub isolated_until: Duration,
+    /// The error of its wall clock in milliseconds.
+    pub wall_offset: i64,
+    /// The rate of its clocks.
+    pub rate: f64,
+    /// Its planned stop.
+    pub stop: PlannedStop,
+    /// Its connections, by target.
+    pub conns: BTreeMap<(usize, ConnId), Conn>,
+    pub(crate) ready: bool,
+    pub(crate) follower: Follower,
+    pub(crate) appender: Appender,
+    pub(crate) appends: BTreeMap<RecordId, Body>,
+    pub(crate) membership: Membership,
+    pub(crate) lease: ReadLease,
+    pub(crate) histories: KeyHistories,
+    pub(crate) table: KeyTable,
+    pub(crate) leaving: Leaving,
+    pub(crate) key_homes: KeyHomes,
+    pub(crate) pools: BTreeMap<usize, ConnectionPool>,
+    pub(crate) calls: BTreeMap<u64, LiveCall>,
+    pub(crate) waiters: BTreeMap<RequestKey, Vec<(usize, Origin)>>,
+    /// Requests with a key between their arrival and the decision.
+    pub(crate) deciding: usize,
+    ticks: u64,
+}
+
+fn assign(service: &ServiceId, roster: &Roster) -> KeyHomes {
+    let spec = Service {
+        version: Version(0),
+        targets: BTreeMap::new(),
+        measuring: TargetTime(0),
+        connections: 1,
+    };
+    KeyHomes::from(&Homes::assign(
+        service,
+        &spec,
+        roster,
+        &HomesSettings::default(),
+    ))
+}
+
+impl World {
+    /// Starts an entry VM in a failure domain.
+    pub fn start_vm(&mut self, name: &str, domain: usize) {
+        let vm = self.vms.len();
+        let id = VmId::with_incarnation(name, u32::try_from(self.next_id()).unwrap()).unwrap();
+        let join = Join {
+            vm: id.clone(),
+            domain: format!("d{domain}").parse().unwrap(),
+            rpc: "127.0.0.1:1".parse().unwrap(),
+            forward: "127.0.0.1:2".parse().unwrap(),
+        };
+        let wall_offset = i64::try_from(self.random_time(Duration::from_secs(1)).as_millis());
+        let rate = 0.995 + self.random_time(Duration::from_millis(10)).as_secs_f64();
+        let start = self.instant_at_rate(rate);
+        let settings = FollowerSettings::default();
+        let wall = std::time::UNIX_EPOCH + Duration::from_secs(1_800_000_000) + self.now;
+        self.vms.push(SimVm {
+            name: name.to_owned(),
+            domain,
+            alive: true,
+            started: self.now,
+            paused_until: Duration::ZERO,
+            isolated_until: Duration::ZERO,
+            wall_offset: wall_offset.unwrap() - 500,
+            rate,
+            stop: PlannedStop::default(),
+            conns: BTreeMap::new(),
+            ready: false,
+            follower: Follower::new(start, settings),
+            appender: Appender::new(Duration::from_secs(60)),
+            appends: BTreeMap::new(),
+            membership: Membership::new(SelfInfo {
+                join,
+                seed: vm as u64,
+            }),
+            lease: ReadLease::default(),
+            histories: KeyHistories::new(id),
+            table: KeyTable::new(start, wall, KeyLimits::default()),
+            leaving: Leaving::default(),
+            key_homes: KeyHomes::default(),
+            pools: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            deciding: 0,
+            ticks: 0,
+        });
+        let (wall, now) = self.clocks(vm);
+        self.vms[vm].table = KeyTable::new(now, wall, KeyLimits::default());
+        let now = self.now;
+        self.list
+            .change(now, |list| list.live.insert(name.to_owned()));
+        self.on_vm(vm, Duration::ZERO, move |world| world.tick(vm));
+    }
+
+    /// Ends a VM without any farewell.
+    pub fn end_vm(&mut self, vm: usize) {
+        self.vms[vm].alive = false;
+        let name = self.vms[vm].name.clone();
+        self.after(Duration::from_secs(1), move |world| {
+            let now = world.now;
+            world.list.change(now, |list| list.live.remove(&name));
+        });
+        let state = &mut self.vms[vm];
+        state.conns.clear();
+        state.calls.clear();
+        for delivery in 0..self.records.deliveries.len() {
+            let record = &self.records.deliveries[delivery];
+            if record.vm == vm && record.answer.is_none() {
+                self.after(HOP, move |world| {
+                    let at = world.now;
+                    let answer = Answer {
+                        at,
+                        outcome: None,
+                        code: ResultCode::ConnectionBroken,
+                        body: None,
+                        complete: false,
+                    };
+                    world.got(delivery, answer);
+                });
+            }
+        }
+        let open = self.forwards.iter().filter(|(_, forward)| forward.to == vm);
+        for (from, call, attempt) in open.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.forwards.remove(&(from, call, attempt));
+            self.on_vm(from, HOP, move |world| {
+                world.give(from, call, ExchangeEvent::Broken { attempt });
+            });
+        }
+    }
+
+    /// Sends the first signal of a planned stop.
+    pub fn stop_vm(&mut self, vm: usize) {
+        self.on_vm(vm, Duration::ZERO, move |world| {
+            world.reach(Step::Signal, vm, None);
+            if world.policy.exit_at_once {
+                world.exit(vm);
+                return;
+            }
+            world.stop(vm, StopEvent::Signal);
+        });
+    }
+
+    fn tick(&mut self, vm: usize) {
+        self.on_vm(vm, TICK, move |world| world.tick(vm));
+        let (wall, now) = self.clocks(vm);
+        self.vms[vm].table.tick(now, wall);
+        self.vms[vm].ticks += 1;
+        if self.vms[vm].ticks % 4 == 1 {
+            self.read_list(vm);
+            self.note_served(vm);
+        }
+        self.follow(vm, FollowerEvent::Tick, None);
+        self.append(vm, AppendEvent::Tick);
+        self.member(vm, MembershipEvent::Tick);
+        self.count_calls(vm);
+        let vm = &mut self.vms[vm];
+        for (target, pool) in &mut vm.pools {
+            for conn in pool.expire(now) {
+                vm.conns.remove(&(*target, conn));
+            }
+        }
+    }
+
+    fn read_list(&mut self, vm: usize) {
+        let state = self.list.read(self.now);
+        let (_, now) = self.clocks(vm);
+        let listed = |name: &String| ListedVm {
+            name: name.as_str().into(),
+            domain: "d0".parse().unwrap(),
+            live: true,
+        };
+        let vms = state.live.iter().map(listed).collect();
+        let targets = 0..self.targets.len();
+        let list: Vec<_> = targets
+            .map(|target| ListedAddr {
+                addr: Self::addr(target),
+                leaving: state.leaving.contains(&target),
+            })
+            .collect();
+        self.on_vm(vm, HOP * 2, move |world| {
+            world.vms[vm].leaving.listed(now, &list);
+            world.member(vm, MembershipEvent::Listed(vms));
+        });
+    }
+
+    /// Takes note of the configuration that the VM serves.
+    pub(crate) fn note_served(&mut self, vm: usize) {
+        let config = self.vms[vm].follower.fold().config();
+        if let Some(service) = config
+            .services
+            .get(&self.service)
+            .filter(|_| self.vms[vm].ready)
+        {
+            let (at, mut version) = (self.now, service.version);
+            if self.policy.serve_old && self.rng.random_bool(0.5) {
+                version.0 -= 1;
+            }
+            self.records.served.push(Served { vm, at, version });
+        }
+    }
+
+    pub(crate) fn follow(&mut self, vm: usize, event: FollowerEvent, steps: Option<&RosterSteps>) {
+        let (_, now) = self.clocks(vm);
+        let mut out = Vec::new();
+        self.vms[vm].follower.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                FollowerAction::Read { from, max } => {
+                    self.read_log(vm, from, max, move |w, page| {
+                        let Some(page) = page else {
+                            return w.follow(vm, FollowerEvent::ReadFailed, None);
+                        };
+                        let steps = RosterSteps::of(w.vms[vm].follower.fold(), &page.records);
+                        let issued = now;
+                        let event = FollowerEvent::Page { from, issued, page };
+                        w.follow(vm, event, Some(&steps));
+                    });
+                }
+                FollowerAction::FetchRecords { vm: peer, from } => {
+                    self.ask_peer(vm, peer, Some(from));
+                }
+                FollowerAction::FetchSnapshot { vm: peer } => self.ask_peer(vm, peer, None),
+                FollowerAction::Advanced { .. } => self.advanced(vm, steps),
+                FollowerAction::Current { issued } => self.current(vm, issued),
+                FollowerAction::Ready => {
+                    self.vms[vm].ready = true;
+                    self.member(vm, MembershipEvent::Ready);
+                }
+                FollowerAction::AppendSnapshot { .. } | FollowerAction::Report(_) => {}
+            }
+        }
+    }
+
+    fn advanced(&mut self, vm: usize, steps: Option<&RosterSteps>) {
+        let (mut wall, mut now) = self.clocks(vm);
+        if self.policy.no_wait {
+            wall -= LEASE_WAIT * 2;
+            now -= LEASE_WAIT * 2;
+        }
+        let unknown = RosterSteps::of(&Fold::default(), &[]);
+        let state = &mut self.vms[vm];
+        let fold = state.follower.fold();
+        state
+            .histories
+            .advance(now, wall, steps.unwrap_or(&unknown), fold, assign);
+        state.key_homes = assign(&self.service, fold.roster());
+        state.leaving.configured(fold.config());
+        let (roster, applied) = (fold.roster().clone(), fold.applied());
+        let (before, after) = (
+            state.membership.is_member(),
+            roster.contains(state.membership.vm()),
+        );
+        if before != after {
+            let step = if after { Step::Joined } else { Step::Displaced };
+            self.reach(step, vm, None);
+        }
+        self.note_served(vm);
+        self.reach(Step::ConfigRead, vm, None);
+        self.member(vm, MembershipEvent::Roster { roster });
+        self.member(vm, MembershipEvent::Applied(applied));
+    }
+
+    fn current(&mut self, vm: usize, issued: std::time::Instant) {
+        let state = &mut self.vms[vm];
+        let id = state.membership.vm();
+        let in_roster = state.follower.fold().roster().contains(id);
+        state.lease.read_ok(issued, in_roster);
+        self.member(vm, MembershipEvent::LogRead { issued });
+    }
+
+    /// Asks a peer for records, or for a snapshot when no offset is given.
+    fn ask_peer(&mut self, vm: usize, peer: VmId, from: Option<Offset>) {
+        let Some(to) = self.find_peer(vm, &peer) else {
+            self.on_vm(vm, HOP * 2, move |world| {
+                world.follow(vm, FollowerEvent::PeerLost { vm: peer }, None);
+            });
+            return;
+        };
+        self.on_vm(to, HOP, move |world| {
+            let follower = &world.vms[to].follower;
+            let records = from.map(|from| follower.records_since(from));
+            let snapshot = follower.snapshot();
+            world.on_vm(vm, HOP, move |world| {
+                let fold = world.vms[vm].follower.fold();
+                let steps = records
+                    .as_ref()
+                    .map(|page| RosterSteps::of(fold, &page.records));
+                let vm_id = peer;
+                let event = match (records, snapshot) {
+                    (Some(page), _) => FollowerEvent::PeerRecords { vm: vm_id, page },
+                    (None, Some(records)) => FollowerEvent::PeerSnapshot { vm: vm_id, records },
+                    (None, None) => FollowerEvent::PeerLost { vm: vm_id },
+                };
+                world.follow(vm, event, steps.as_ref());
+            });
+        });
+    }
+
+    /// Returns the running VM with the given id, if the asking VM reaches it.
+    pub(crate) fn find_peer(&self, from: usize, id: &VmId) -> Option<usize> {
+        let reached = |vm: &SimVm| self.now >= vm.isolated_until;
+        let found = |vm: &SimVm| vm.alive && vm.membership.vm() == id && reached(vm);
+        let found = self.vms.iter().rposition(found);
+        found.filter(|_| reached(&self.vms[from]))
+    }
+
+    pub(crate) fn member(&mut self, vm: usize, event: MembershipEvent) {
+        let (_, now) = self.clocks(vm);
+        let mut out = Vec::new();
+        self.vms[vm].membership.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                MembershipAction::Heartbeat { to, round } => self.beat(vm, &to, round),
+                MembershipAction::Append(body) => {
+                    let step = match body {
+                        Body::Displace { .. } => Step::Displace,
+                        _ => Step::Join,
+                    };
+                    self.submit(vm, body);
+                    self.reach(step, vm, None);
+                }
+                MembershipAction::Suspect(_) => self.reach(Step::Silent, vm, None),
+                MembershipAction::Recovered(_) => {}
+                MembershipAction::PeerAhead { vm: peer, applied } => {
+                    let offer = FollowerEvent::Offer { vm: peer, applied };
+                    self.follow(vm, offer, None);
+                }
+                MembershipAction::PeerLeaving(targets) => {
+                    for sign in targets {
+                        self.vms[vm].leaving.drained(&sign);
+                    }
+                }
+                MembershipAction::NeedNewId => self.new_id(vm),
+            }
+        }
+    }
+
+    fn beat(&mut self, vm: usize, to: &[VmId], round: u64) {
+        let leaving: Vec<_> = self.vms[vm].leaving.certain().collect();
+        let heartbeat = self.vms[vm].membership.heartbeat(round, &leaving, &[]);
+        for id in to {
+            let Some(peer) = self.find_peer(vm, id) else {
+                let id = id.clone();
+                self.on_vm(vm, HOP * 2, move |world| {
+                    world.member(vm, MembershipEvent::Unreachable(id));
+                });
+                continue;
+            };
+            let copies = if self.repeat_heartbeats > 0 { 2 } else { 1 };
+            self.repeat_heartbeats = self.repeat_heartbeats.saturating_sub(1);
+            for _ in 0..copies {
+                let heartbeat = heartbeat.clone();
+                self.on_vm(peer, HOP, move |world| {
+                    world.member(peer, MembershipEvent::Heard(heartbeat));
+                });
+            }
+        }
+    }
+
+    /// A displaced VM takes a new id; what it knew about ownership under the old one is void.
+    fn new_id(&mut self, vm: usize) {
+        let incarnation = u32::try_from(self.next_id()).unwrap();
+        let id = VmId::with_incarnation(&self.vms[vm].name, incarnation).unwrap();
+        self.vms[vm].histories = KeyHistories::new(id.clone());
+        self.member(vm, MembershipEvent::NewId(id));
+    }
+
+    pub(crate) fn submit(&mut self, vm: usize, body: Body) {
+        let record = self.record(body.clone());
+        let known = self.vms[vm].follower.fold().applied();
+        self.vms[vm].appends.insert(record.id, body);
+        self.append(vm, AppendEvent::Submit { record, known });
+    }
+
+    fn append(&mut self, vm: usize, event: AppendEvent) {
+        let (_, now) = self.clocks(vm);
+        let mut out = Vec::new();
+        self.vms[vm].appender.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                AppendAction::Append(record) => self.append_to_log(vm, record),
+                AppendAction::Read { id, from, max } => {
+                    self.read_log(vm, from, max, move |world, page| {
+                        world.append(
+                            vm,
+                            match page {
+                                Some(page) => AppendEvent::Page { id, from, page },
+                                None => AppendEvent::ReadFailed { id },
+                            },
+                        );
+                    });
+                }
+                AppendAction::Done { id, offset } => self.appended(vm, id, Some(offset)),
+                AppendAction::Failed { id, .. } => self.appended(vm, id, None),
+            }
+        }
+    }
+
+    fn append_to_log(&mut self, vm: usize, record: Record) {
+        let delay = self.log.delay(self.now);
+        self.after(delay, move |world| {
+            let id = record.id;
+            let up = world.reaches_log(vm);
+            let offset = up.then(|| world.log.append(world.now, &record));
+            let lost = world.log.lose > 0;
+            world.log.lose = world.log.lose.saturating_sub(1);
+            let Some(offset) = offset.filter(|_| !lost) else {
+                world.on_vm(vm, Duration::from_secs(1), move |world| {
+                    world.append(vm, AppendEvent::Lost { id });
+                });
+                return;
+            };
+            let delay = world.log.delay(world.now);
+            world.on_vm(vm, delay, move |world| {
+                world.append(vm, AppendEvent::Appended { id, offset });
+            });
+        });
+    }
+
+    fn appended(&mut self, vm: usize, id: RecordId, offset: Option<Offset>) {
+        let Some(body) = self.vms[vm].appends.remove(&id) else {
+            return;
+        };
+        match (offset, body) {
+            (Some(_), Body::Leave { .. }) => {
+                self.reach(Step::Left, vm, None);
+                self.stop(vm, StopEvent::LeaveAppended);
+            }
+            (None, Body::Leave { .. }) => {}
+            (Some(offset), body) => self.member(vm, MembershipEvent::Appended { offset, body }),
+            (None, body) => self.member(vm, MembershipEvent::AppendFailed { body }),
+        }
+    }
+
+    /// Reports the requests in flight to the planned stop.
+    pub(crate) fn count_calls(&mut self, vm: usize) {
+        let keyed = self.vms[vm].table.running() + self.vms[vm].deciding;
+        let calls = self.vms[vm].calls.values();
+        let other = calls.filter(|call| call.key.is_none()).count();
+        let waiting: usize = self.vms[vm].waiters.values().map(Vec::len).sum();
+        let other = other + waiting;
+        self.stop(vm, StopEvent::InFlight { keyed, other });
+    }
+
+    fn stop(&mut self, vm: usize, event: StopEvent) {
+        let (_, now) = self.clocks(vm);
+        let mut out = Vec::new();
+        self.vms[vm].stop.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                StopAction::Announce => self.reach(Step::Announce, vm, None),
+                StopAction::StopAccepting => self.reach(Step::Closed, vm, None),
+                StopAction::AppendLeave => {
+                    self.member(vm, MembershipEvent::Stopping);
+                    let id = self.vms[vm].membership.vm().clone();
+                    self.submit(vm, Body::Leave { vm: id });
+                    self.reach(Step::Leave, vm, None);
+                }
+                StopAction::CutOff => {}
+                StopAction::Exit => self.exit(vm),
+            }
+        }
+    }
+
+    /// The process ends; whatever it has not answered is cut off.
+    fn exit(&mut self, vm: usize) {
+        if !self.vms[vm].alive {
+            return;
+        }
+        self.reach(Step::Exit, vm, None);
+        let deliveries = self.records.deliveries.iter().enumerate();
+        let open =
+            deliveries.filter(|(_, record)| record.vm == vm && record.arrived && !record.replied);
+        let mut cut: Vec<_> = open.map(|(n, _)| n).collect();
+        let forwards = self.forwards.values();
+        let forwards = forwards.filter(|forward| forward.to == vm && forward.accepted);
+        cut.extend(forwards.map(|forward| forward.delivery));
+        self.records.cut_by_stop.extend(cut);
+        self.end_vm(vm);
+    }
+}
