--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder.
+//! The daemon that runs on every entry VM.
+
+pub mod answer;
+mod attempt;
+pub mod call_head;
+mod caller_end;
+pub mod connection;
+mod control;
+mod control_dump;
+mod control_run;
+pub mod data;
+mod driver;
+pub mod entry_vm;
+pub mod field;
+pub mod flags;
+pub mod headers;
+mod http_server;
+pub mod in_flight;
+mod keyed;
+pub mod links;
+pub mod listeners;
+mod metrics;
+mod peer_client;
+mod plane;
+mod pool_seat;
+mod prober;
+pub mod refusal;
+mod relay;
+pub mod relay_body;
+pub mod request_body;
+pub mod rpc;
+mod service_plane;
+pub mod settings;
+pub mod socket_options;
+pub mod stop_signal;
+pub mod supervisor;
+pub mod target_signs;
+pub mod view;
+mod vm_answer;
+pub mod wire;
