load: compare the routing policies in virtual time

The policies have to be compared with one ideal central queue on equal arrivals, at both users' sizes and under the faults that they report.

A discrete-event simulation drives the daemon's Router, SlotPool and Homes: 15 entry VMs in 3 failure domains, forwarding and spilling with network delays, heartbeats, leases, drains, and the loss of a failure domain. All routings get the same arrivals and target conditions. Each run prints which targets are met.

Checks: every request is accounted for in all scenarios; one server with equal service times waits as long as M/D/1 predicts, within 5%, under every policy.

--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,6 +1,7 @@
 //! The load tool.
 
 use carobshore_load::cmd_run;
+use carobshore_load::cmd_simulate;
 use clap::Parser;
 use clap::Subcommand;
 
@@ -16,6 +17,8 @@
 enum Command {
     /// Sends an open-loop load to entry VMs and checks every response.
     Run(cmd_run::RunArgs),
+    /// Compares routing policies in virtual time.
+    Simulate(cmd_simulate::SimulateArgs),
 }
 
 fn main() -> eyre::Result<()> {
@@ -23,5 +26,6 @@
     let _logger = carobshore_standin::logging::start()?;
     match args.command {
         Command::Run(args) => cmd_run::run(&args),
+        Command::Simulate(args) => cmd_simulate::run(&args),
     }
 }
