--- /dev/null
+++ b/entry/tests/common/mod.rs
@@ -0,0 +1,120 @@
+//! Raw servers and callers that the tests of the daemon share.
+#![allow(dead_code, unreachable_pub)]
+
+pub mod site;
+pub mod vm;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::Duration;
+
+/// Longest wait of a test for something that has to happen.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Starts a server that hands each connection, one after the other, to `serve`.
+pub fn raw_server(mut serve: impl FnMut(TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.unwrap();
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            serve(stream);
+        }
+    });
+    addr
+}
+
+/// Returns an address on which nothing listens.
+pub fn refused_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Reads until the blank line that ends a header section, and returns everything read.
+pub fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&head).into_owned()
+}
+
+/// What a raw caller got.
+#[derive(Debug)]
+pub struct RawAnswer {
+    /// Everything that came back.
+    pub text: String,
+    /// Whether the server closed the connection; otherwise it went silent.
+    pub closed: bool,
+}
+
+/// Sends `request` and reads until the connection closes or stays silent for `quiet`.
+pub fn raw_exchange(addr: SocketAddr, request: &[u8], quiet: Duration) -> RawAnswer {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    // The server may answer and close before it has read everything.
+    let _ = stream.write_all(request);
+    read_until_quiet(&mut stream, quiet)
+}
+
+/// Reads until the connection closes or stays silent for `quiet`.
+pub fn read_until_quiet(stream: &mut TcpStream, quiet: Duration) -> RawAnswer {
+    stream.set_read_timeout(Some(quiet)).unwrap();
+    let mut answer = Vec::new();
+    let mut part = [0; 4096];
+    let closed = loop {
+        match stream.read(&mut part) {
+            Ok(0) => break true,
+            Ok(bytes) => answer.extend_from_slice(&part[..bytes]),
+            Err(error) => break error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    };
+    RawAnswer {
+        text: String::from_utf8_lossy(&answer).into_owned(),
+        closed,
+    }
+}
+
+/// Sends `request` and returns everything that comes back.
+pub fn raw_call(addr: SocketAddr, request: &[u8], quiet: Duration) -> String {
+    raw_exchange(addr, request, quiet).text
+}
+
+/// Returns the value of a field of a response.
+pub fn field<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    let (head, _) = answer.split_once("\r\n\r\n")?;
+    let mut lines = head
+        .lines()
+        .skip(1)
+        .filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(found, _)| found.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
+}
+
+/// Makes the close of `stream` a reset.
+pub fn reset(stream: TcpStream) {
+    let socket = socket2::Socket::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Waits for a message without stopping the tasks of this thread.
+pub async fn soon<T>(receiver: &Receiver<T>) -> T {
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        match receiver.try_recv() {
+            Ok(message) => return message,
+            Err(error) => assert!(std::time::Instant::now() < end, "no message: {error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
