workspace: restore the module lists after the merge of all parts

Cause: parallel additions to the module lists were merged line by line, which lost one module and repeated others.

Change: the lists are complete and sorted; the simulated control thread names the new actions of the follower.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,13 +4,6 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
-mod canonical;
-mod draft;
-mod peer_offers;
-mod snapshot_schedule;
-
-pub mod appender;
-pub mod attempt_table;
 pub mod appender;
 pub mod attempt_table;
 pub mod backoff;
@@ -44,12 +37,6 @@
 pub mod log_page;
 pub mod measuring_budget;
 pub mod membership;
-pub mod fair_queue;
-pub mod fold;
-pub mod hedge;
-pub mod homes;
-pub mod intent;
-pub mod measuring_budget;
 pub mod name;
 pub mod offset;
 pub mod operator_id;
@@ -70,6 +57,7 @@
 pub mod pool_settings;
 pub mod pool_targets;
 pub mod prelude;
+pub mod ramp;
 pub mod read_lease;
 pub mod recent_ids;
 pub mod record;
--- a/testutils/src/sim_control.rs
+++ b/testutils/src/sim_control.rs
@@ -270,7 +270,10 @@
                     self.vms[vm].ready = true;
                     self.member(vm, MembershipEvent::Ready);
                 }
-                FollowerAction::AppendSnapshot { .. } | FollowerAction::Report(_) => {}
+                FollowerAction::RosterStep { .. }
+                | FollowerAction::Installed
+                | FollowerAction::AppendSnapshot { .. }
+                | FollowerAction::Report(_) => {}
             }
         }
     }
