--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -68,12 +68,13 @@
         control: ControlLink,
     ) -> Rc<Self> {
         let links = LinkTable::new(settings.timeouts.connect);
+        let notice = settings.notice;
         let plane = Rc::new(Self {
             settings,
             metrics,
             load: Rc::default(),
             links,
-            stop: RefCell::default(),
+            stop: RefCell::new(PlannedStop::with_notice(notice)),
             control,
             view: RefCell::new(Arc::clone(view)),
             services: RefCell::default(),
--- /dev/null
+++ b/entry/tests/test_hedging.rs
@@ -0,0 +1,81 @@
+//! Second copies of idempotent requests.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use common::PATIENCE;
+use common::field;
+use common::raw_call;
+use common::raw_server;
+use common::read_head;
+use common::vm::Vm;
+
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: status\r\n\r\n";
+
+/// Starts a target that becomes silent on the connection of the next request when `silent` is set,
+/// and reports when that connection is closed.
+fn target(silent: &Arc<AtomicBool>, closed: &mpsc::Sender<()>) -> SocketAddr {
+    let silent = Arc::clone(silent);
+    let closed = closed.clone();
+    raw_server(move |mut stream| {
+        let silent = Arc::clone(&silent);
+        let closed = closed.clone();
+        thread::spawn(move || {
+            while !read_head(&mut stream).is_empty() {
+                if silent.swap(false, Ordering::SeqCst) {
+                    if stream.read(&mut [0]).is_ok_and(|bytes| bytes == 0) {
+                        let _ = closed.send(());
+                    }
+                    return;
+                }
+                thread::sleep(Duration::from_millis(2));
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                let _ = stream.write_all(answer);
+            }
+        });
+    })
+}
+
+/// Guards against an idempotent request that waits for a silent connection, and against a losing
+/// copy that is not cancelled.
+#[test]
+fn second_copy_answers_for_a_silent_connection_and_the_first_is_cancelled() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let (closed, closing) = mpsc::channel();
+    let targets = [target(&silent, &closed), target(&silent, &closed)];
+    let vm = Vm::alone(&targets, &[]);
+    // The hedge budget is a share of the slot time that was used so far.
+    let mut caller = TcpStream::connect(vm.listen).unwrap();
+    for _ in 0..400 {
+        caller.write_all(GET).unwrap();
+        let head = read_head(&mut caller);
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        caller.read_exact(&mut [0; 2]).unwrap();
+    }
+    silent.store(true, Ordering::SeqCst);
+    let asked = Instant::now();
+    caller.write_all(GET).unwrap();
+    let head = read_head(&mut caller);
+    assert_eq!(field(&head, "carobshore-outcome"), Some("whole"), "{head}");
+    assert!(
+        asked.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        asked.elapsed()
+    );
+    assert_eq!(closing.recv_timeout(PATIENCE), Ok(()));
+    let request = b"GET /metrics HTTP/1.1\r\nhost: admin\r\n\r\n";
+    let metrics = raw_call(vm.admin, request, Duration::from_millis(300));
+    let hedges = "carobshore_hedges_total{service=\"status\"";
+    assert!(metrics.contains(hedges), "{metrics}");
+}
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -22,8 +22,10 @@
 use common::read_until_quiet;
 use common::vm::Vm;
 
-/// The time for which a stopping VM still accepts requests.
-const NOTICE: Duration = Duration::from_secs(5);
+/// The time for which a stopping VM still accepts requests. It differs from the default, so that
+/// a setting without effect is noticed.
+const NOTICE: Duration = Duration::from_secs(3);
+const NOTICE_FLAG: &str = "--drain-notice-ms=3000";
 const QUIET: Duration = Duration::from_millis(300);
 const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: status\r\n\r\n";
 
@@ -65,7 +67,7 @@
 /// load balancer has noticed, or does not end.
 #[test]
 fn slow_upload_outlives_the_stop_and_nothing_is_refused_early() {
-    let mut vm = Vm::alone(&[target(1000)], &[]);
+    let mut vm = Vm::alone(&[target(1000)], &[NOTICE_FLAG]);
     let mut upload = TcpStream::connect(vm.listen).unwrap();
     let head = "POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 1000\r\n\r\n";
     upload.write_all(head.as_bytes()).unwrap();
@@ -85,7 +87,7 @@
             let answer = raw_exchange(vm.listen, b"", Duration::from_millis(10));
             assert!(!answer.closed, "part {part}: the listener was closed early");
         }
-        thread::sleep(Duration::from_millis(800));
+        thread::sleep(Duration::from_millis(500));
     }
     assert!(stopped.elapsed() > NOTICE);
     assert!(
--- a/entry/tests/test_proxy.rs
+++ b/entry/tests/test_proxy.rs
@@ -348,6 +348,29 @@
     assert!(answer.text.ends_with("\r\n\r\nlarge"), "{}", answer.text);
 }
 
+/// Guards against a caller that waits for `100 Continue` before it sends its body.
+#[test]
+fn expectation_is_answered_here_and_not_passed_on() {
+    let (tell, told) = mpsc::channel();
+    let addr = target(move |mut stream| {
+        tell.send(read_head(&mut stream)).unwrap();
+        let mut body = [0; 3];
+        stream.read_exact(&mut body).unwrap();
+        stream.write_all(OK.as_bytes()).unwrap();
+    });
+    let vm = Vm::alone(&[addr], &[]);
+    let mut caller = TcpStream::connect(vm.listen).unwrap();
+    caller.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head =
+        "POST / HTTP/1.1\r\nhost: status\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n";
+    caller.write_all(head.as_bytes()).unwrap();
+    assert_eq!(read_head(&mut caller), "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.write_all(b"abc").unwrap();
+    let answer = read_until_quiet(&mut caller, QUIET);
+    assert!(answer.text.starts_with("HTTP/1.1 200 "), "{}", answer.text);
+    assert_eq!(field(&told.recv_timeout(PATIENCE).unwrap(), "expect"), None);
+}
+
 /// Guards against a body being changed or held in memory on its way, in both directions.
 #[test]
 fn large_bodies_pass_unchanged_at_the_pace_of_the_receiver() {
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// How long requests are accepted after readiness failed, so that the platform's load balancer
-/// notices.
+/// How long requests are accepted after readiness failed, unless a setting says otherwise, so that
+/// the platform's load balancer notices.
 pub const NOTICE: Duration = Duration::from_secs(5);
 
 /// How long the stop waits for the log to accept the `leave` after everything else ended. Without
@@ -55,6 +55,7 @@
 /// A planned stop, from the first signal to the exit.
 #[derive(Clone, Debug)]
 pub struct PlannedStop {
+    notice: Duration,
     signalled: Option<Instant>,
     accepting: bool,
     leave: Leave,
@@ -67,7 +68,15 @@
 
 impl Default for PlannedStop {
     fn default() -> Self {
+        Self::with_notice(NOTICE)
+    }
+}
+
+impl PlannedStop {
+    /// Builds a stop that accepts requests for the given time after readiness failed.
+    pub fn with_notice(notice: Duration) -> Self {
         Self {
+            notice,
             signalled: None,
             accepting: true,
             leave: Leave::Waiting,
@@ -76,9 +85,7 @@
             exited: false,
         }
     }
-}
 
-impl PlannedStop {
     /// Takes an event and appends the actions that follow from it.
     ///
     /// The numbers of requests in flight have to be reported after each change, and the one that
@@ -125,7 +132,7 @@
         let Some(signalled) = self.signalled else {
             return;
         };
-        if self.accepting && now >= signalled + NOTICE {
+        if self.accepting && now >= signalled + self.notice {
             self.accepting = false;
             out.push(StopAction::StopAccepting);
         }
