entry: test the release of keys, fresh connections and unused hedges

Cause: three changes of the code on a scratch copy passed all tests: a slot that is not freed when it is dropped, a keyed request that no longer counts when its caller has left during the response, and run-once requests on any idle connection. Change: a test for each. Conclusion: these rules are now guarded.

--- a/entry/tests/test_hedging.rs
+++ b/entry/tests/test_hedging.rs
@@ -34,7 +34,7 @@
         thread::spawn(move || {
             while !read_head(&mut stream).is_empty() {
                 if silent.swap(false, Ordering::SeqCst) {
-                    if stream.read(&mut [0]).is_ok_and(|bytes| bytes == 0) {
+                    if std::io::copy(&mut stream, &mut std::io::sink()).is_ok() {
                         let _ = closed.send(());
                     }
                     return;
@@ -47,6 +47,16 @@
     })
 }
 
+/// The hedge budget is a share of the slot time that was used so far.
+fn fill_hedge_budget(caller: &mut TcpStream) {
+    for _ in 0..400 {
+        caller.write_all(GET).unwrap();
+        let head = read_head(caller);
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        caller.read_exact(&mut [0; 2]).unwrap();
+    }
+}
+
 /// Guards against an idempotent request that waits for a silent connection, and against a losing
 /// copy that is not cancelled.
 #[test]
@@ -55,14 +65,8 @@
     let (closed, closing) = mpsc::channel();
     let targets = [target(&silent, &closed), target(&silent, &closed)];
     let vm = Vm::alone(&targets, &[]);
-    // The hedge budget is a share of the slot time that was used so far.
     let mut caller = TcpStream::connect(vm.listen).unwrap();
-    for _ in 0..400 {
-        caller.write_all(GET).unwrap();
-        let head = read_head(&mut caller);
-        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
-        caller.read_exact(&mut [0; 2]).unwrap();
-    }
+    fill_hedge_budget(&mut caller);
     silent.store(true, Ordering::SeqCst);
     let asked = Instant::now();
     caller.write_all(GET).unwrap();
@@ -79,3 +83,30 @@
     let hedges = "carobshore_hedges_total{service=\"status\"";
     assert!(metrics.contains(hedges), "{metrics}");
 }
+
+/// Guards against a second copy of a body that is no longer kept, and against the slot that was
+/// granted for it staying taken.
+#[test]
+fn unused_hedge_frees_its_slot() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let (closed, _closing) = mpsc::channel();
+    let targets = [target(&silent, &closed), target(&silent, &closed)];
+    let vm = Vm::alone(&targets, &[]);
+    let mut caller = TcpStream::connect(vm.listen).unwrap();
+    fill_hedge_budget(&mut caller);
+    silent.store(true, Ordering::SeqCst);
+    let head = "POST / HTTP/1.1\r\nhost: status\r\ncarobshore-repeatable: yes\r\n\
+                carobshore-deadline-ms: 2000\r\ncontent-length: 100000\r\n\r\n";
+    caller.write_all(head.as_bytes()).unwrap();
+    caller.write_all(&[b'x'; 100_000]).unwrap();
+    let head = read_head(&mut caller);
+    assert_eq!(
+        field(&head, "carobshore-outcome"),
+        Some("may-have-run"),
+        "{head}"
+    );
+    let dump = vm.dump();
+    let owned = &dump["services"]["status"]["owned"];
+    assert_ne!(owned["counters"]["hedges"], 0, "{owned:#}");
+    assert_eq!(owned["in_flight"], 0, "{owned:#}");
+}
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use carobshore_entry::view::DataReport;
+use carobshore_lib::key_history::SKEW_MARGIN;
 use carobshore_lib::roster::Roster;
 use common::PATIENCE;
 use common::field;
@@ -129,6 +130,36 @@
     assert_eq!(field(&answer, "carobshore-code"), Some("4010"), "{answer}");
 }
 
+/// Guards against a VM that releases its keys while a request with a key still runs, though the
+/// caller of the request has left.
+#[test]
+fn keys_are_released_only_after_the_last_keyed_request() {
+    const REST: Duration = Duration::from_millis(1500);
+    let target = raw_server(|mut stream| {
+        read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no");
+        thread::sleep(REST);
+        let _ = stream.write_all(b"k");
+    });
+    let mut vm = Vm::alone(&[target], &[]);
+    // Keys from before the start may have been accepted by an earlier run of the VM.
+    thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
+    let mut caller = TcpStream::connect(vm.listen).unwrap();
+    let key = uuid::Uuid::now_v7();
+    let request = format!(
+        "POST / HTTP/1.1\r\nhost: status\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let head = read_head(&mut caller);
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    let answered = Instant::now();
+    drop(caller);
+    thread::sleep(Duration::from_millis(200));
+    vm.stop.request();
+    leave_when_asked(&mut vm);
+    assert!(answered.elapsed() >= REST - Duration::from_millis(200));
+}
+
 /// Guards against a second signal that waits for requests in flight.
 #[test]
 fn second_signal_cuts_off() {
--- a/entry/tests/test_proxy.rs
+++ b/entry/tests/test_proxy.rs
@@ -129,6 +129,41 @@
     }
 }
 
+/// Guards against a run-once request on a connection that may have become unresponsive while it was
+/// idle, and against idempotent requests that each open a connection.
+#[test]
+fn run_once_requests_use_fresh_connections_only() {
+    let (accepted, connections) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        accepted.send(()).unwrap();
+        thread::spawn(move || {
+            while !read_head(&mut stream).is_empty() {
+                stream.write_all(OK.as_bytes()).unwrap();
+            }
+        });
+    });
+    let vm = Vm::alone(&[addr], &[]);
+    let opened = |method: &str, fields: &str| {
+        let answer = call(&vm, method, fields);
+        assert_eq!(outcome(&answer), (Some("whole"), Some("0")), "{answer}");
+        connections.try_iter().count()
+    };
+    // Each call waits for longer than the 250 ms for which a connection counts as fresh.
+    assert_eq!(opened("GET", ""), 1);
+    assert_eq!(opened("GET", ""), 0);
+    assert_eq!(opened("POST", "content-length: 0\r\n"), 1);
+    assert_eq!(
+        opened(
+            "POST",
+            "content-length: 0\r\ncarobshore-repeatable: yes\r\n"
+        ),
+        0
+    );
+    let twice = "POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n".repeat(2);
+    raw_call(vm.listen, twice.as_bytes(), QUIET);
+    assert_eq!(connections.try_iter().count(), 1);
+}
+
 /// Guards against a refused connect being reported as anything but "not run".
 #[test]
 fn refused_targets_are_not_run() {
