key_homes: use the owners of Homes, so that the router and the history agree

Cause: Homes draws keys over seats since, KeyHomes over VMs. The router sent most keys to a VM that refuses them as not its own. Besides, KeyOwnership and the RosterStep of the follower now do what KeyHistories and RosterSteps did.

Change: KeyHomes wraps the untargeted homes; KeyHistories is removed; the simulation drives KeyOwnership. A test compares the router's owner with the history's for 100 keys.

--- a/lib/src/key_ownership.rs
+++ b/lib/src/key_ownership.rs
@@ -155,5 +155,5 @@
         connections: DEFAULT_CONNECTIONS,
     };
     let homes = Homes::assign(service, &untargeted, roster, &HomesSettings::default());
-    KeyHomes::from(&homes)
+    KeyHomes::from(homes)
 }
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -22,8 +22,6 @@
 pub use crate::homes::Homes;
 pub use crate::homes::HomesSettings;
 pub use crate::intent::Intent;
-pub use crate::key_histories::KeyHistories;
-pub use crate::key_histories::RosterSteps;
 pub use crate::key_history::Handover;
 pub use crate::key_history::KeyHistory;
 pub use crate::key_history::Ownership;
--- a/lib/tests/test_key_history.rs
+++ b/lib/tests/test_key_history.rs
@@ -7,11 +7,9 @@
 use carobshore_lib::key_history::KEY_LIFETIME;
 use carobshore_lib::key_history::MAX_SETS;
 use carobshore_lib::key_history::SKEW_MARGIN;
-use carobshore_lib::log_page::LogRecord;
+use carobshore_lib::key_ownership::key_homes;
 use carobshore_lib::prelude::*;
 use carobshore_lib::read_lease::LEASE_WAIT;
-use carobshore_lib::record::Confirm;
-use carobshore_lib::record::Join;
 use carobshore_testutils::keys::key_at;
 use carobshore_testutils::manual_clock::ManualClock;
 
@@ -22,8 +20,17 @@
     name.parse().unwrap()
 }
 
+/// One home per failure domain; each VM is in a domain of its own name.
 fn homes(names: &[&str]) -> KeyHomes {
-    KeyHomes::new(names.iter().map(|name| vm(name)).collect())
+    let member = |name: &&str| Member {
+        domain: name.parse().unwrap(),
+        rpc: "127.0.0.1:1".parse().unwrap(),
+        forward: "127.0.0.1:2".parse().unwrap(),
+        joined: Offset(0),
+    };
+    let members = names.iter().map(|name| (vm(name), member(name)));
+    let members = members.collect();
+    key_homes(&"stage".parse().unwrap(), &Roster { members })
 }
 
 /// The history of VM `me`, with a clock and a way to ask about keys created at a given age.
@@ -220,123 +227,41 @@
     }
 }
 
-/// Guards against a page of records whose middle made another VM the owner: the fold only shows
-/// the roster after the whole page, which may equal the one before it.
+/// Guards against two ways to find a key's owner: the router would send keys to a VM that refuses
+/// them.
 #[test]
-fn histories_see_the_rosters_between_the_records_of_a_page() {
-    let mut log = Vec::new();
-    let service: ServiceId = "stage".parse().unwrap();
-    log.extend(confirmed(&service));
-    let rival = other_that_takes_over(&service);
-    log.push(join("me.0"));
-    let mut fold = Fold::default();
-    let clock = ManualClock::default();
-    let mut histories = KeyHistories::new(vm("me.0"));
-    advance(&mut fold, &log, &mut histories, &clock);
-    clock.advance(Duration::from_secs(3_600));
-    let fresh = |histories: &KeyHistories, clock: &ManualClock| {
-        let key = key_at(clock.wall(), 1);
-        let history = histories.get(&service).unwrap();
-        history.owned_since_creation(&key, clock.now(), clock.wall())
+fn the_router_and_the_history_agree_about_the_owner() {
+    let service = "stage".parse().unwrap();
+    let mut roster = Roster::default();
+    for n in 0..9_u64 {
+        let member = Member {
+            domain: format!("d{}", n % 3).parse().unwrap(),
+            rpc: "127.0.0.1:1".parse().unwrap(),
+            forward: "127.0.0.1:2".parse().unwrap(),
+            joined: Offset(n),
+        };
+        roster.members.insert(vm(&format!("vm-{n}.0")), member);
+    }
+    let target = Target {
+        addr: "127.0.0.1:3".parse().unwrap(),
+        domain: "d0".parse().unwrap(),
+        slots: Slots::try_from(2).unwrap(),
+        generation: 1,
+        state: TargetState::Serving,
     };
-    assert_eq!(fresh(&histories, &clock), Ownership::Owned);
-    let roster = fold.roster().clone();
-    let by = vm("me.0");
-    let vm = rival.clone();
-    let flip = [join(rival.as_str()), Body::Displace { vm, by }];
-    advance(&mut fold, &flip, &mut histories, &clock);
-    assert_eq!(*fold.roster(), roster, "the fold shows no difference");
-    assert_eq!(fresh(&histories, &clock), Ownership::Moving);
-    clock.advance(LEASE_WAIT + SKEW_MARGIN);
-    assert_eq!(fresh(&histories, &clock), Ownership::Owned);
-    // A fold that came from a snapshot hides what happened in between.
-    let steps = RosterSteps::of(&Fold::default(), &[]);
-    histories.advance(clock.now(), clock.wall(), &steps, &fold, assign);
-    assert_eq!(fresh(&histories, &clock), Ownership::Moving);
-}
-
-fn assign(service: &ServiceId, roster: &Roster) -> KeyHomes {
     let spec = Service {
         version: Version(1),
-        targets: Default::default(),
+        targets: [("t".parse().unwrap(), target)].into(),
         measuring: TargetTime(0),
         connections: 1,
     };
-    KeyHomes::from(&Homes::assign(
-        service,
-        &spec,
-        roster,
-        &HomesSettings::default(),
-    ))
-}
-
-fn join(name: &str) -> Body {
-    Body::Join(Join {
-        vm: vm(name),
-        domain: "north".parse().unwrap(),
-        rpc: "127.0.0.1:1".parse().unwrap(),
-        forward: "127.0.0.1:2".parse().unwrap(),
-    })
-}
-
-/// Finds a VM that becomes the domain's home beside `me.0`.
-fn other_that_takes_over(service: &ServiceId) -> VmId {
-    let wins = |name: &VmId| {
-        let mut fold = Fold::default();
-        for (at, body) in [join("me.0"), join(name.as_str())].into_iter().enumerate() {
-            fold.apply(Offset(at as u64), &record(body, at));
-        }
-        assign(service, fold.roster()).vms() == std::slice::from_ref(name)
-    };
-    let names = (0..100).map(|n| vm(&format!("rival-{n}.0")));
-    names.into_iter().find(wins).unwrap()
-}
-
-fn confirmed(service: &ServiceId) -> [Body; 2] {
-    let operator: OperatorId = "morning".parse().unwrap();
-    let add = Change::AddService {
-        service: service.clone(),
-        measuring: TargetTime(0),
-        connections: 1,
-    };
-    let intent = Intent {
-        operator: operator.clone(),
-        note: "".into(),
-        changes: vec![add],
-    };
-    let plan = Plan::new(&Config::default(), &intent).unwrap();
-    let confirm = Confirm {
-        operator,
-        intent: record(Body::Intent(intent.clone()), 0).id,
-        digest: plan.digest(),
-        bases: plan.bases().clone(),
-    };
-    [Body::Intent(intent), Body::Confirm(confirm)]
-}
-
-fn record(body: Body, at: usize) -> Record {
-    let id = format!("00000000-0000-4000-8000-{at:012x}")
-        .parse()
-        .unwrap();
-    Record { id, body }
-}
-
-fn advance(fold: &mut Fold, bodies: &[Body], histories: &mut KeyHistories, clock: &ManualClock) {
-    let first = fold.applied().0;
-    let records: Vec<_> = bodies
-        .iter()
-        .zip(first..)
-        .map(|(body, at)| LogRecord {
-            offset: Offset(at),
-            data: record(body.clone(), at as usize).to_json().into(),
-        })
-        .collect();
-    let steps = RosterSteps::of(fold, &records);
-    for record in &records {
-        assert_eq!(
-            fold.apply_text(record.offset, &record.data),
-            Applied::Applied
-        );
+    let routed = Homes::assign(&service, &spec, &roster, &HomesSettings::default());
+    let owned = key_homes(&service, &roster);
+    let mut owners = std::collections::BTreeSet::new();
+    for n in 0..100 {
+        let key = key_at(ManualClock::default().wall(), n);
+        assert_eq!(routed.key_owner(&key), owned.owner(&key));
+        owners.extend(owned.owner(&key));
     }
-    histories.advance(clock.now(), clock.wall(), &steps, fold, assign);
+    assert_eq!(owners.len(), 3);
 }
--- a/lib/tests/test_key_ownership.rs
+++ b/lib/tests/test_key_ownership.rs
@@ -63,7 +63,13 @@
 #[test]
 fn an_owner_between_two_records_of_one_read_counts() {
     let service = "booking".parse().unwrap();
-    let owner_of = |vms: &[&str]| key_homes(&service, &roster(vms)).vms()[0].clone();
+    let owner_of = |vms: &[&str]| {
+        key_homes(&service, &roster(vms))
+            .vms()
+            .next()
+            .unwrap()
+            .clone()
+    };
     // Finds a VM that takes the keys over from `a` when it joins.
     let names: Vec<String> = (0..64).map(|at| format!("b{at}")).collect();
     let rival = names
--- a/testutils/src/sim_control.rs
+++ b/testutils/src/sim_control.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
 
 use carobshore_lib::appender::AppendAction;
 use carobshore_lib::appender::AppendEvent;
@@ -10,6 +12,8 @@
 use carobshore_lib::follower_message::FollowerAction;
 use carobshore_lib::follower_message::FollowerEvent;
 use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::key_ownership::KeyOwnership;
+use carobshore_lib::key_ownership::key_homes;
 use carobshore_lib::prelude::*;
 use carobshore_lib::read_lease::LEASE_WAIT;
 use carobshore_lib::record::Join;
@@ -55,7 +59,7 @@
     pub(crate) appends: BTreeMap<RecordId, Body>,
     pub(crate) membership: Membership,
     pub(crate) lease: ReadLease,
-    pub(crate) histories: KeyHistories,
+    pub(crate) ownership: KeyOwnership,
     pub(crate) table: KeyTable,
     pub(crate) leaving: Leaving,
     pub(crate) key_homes: KeyHomes,
@@ -67,21 +71,6 @@
     ticks: u64,
 }
 
-fn assign(service: &ServiceId, roster: &Roster) -> KeyHomes {
-    let spec = Service {
-        version: Version(0),
-        targets: BTreeMap::new(),
-        measuring: TargetTime(0),
-        connections: 1,
-    };
-    KeyHomes::from(&Homes::assign(
-        service,
-        &spec,
-        roster,
-        &HomesSettings::default(),
-    ))
-}
-
 impl World {
     /// Starts an entry VM in a failure domain.
     pub fn start_vm(&mut self, name: &str, domain: usize) {
@@ -118,7 +107,7 @@
                 seed: vm as u64,
             }),
             lease: ReadLease::default(),
-            histories: KeyHistories::new(id),
+            ownership: KeyOwnership::new(id),
             table: KeyTable::new(start, wall, KeyLimits::default()),
             leaving: Leaving::default(),
             key_homes: KeyHomes::default(),
@@ -193,7 +182,7 @@
             self.read_list(vm);
             self.note_served(vm);
         }
-        self.follow(vm, FollowerEvent::Tick, None);
+        self.follow(vm, FollowerEvent::Tick);
         self.append(vm, AppendEvent::Tick);
         self.member(vm, MembershipEvent::Tick);
         self.count_calls(vm);
@@ -243,7 +232,7 @@
         }
     }
 
-    pub(crate) fn follow(&mut self, vm: usize, event: FollowerEvent, steps: Option<&RosterSteps>) {
+    pub(crate) fn follow(&mut self, vm: usize, event: FollowerEvent) {
         let (_, now) = self.clocks(vm);
         let mut out = Vec::new();
         self.vms[vm].follower.handle(now, event, &mut out);
@@ -252,19 +241,29 @@
                 FollowerAction::Read { from, max } => {
                     self.read_log(vm, from, max, move |w, page| {
                         let Some(page) = page else {
-                            return w.follow(vm, FollowerEvent::ReadFailed, None);
+                            return w.follow(vm, FollowerEvent::ReadFailed);
                         };
-                        let steps = RosterSteps::of(w.vms[vm].follower.fold(), &page.records);
                         let issued = now;
                         let event = FollowerEvent::Page { from, issued, page };
-                        w.follow(vm, event, Some(&steps));
+                        w.follow(vm, event);
                     });
                 }
                 FollowerAction::FetchRecords { vm: peer, from } => {
                     self.ask_peer(vm, peer, Some(from));
                 }
                 FollowerAction::FetchSnapshot { vm: peer } => self.ask_peer(vm, peer, None),
-                FollowerAction::Advanced { .. } => self.advanced(vm, steps),
+                FollowerAction::RosterStep { roster, handover } => {
+                    let (now, wall) = self.takeover_clocks(vm);
+                    self.vms[vm]
+                        .ownership
+                        .roster_step(now, wall, roster, handover);
+                }
+                FollowerAction::Installed => {
+                    let (now, wall) = self.takeover_clocks(vm);
+                    let roster = self.vms[vm].follower.fold().roster().clone();
+                    self.vms[vm].ownership.installed(now, wall, roster);
+                }
+                FollowerAction::Advanced { .. } => self.advanced(vm),
                 FollowerAction::Current { issued } => self.current(vm, issued),
                 FollowerAction::Ready => {
                     self.vms[vm].ready = true;
@@ -275,19 +274,21 @@
         }
     }
 
-    fn advanced(&mut self, vm: usize, steps: Option<&RosterSteps>) {
-        let (mut wall, mut now) = self.clocks(vm);
-        if self.policy.no_wait {
-            wall -= LEASE_WAIT * 2;
-            now -= LEASE_WAIT * 2;
+    /// The clocks as they are read after a record; shifted by the wrong rule without a wait.
+    fn takeover_clocks(&self, vm: usize) -> (Instant, SystemTime) {
+        let (wall, now) = self.clocks(vm);
+        match self.policy.no_wait {
+            true => (now - LEASE_WAIT * 2, wall - LEASE_WAIT * 2),
+            false => (now, wall),
         }
-        let unknown = RosterSteps::of(&Fold::default(), &[]);
+    }
+
+    fn advanced(&mut self, vm: usize) {
+        let service = self.service.clone();
         let state = &mut self.vms[vm];
         let fold = state.follower.fold();
-        state
-            .histories
-            .advance(now, wall, steps.unwrap_or(&unknown), fold, assign);
-        state.key_homes = assign(&self.service, fold.roster());
+        state.ownership.configured(fold.config());
+        state.key_homes = key_homes(&service, fold.roster());
         state.leaving.configured(fold.config());
         let (roster, applied) = (fold.roster().clone(), fold.applied());
         let (before, after) = (
@@ -304,7 +305,7 @@
         self.member(vm, MembershipEvent::Applied(applied));
     }
 
-    fn current(&mut self, vm: usize, issued: std::time::Instant) {
+    fn current(&mut self, vm: usize, issued: Instant) {
         let state = &mut self.vms[vm];
         let id = state.membership.vm();
         let in_roster = state.follower.fold().roster().contains(id);
@@ -316,7 +317,7 @@
     fn ask_peer(&mut self, vm: usize, peer: VmId, from: Option<Offset>) {
         let Some(to) = self.find_peer(vm, &peer) else {
             self.on_vm(vm, HOP * 2, move |world| {
-                world.follow(vm, FollowerEvent::PeerLost { vm: peer }, None);
+                world.follow(vm, FollowerEvent::PeerLost { vm: peer });
             });
             return;
         };
@@ -325,17 +326,13 @@
             let records = from.map(|from| follower.records_since(from));
             let snapshot = follower.snapshot();
             world.on_vm(vm, HOP, move |world| {
-                let fold = world.vms[vm].follower.fold();
-                let steps = records
-                    .as_ref()
-                    .map(|page| RosterSteps::of(fold, &page.records));
                 let vm_id = peer;
                 let event = match (records, snapshot) {
                     (Some(page), _) => FollowerEvent::PeerRecords { vm: vm_id, page },
                     (None, Some(records)) => FollowerEvent::PeerSnapshot { vm: vm_id, records },
                     (None, None) => FollowerEvent::PeerLost { vm: vm_id },
                 };
-                world.follow(vm, event, steps.as_ref());
+                world.follow(vm, event);
             });
         });
     }
@@ -367,7 +364,7 @@
                 MembershipAction::Recovered(_) => {}
                 MembershipAction::PeerAhead { vm: peer, applied } => {
                     let offer = FollowerEvent::Offer { vm: peer, applied };
-                    self.follow(vm, offer, None);
+                    self.follow(vm, offer);
                 }
                 MembershipAction::PeerLeaving(targets) => {
                     for sign in targets {
@@ -405,7 +402,7 @@
     fn new_id(&mut self, vm: usize) {
         let incarnation = u32::try_from(self.next_id()).unwrap();
         let id = VmId::with_incarnation(&self.vms[vm].name, incarnation).unwrap();
-        self.vms[vm].histories = KeyHistories::new(id.clone());
+        self.vms[vm].ownership.renamed(id.clone());
         self.member(vm, MembershipEvent::NewId(id));
     }
 
--- a/testutils/src/sim_data.rs
+++ b/testutils/src/sim_data.rs
@@ -107,7 +107,8 @@
         }
         let (wall, now) = self.clocks(vm);
         let mut ownership = self.vms[vm]
-            .histories
+            .ownership
+            .histories()
             .get(&self.service)
             .map_or(Ownership::NotOwner, |history| {
                 history.owned_since_creation(&key, now, wall)
