--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,19 +4,23 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
+mod canonical;
+mod draft;
+mod peer_offers;
+mod snapshot_schedule;
+mod snapshot_search;
+
 pub mod appender;
 pub mod attempt_table;
 pub mod backoff;
 pub mod baseline;
 pub mod byte_size;
-mod canonical;
 pub mod change;
 pub mod charge_window;
 pub mod clock;
 pub mod config;
 pub mod connection_pool;
 pub mod domain_id;
-mod draft;
 pub mod error;
 pub mod exchange;
 pub mod fair_queue;
@@ -28,7 +32,6 @@
 pub mod history;
 pub mod homes;
 pub mod intent;
-pub mod key_histories;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_ownership;
@@ -43,7 +46,6 @@
 pub mod outcome;
 pub mod outlier;
 pub mod peer_load;
-mod peer_offers;
 pub mod peer_table;
 pub mod pending;
 pub mod plan;
@@ -76,8 +78,6 @@
 pub mod snapshot;
 pub mod snapshot_marks;
 pub mod snapshot_scan;
-mod snapshot_schedule;
-mod snapshot_search;
 pub mod target;
 pub mod target_entry;
 pub mod target_id;
