follower: test that only a read up to the end renews the lease

Cause: a mutation trial that reported the fold as current after any page was caught by no test. Change: test_follower checks each page of a long log. Conclusion: the mutation is caught now.

--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -420,6 +420,27 @@
     assert_eq!(vm.follower.fold(), &fold);
 }
 
+/// Guards against a read lease that is renewed, or a VM that is ready, before the VM has applied
+/// all that was on the log: it could own keys that another VM owns by now.
+#[test]
+fn only_a_read_up_to_the_end_makes_the_fold_current() {
+    let (mut log, _) = sample();
+    for _ in 0..20 {
+        log.append_text("{}".to_owned());
+    }
+    let mut vm = Vm::new(settings(None));
+    vm.tick();
+    while let Some((from, max)) = vm.read() {
+        let early = vm.follower.fold().applied() < log.next();
+        assert_eq!(vm.was_current(), !early);
+        assert_eq!(vm.follower.is_ready(), !early);
+        let event = answer(&log, vm.now, from, max);
+        vm.handle(event);
+    }
+    assert!(vm.was_current() && vm.follower.is_ready());
+    assert_eq!(vm.follower.fold().applied(), log.next());
+}
+
 /// Guards against records that are too large for one answer stopping the follower for good.
 #[test]
 fn failed_reads_ask_for_less() {
