--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -37,6 +37,8 @@
     loaded: bool,
     ready: bool,
     search: Option<SnapshotSearch>,
+    /// Whether a search has ended, so that a log without a snapshot is applied from its beginning.
+    searched: bool,
     /// Whether the log has lost records that the fold still needs.
     gap: bool,
     first: Offset,
@@ -70,6 +72,7 @@
             loaded: false,
             ready: false,
             search: None,
+            searched: false,
             gap: false,
             first: Offset(0),
             started: now,
@@ -206,6 +209,12 @@
         if from > self.fold.applied() {
             return;
         }
+        if !self.loaded && !self.searched && page.next.0 > self.span() {
+            // Applying a long log from its beginning takes longer than a start may.
+            self.search = Some(SnapshotSearch::new(page.first, self.span()));
+            self.read_at = now;
+            return;
+        }
         // The log still has every record that the fold lacks. An empty fold gets here only when
         // nothing has expired yet.
         self.loaded = true;
@@ -289,13 +298,17 @@
             return;
         }
         self.gap = true;
-        // The search starts again when the log has dropped records that it was about to read. Its
-        // first part is a little larger than the distance between two snapshots.
-        let span = self.settings.snapshot_every + self.settings.snapshot_every / 4;
-        self.search = Some(SnapshotSearch::new(first, span));
+        // The search starts again when the log has dropped records that it was about to read.
+        self.search = Some(SnapshotSearch::new(first, self.span()));
         self.read_at = now;
     }
 
+    /// Returns the size of the part in which a snapshot is searched first: a little more than the
+    /// distance between two snapshots.
+    fn span(&self) -> u64 {
+        self.settings.snapshot_every + self.settings.snapshot_every / 4
+    }
+
     fn search_page(
         &mut self,
         now: Instant,
@@ -312,8 +325,11 @@
             return;
         };
         self.search = None;
+        self.searched = true;
         actions.extend(error.map(FollowerAction::Report));
-        if !fold.is_some_and(|fold| self.install(*fold, actions)) {
+        let installed = fold.is_some_and(|fold| self.install(*fold, actions));
+        let from_start = !self.loaded && self.first == Offset(0);
+        if !installed && !from_start {
             actions.push(FollowerAction::Report(no_snapshot(
                 self.fold.applied(),
                 self.first,
--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -386,26 +386,42 @@
     add(&mut log, &mut fold, false);
     fill(&mut log, &mut fold, 60);
     add(&mut log, &mut fold, true);
-    log.first = 1;
-    let small = FollowerSettings {
-        snapshot_every: 8,
-        ..settings(None)
-    };
-    let mut vm = Vm::new(small);
-    let mut lowest = log.next();
-    for _ in 0..200 {
-        vm.tick();
-        while let Some((from, max)) = vm.read() {
-            if from.0 > 1 {
-                lowest = lowest.min(from);
+    for first in [0, 1] {
+        log.first = first;
+        let mut vm = Vm::new(FollowerSettings {
+            snapshot_every: 8,
+            ..settings(None)
+        });
+        let mut reads = Vec::new();
+        for _ in 0..200 {
+            vm.tick();
+            while let Some((from, max)) = vm.read() {
+                reads.push(from.0);
+                let event = answer(&log, vm.now, from, max);
+                vm.handle(event);
             }
-            let event = answer(&log, vm.now, from, max);
-            vm.handle(event);
         }
+        assert_eq!(vm.follower.fold(), &fold);
+        assert_eq!(vm.error().unwrap().code, ResultCode::BadSnapshot);
+        let between = reads.iter().find(|from| (2..400).contains(*from));
+        assert_eq!(between, None, "first {first}");
     }
-    assert_eq!(vm.follower.fold(), &fold);
-    assert_eq!(vm.error().unwrap().code, ResultCode::BadSnapshot);
-    assert!(lowest.0 > 400, "read from {lowest}");
+}
+
+/// Guards against a long log without a snapshot, from which nothing has expired, being refused.
+#[test]
+fn a_long_log_without_a_snapshot_is_applied_from_its_beginning() {
+    let (mut log, mut fold) = sample();
+    for _ in 0..100 {
+        fold.apply_text(log.append_text("{}".to_owned()), "{}");
+    }
+    let mut vm = Vm::new(FollowerSettings {
+        snapshot_every: 8,
+        ..settings(None)
+    });
+    vm.run(&log, 20);
+    assert!(vm.follower.is_ready());
+    assert_eq!((vm.follower.fold(), vm.error()), (&fold, None));
 }
 
 /// Guards against a log of another installation, or one that was emptied, taking a VM back.
