--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -21,6 +21,7 @@
 struct Report {
     seen: Instant,
     free: u32,
+    queued: u32,
     asked: Option<Instant>,
 }
 
@@ -40,6 +41,7 @@
         let report = Report {
             seen: now,
             free,
+            queued: load.queued,
             asked: None,
         };
         self.peers.insert(load.vm, report);
@@ -57,6 +59,18 @@
         Some(vm.clone())
     }
 
+    /// Returns the home with the shortest queue, if it has at most `most` requests, and counts the
+    /// request into it.
+    pub fn shorter(&mut self, now: Instant, most: u32) -> Option<VmId> {
+        let age = self.age;
+        let fresh = self.peers.iter_mut().filter(|(_, report)| {
+            report.queued <= most && now.saturating_duration_since(report.seen) < age
+        });
+        let (vm, report) = fresh.min_by_key(|(_, report)| report.queued)?;
+        report.queued += 1;
+        Some(vm.clone())
+    }
+
     /// Returns a home without a recent report, to which one request may be spilled for the report
     /// that its response brings. Without this a home would learn of free slots elsewhere only from
     /// heartbeats, once a second.
