--- a/lib/src/baseline.rs
+++ b/lib/src/baseline.rs
@@ -4,8 +4,9 @@
 
 /// Weight of a new response once enough were seen.
 const WEIGHT: f64 = 1.0 / 128.0;
-/// Bounds of the estimated spread of the logarithm of service times.
-const SPREAD: (f64, f64) = (0.15, 1.5);
+/// Bounds of the estimated spread of the logarithm of service times. Below the lower one, a target
+/// that is less than twice as slow as the others would be ejected.
+const SPREAD: (f64, f64) = (0.5, 1.5);
 /// Responses further from normal than this many spreads count as this far.
 const CLIP: f64 = 3.0;
 /// The quantile after which an idempotent request is hedged.
--- a/lib/src/outlier.rs
+++ b/lib/src/outlier.rs
@@ -5,7 +5,7 @@
 /// The slowdown that evidence is collected for. Smaller ones only lower a target's rank.
 const SLOWDOWN: f64 = 5.0;
 /// Bounds of the slowdown in spreads of the service time.
-const SHIFT: (f64, f64) = (1.0, 3.0);
+const SHIFT: (f64, f64) = (1.0, 3.3);
 /// Scale at which the logistic distribution is closest to the normal distribution.
 const LOGISTIC: f64 = 1.702;
 /// Evidence at which a target is ejected, as a logarithm of a likelihood ratio.
--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -30,8 +30,6 @@
 const CHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Age of a request in flight, in spreads above the typical time, from which it is looked at.
 const OLD: f64 = 1.3;
-/// A trial passes when its response is at most this many spreads above the typical time.
-const TRIAL_PASSES: f64 = 1.0;
 /// A probe passes when it takes at most this many times its expected cost.
 const PROBE_PASSES: u32 = 4;
 /// A target with nothing in flight and no response for this long is probed.
@@ -46,8 +44,6 @@
 /// An ejected target for which neither a probe nor an idempotent request was possible for this
 /// long is put back with one slot, or it would be lost to a service without either.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(10);
-/// Responses further than this many spreads above the typical time do not advance the ramp-up.
-const SLOW: f64 = 2.0;
 
 /// Decides which request runs where and when.
 ///
@@ -338,7 +334,10 @@
             }
             AttemptKind::Probe { charge } => {
                 self.measuring.settle(now, charge);
-                self.finished_probe(now, id, &attempt, result);
+                let took = now.saturating_duration_since(attempt.started);
+                let passes = took <= self.settings.probe_cost * PROBE_PASSES;
+                let entry = self.targets.entry_mut(at);
+                entry.finished_probe(now, id, result, passes);
             }
         }
         self.targets.refresh(at);
@@ -369,76 +368,16 @@
         let whole = now.saturating_duration_since(attempt.started);
         let answered = attempt.first_byte.unwrap_or(now);
         let time = answered.saturating_duration_since(attempt.started);
-        let deviation = self.baseline.deviation(time);
-        let spread = self.baseline.spread();
-        let entry = self.targets.entry_mut(attempt.target);
-        let trial = is_trial(entry, id);
-        match result {
-            AttemptResult::Done if trial => {
-                entry.stats.observe(now, time);
-                if deviation <= TRIAL_PASSES {
-                    entry.readmit(now);
-                } else {
-                    entry.fail_trial(now);
-                }
-            }
-            AttemptResult::Done => {
-                entry.stats.observe(now, time);
-                if deviation < SLOW {
-                    entry.ramp.good(now);
-                }
-                if entry.counts() {
-                    entry.outlier.finished(deviation, spread);
-                    if !entry.is_ejected() {
-                        self.baseline.observe(time, whole);
-                    }
-                }
-            }
-            AttemptResult::Shed => {
-                let others = entry.in_flight();
-                entry.ramp.shed(now, others);
-                entry.void_trial_of(id);
-            }
-            AttemptResult::Draining => entry.drain(),
-            AttemptResult::Deadline => entry.void_trial_of(id),
-            AttemptResult::Cancelled => {
-                // The age at which a copy lost is evidence, as it is while in flight.
-                if trial {
-                    entry.fail_trial(now);
-                } else if attempt.first_byte.is_none() {
-                    entry.outlier.gave_up(deviation, spread);
-                }
-            }
-            failure => {
-                debug_assert!(failure.is_failure());
-                if trial {
-                    entry.fail_trial(now);
-                } else {
-                    entry.failed();
-                }
-            }
-        }
-    }
-
-    fn finished_probe(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        attempt: &Attempt,
-        result: AttemptResult,
-    ) {
-        let took = now.saturating_duration_since(attempt.started);
-        let passes = took <= self.settings.probe_cost * PROBE_PASSES;
-        let entry = self.targets.entry_mut(attempt.target);
-        let trial = is_trial(entry, id);
-        match result {
-            AttemptResult::Done if trial && passes => entry.readmit(now),
-            AttemptResult::Draining => entry.drain(),
-            AttemptResult::Cancelled | AttemptResult::Deadline => entry.void_trial_of(id),
-            _ if trial => entry.fail_trial(now),
-            AttemptResult::Done if passes => {}
-            AttemptResult::Shed => {}
-            _ => entry.failed(),
+        let normal = self.targets.entry_mut(attempt.target).finished_request(
+            now,
+            id,
+            result,
+            time,
+            attempt.first_byte.is_some(),
+            &self.baseline,
+        );
+        if normal {
+            self.baseline.observe(time, whole);
         }
     }
 
@@ -630,10 +569,6 @@
     }
 }
 
-fn is_trial(entry: &crate::target_entry::TargetEntry, id: AttemptId) -> bool {
-    entry.trial() == Some(id)
-}
-
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/lib/src/target_entry.rs
+++ b/lib/src/target_entry.rs
@@ -8,6 +8,7 @@
 use crate::baseline::Baseline;
 use crate::outlier::Outlier;
 use crate::pool_event::AttemptId;
+use crate::pool_event::AttemptResult;
 use crate::pool_targets::PoolTarget;
 use crate::ramp::Ramp;
 use crate::target_id::TargetId;
@@ -22,6 +23,11 @@
 /// A target that is ejected again within this time starts with a longer pause.
 const RELAPSE: Duration = Duration::from_secs(5);
 
+/// A trial passes when its response is at most this many spreads above the typical time.
+const TRIAL_PASSES: f64 = 1.0;
+/// Responses further than this many spreads above the typical time do not advance the ramp-up.
+const SLOW: f64 = 2.0;
+
 /// Whether a target takes part in serving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -262,6 +268,73 @@
         false
     }
 
+    /// Learns from the end of a request's attempt, `time` after its start. Returns whether the time
+    /// belongs to what is normal for the pool.
+    pub fn finished_request(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        result: AttemptResult,
+        time: Duration,
+        answered: bool,
+        baseline: &Baseline,
+    ) -> bool {
+        let (deviation, spread) = (baseline.deviation(time), baseline.spread());
+        match (result, self.trial() == Some(id)) {
+            (AttemptResult::Done, true) => {
+                self.stats.observe(now, time);
+                if deviation <= TRIAL_PASSES {
+                    self.readmit(now);
+                } else {
+                    self.fail_trial(now);
+                }
+            }
+            (AttemptResult::Done, false) => {
+                self.stats.observe(now, time);
+                if deviation < SLOW {
+                    self.ramp.good(now);
+                }
+                if self.counts() {
+                    self.outlier.finished(deviation, spread);
+                    return !self.is_ejected();
+                }
+            }
+            (AttemptResult::Shed, _) => {
+                self.ramp.shed(now, self.in_flight());
+                self.void_trial_of(id);
+            }
+            (AttemptResult::Draining, _) => self.drain(),
+            (AttemptResult::Deadline, _) => self.void_trial_of(id),
+            (_, true) => self.fail_trial(now),
+            // The age at which a copy lost is evidence, as it is while in flight.
+            (AttemptResult::Cancelled, false) if !answered => {
+                self.outlier.gave_up(deviation, spread);
+            }
+            (AttemptResult::Cancelled, false) => {}
+            (_, false) => self.failed(),
+        }
+        false
+    }
+
+    /// Learns from the end of a probe.
+    pub fn finished_probe(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        result: AttemptResult,
+        passes: bool,
+    ) {
+        match (result, self.trial() == Some(id)) {
+            (AttemptResult::Draining, _) => self.drain(),
+            (AttemptResult::Cancelled | AttemptResult::Deadline, _) => self.void_trial_of(id),
+            (AttemptResult::Done, true) if passes => self.readmit(now),
+            (_, true) => self.fail_trial(now),
+            (AttemptResult::Done, false) if passes => {}
+            (AttemptResult::Shed, false) => {}
+            (_, false) => self.failed(),
+        }
+    }
+
     /// Returns the entry's state for the dump.
     pub fn dump(&self, now: Instant, baseline: &Baseline) -> serde_json::Value {
         serde_json::json!({
@@ -269,6 +342,7 @@
             "generation": self.generation,
             "usable": self.is_usable(),
             "health": self.health,
+            "standby": self.standby,
             "ramp": self.ramp,
             "in_flight": self.attempts.len(),
             "expected_ms": self.stats.estimate(now, baseline).exp() * 1_000.0,
--- a/lib/src/target_stats.rs
+++ b/lib/src/target_stats.rs
@@ -54,6 +54,12 @@
         self.updated
     }
 
+    /// Returns what is left of the weight of evidence that is as old as the last response.
+    pub fn freshness(&self, now: Instant) -> f64 {
+        let age = self.updated.map(|at| now.saturating_duration_since(at));
+        age.map_or(1.0, |age| fade(age, HALF_LIFE))
+    }
+
     /// Takes in a load report. Requests of this pool are known exactly and are left out.
     pub fn report(&mut self, now: Instant, load: TargetLoad, own: u32) {
         let others = (load.in_flight + load.queued).saturating_sub(own);
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -275,10 +275,12 @@
     }
 
     /// Returns the logarithm of the expected service time, raised by the evidence against the
-    /// target.
+    /// target. The evidence fades in the rank, so that a target that is suspected but not ejected
+    /// is tried again.
     fn rank(&self, at: usize, now: Instant, baseline: &Baseline) -> f64 {
         let entry = &self.entries[at];
-        entry.stats.estimate(now, baseline) + SUSPICION * entry.outlier.sum()
+        let suspicion = SUSPICION * entry.outlier.sum() * entry.stats.freshness(now);
+        entry.stats.estimate(now, baseline) + suspicion
     }
 
     /// Picks among the targets whose expected service time is close to the best one: the least
