--- /dev/null
+++ b/load/src/lib.rs
@@ -0,0 +1,32 @@
+//! The parts of the load tool, as a library so that tests can drive them.
+
+pub mod arrival;
+pub mod audit;
+pub mod checker;
+pub mod cmd_run;
+pub mod cmd_simulate;
+pub mod mix;
+pub mod pacer;
+pub mod runner;
+pub mod sample;
+pub mod schedule;
+pub mod sender;
+mod sim_answers;
+pub mod sim_central;
+pub mod sim_conditions;
+pub mod sim_event;
+pub mod sim_matrix;
+pub mod sim_plot;
+pub mod sim_queue;
+pub mod sim_report;
+pub mod sim_result;
+mod sim_setup;
+pub mod sim_size;
+pub mod sim_spec;
+mod sim_surroundings;
+pub mod sim_target;
+pub mod sim_vm;
+pub mod sim_workload;
+pub mod sim_world;
+pub mod summary;
+pub mod tally;
