load: add the demonstration and the measurement of the added latency

- demo: log, VM list, six targets and three entry VMs on loopback; an operator's session through the log; checked calls; a second operator takes a target away; a planned stop.
- added: direct calls, calls through the home and calls that are forwarded take turns.
- The simulated target counts a request by its key and by its x-request-id, and the audit uses the latter: a request that is spilled reaches its target without its Idempotency-Key, which the audit by keys reported as 5 to 7 complete responses of 508 that no target ran; by ids it is 0.

--- a/load/src/audit.rs
+++ b/load/src/audit.rs
@@ -12,7 +12,8 @@
 /// What a response said about one request.
 #[derive(Clone, Debug)]
 pub struct Claim {
-    /// The id by which targets count executions.
+    /// The request's `x-request-id`, under which targets count executions. Each key belongs to one
+    /// request of the load, so the id also finds runs whose key was dropped on the way.
     pub execution: Box<str>,
     /// The kind of request.
     pub kind: Kind,
--- a/load/src/cmd_run.rs
+++ b/load/src/cmd_run.rs
@@ -1,6 +1,7 @@
 //! The subcommand `run`.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use carobshore_lib::prelude::Error;
@@ -14,6 +15,7 @@
 use crate::schedule;
 use crate::schedule::MAX_ARRIVALS;
 use crate::schedule::ScheduleSpec;
+use crate::sender::Sender;
 use crate::sender::SenderSettings;
 use crate::summary::Summary;
 
@@ -115,7 +117,8 @@
     let settings = args.sender();
     let (limit, targets) = (args.limit, args.targets.clone());
     let summary = runner::block_on(async move {
-        let tally = runner::send_all(settings, schedule, limit).await?;
+        let sender = Rc::new(Sender::new(settings).await?);
+        let tally = runner::send_all(sender, schedule, limit).await;
         let audit = match targets.is_empty() {
             true => None,
             false => Some(runner::audit(&tally, &targets).await?),
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,5 +1,7 @@
 //! The load tool.
 
+use carobshore_load::cmd_added;
+use carobshore_load::cmd_demo;
 use carobshore_load::cmd_run;
 use carobshore_load::cmd_simulate;
 use clap::Parser;
@@ -17,15 +19,21 @@
 enum Command {
     /// Sends an open-loop load to entry VMs and checks every response.
     Run(cmd_run::RunArgs),
+    /// Starts a whole site on loopback, puts two services into force and calls them.
+    Demo(cmd_demo::DemoArgs),
+    /// Measures what calls through an entry VM take longer than direct calls.
+    Added(cmd_added::AddedArgs),
     /// Compares routing policies in virtual time.
     Simulate(cmd_simulate::SimulateArgs),
 }
 
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let _logger = carobshore_standin::logging::start()?;
+    let _logger = carobshore_standin::logging::start("warn")?;
     match args.command {
         Command::Run(args) => cmd_run::run(&args),
+        Command::Demo(args) => cmd_demo::run(&args),
+        Command::Added(args) => cmd_added::run(&args),
         Command::Simulate(args) => cmd_simulate::run(&args),
     }
 }
--- a/load/src/runner.rs
+++ b/load/src/runner.rs
@@ -15,7 +15,6 @@
 use crate::audit::Audit;
 use crate::pacer;
 use crate::sender::Sender;
-use crate::sender::SenderSettings;
 use crate::tally::Tally;
 
 /// How long before the first arrival the schedule starts, so that the first requests are on time.
@@ -40,12 +39,7 @@
 /// Sends a schedule and waits for all responses.
 ///
 /// At most `limit` requests are outstanding; those that are due beyond it are counted and not sent.
-pub async fn send_all(
-    settings: SenderSettings,
-    schedule: Vec<Arrival>,
-    limit: usize,
-) -> eyre::Result<Tally> {
-    let sender = Rc::new(Sender::new(settings).await?);
+pub async fn send_all(sender: Rc<Sender>, schedule: Vec<Arrival>, limit: usize) -> Tally {
     let tally = Rc::new(RefCell::new(Tally::default()));
     let start = Instant::now() + LEAD;
     let mut arrivals = pacer::start(start, schedule);
@@ -66,7 +60,7 @@
     for task in tasks {
         let _ = task.await;
     }
-    Ok(tally.take())
+    tally.take()
 }
 
 /// Compares a run with what the simulated targets say they did.
--- a/load/src/sender.rs
+++ b/load/src/sender.rs
@@ -90,11 +90,7 @@
         let due = start + arrival.at;
         let delay = due.elapsed();
         let prepared = self.prepare(&arrival);
-        let execution = prepared
-            .key
-            .as_ref()
-            .unwrap_or(&prepared.expected.id)
-            .clone();
+        let execution = prepared.expected.id.clone();
         let mut checker = Checker::new(prepared.expected.clone());
         let mut answered = Head::default();
         let exchange = self.exchange(&arrival, &prepared, &mut checker, &mut answered);
--- a/load/src/summary.rs
+++ b/load/src/summary.rs
@@ -66,6 +66,8 @@
     pub verdicts: BTreeMap<String, u64>,
     /// Counts by result code.
     pub codes: BTreeMap<Box<str>, u64>,
+    /// Counts of everything but complete responses, by kind of request, verdict and result code.
+    pub failures: BTreeMap<String, u64>,
     /// Counts by target.
     pub targets: BTreeMap<Box<str>, u64>,
     /// Contradictions with what the targets did, if they were asked.
@@ -79,6 +81,8 @@
     pub fn new(tally: &Tally, audit: Option<Audit>) -> Self {
         let verdicts = tally.verdicts.iter();
         let kinds = tally.kinds.iter();
+        let failures = tally.failures.iter();
+        let failures = failures.map(|(failure, count)| (failure.to_string(), *count));
         let audited = audit.map_or(0, |audit| audit.violations());
         Self {
             sent: tally.sent,
@@ -93,6 +97,7 @@
                 .map(|(verdict, count)| (verdict.to_string(), *count))
                 .collect(),
             codes: tally.codes.clone(),
+            failures: failures.collect(),
             targets: tally.targets.clone(),
             audit,
             violations: tally.violations() + audited,
@@ -125,6 +130,9 @@
         writeln!(f, "{}", self.latency_table())?;
         write_counts(f, "verdicts", &self.verdicts)?;
         write_counts(f, "codes", &self.codes)?;
+        if !self.failures.is_empty() {
+            write_counts(f, "failures", &self.failures)?;
+        }
         write_counts(f, "targets", &self.targets)?;
         if let Some(audit) = &self.audit {
             writeln!(
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -1,6 +1,7 @@
 //! Counts and histograms over the samples of a run.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -60,6 +61,24 @@
     }
 }
 
+/// What went wrong with a request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Failure {
+    /// The kind of request.
+    pub kind: Kind,
+    /// What the response was worth.
+    pub verdict: Verdict,
+    /// The result code, if there was one.
+    pub code: Option<Box<str>>,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let code = self.code.as_deref().unwrap_or("without code");
+        write!(f, "{} {} {code}:", self.kind, self.verdict)
+    }
+}
+
 /// What a run showed.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -79,6 +98,8 @@
     pub codes: BTreeMap<Box<str>, u64>,
     /// Counts by target.
     pub targets: BTreeMap<Box<str>, u64>,
+    /// Counts of everything but complete responses, by kind of request, verdict and result code.
+    pub failures: BTreeMap<Failure, u64>,
     /// Latencies of complete responses by kind.
     pub kinds: BTreeMap<Kind, Latencies>,
     /// What the responses claim about executions.
@@ -98,6 +119,12 @@
                 .record(sample.latency);
         } else {
             self.other.record(sample.latency);
+            let failure = Failure {
+                kind: sample.kind,
+                verdict: sample.verdict,
+                code: sample.code.clone(),
+            };
+            *self.failures.entry(failure).or_default() += 1;
         }
         *self.verdicts.entry(sample.verdict).or_default() += 1;
         if let Some(code) = sample.code {
--- a/load/tests/test_run.rs
+++ b/load/tests/test_run.rs
@@ -1,6 +1,7 @@
 //! The load tool against targets and against a balancer that misbehaves.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use carobshore_load::checker::Verdict;
@@ -8,6 +9,7 @@
 use carobshore_load::runner;
 use carobshore_load::schedule;
 use carobshore_load::schedule::ScheduleSpec;
+use carobshore_load::sender::Sender;
 use carobshore_load::sender::SenderSettings;
 use carobshore_load::tally::Tally;
 use carobshore_standin::TargetFaults;
@@ -47,7 +49,8 @@
     let schedule = schedule::draw(&spec);
     let audited = audited.to_vec();
     runner::block_on(async move {
-        let tally = runner::send_all(settings, schedule, limit).await.unwrap();
+        let sender = Rc::new(Sender::new(settings).await.unwrap());
+        let tally = runner::send_all(sender, schedule, limit).await;
         let audit = runner::audit(&tally, &audited).await.unwrap();
         (tally, audit.violations())
     })
--- a/standin/src/bin/carobshore-standin-log.rs
+++ b/standin/src/bin/carobshore-standin-log.rs
@@ -36,7 +36,7 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let _logger = logging::start()?;
+    let _logger = logging::start("info")?;
     let settings = LogSettings {
         addr: args.addr,
         appends: args.appends,
--- a/standin/src/bin/carobshore-standin-target.rs
+++ b/standin/src/bin/carobshore-standin-target.rs
@@ -57,7 +57,7 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let _logger = logging::start()?;
+    let _logger = logging::start("info")?;
     let settings = TargetSettings {
         addr: args.addr,
         id: args.id,
--- a/standin/src/bin/carobshore-standin-vm-list.rs
+++ b/standin/src/bin/carobshore-standin-vm-list.rs
@@ -29,7 +29,7 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let _logger = logging::start()?;
+    let _logger = logging::start("info")?;
     let vms: Vec<VmEntry> = serde_json::from_str(&args.vms)
         .wrap_err("--vms is not a JSON list of {name, addr, domain, state}")?;
     let settings = VmListSettings {
--- a/standin/src/executions.rs
+++ b/standin/src/executions.rs
@@ -21,7 +21,8 @@
 /// Counts of one target since its start.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Executions {
-    /// Counts by `Idempotency-Key`, or by `x-request-id` where there is no key.
+    /// Counts by `Idempotency-Key` and by `x-request-id`. A request with both is counted under
+    /// both, because a balancer may pass it on without its key.
     pub counts: HashMap<Box<str>, RunCount>,
     /// Requests that got a slot.
     pub started: u64,
@@ -45,18 +46,22 @@
 
 impl Executions {
     /// Counts a request that got a slot.
-    pub fn start(&mut self, id: &str) {
+    pub fn start<'a>(&mut self, ids: impl IntoIterator<Item = &'a str>) {
         self.started += 1;
-        if let Some(count) = self.entry(id) {
-            count.started += 1;
+        for id in ids {
+            if let Some(count) = self.entry(id) {
+                count.started += 1;
+            }
         }
     }
 
     /// Counts a request whose work began.
-    pub fn run(&mut self, id: &str) {
+    pub fn run<'a>(&mut self, ids: impl IntoIterator<Item = &'a str>) {
         self.ran += 1;
-        if let Some(count) = self.entry(id) {
-            count.ran += 1;
+        for id in ids {
+            if let Some(count) = self.entry(id) {
+                count.ran += 1;
+            }
         }
     }
 
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -75,6 +75,11 @@
         self.server.addr()
     }
 
+    /// Returns the number of slots.
+    pub fn slots(&self) -> usize {
+        self.state.settings.slots
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: TargetFaults) {
         self.state.set_faults(faults);
@@ -111,10 +116,11 @@
     request.headers().get(name)?.to_str().ok()
 }
 
-/// Returns the id by which executions of the request are counted.
-fn execution_id(request: &HttpRequest) -> &str {
+/// Returns the ids by which executions of the request are counted.
+fn execution_ids(request: &HttpRequest) -> impl Iterator<Item = &str> + Clone {
     let key = header(request, "idempotency-key").map(|key| key.trim_matches('"'));
-    key.or(header(request, "x-request-id")).unwrap_or("")
+    let id = header(request, "x-request-id").filter(|id| Some(*id) != key);
+    key.into_iter().chain(id)
 }
 
 /// Waits until the peer closes the connection.
@@ -148,21 +154,21 @@
     request: &HttpRequest,
     payload: web::types::Payload,
 ) -> HttpResponse {
-    let id = execution_id(request);
+    let ids = execution_ids(request);
     if state.fires(|faults| &mut faults.fail) {
-        state.count(|executions| executions.start(id));
-        state.count(|executions| executions.run(id));
+        state.count(|executions| executions.start(ids.clone()));
+        state.count(|executions| executions.run(ids.clone()));
         return HttpResponse::InternalServerError().finish();
     }
     let slot = match admit(state, request).await {
         Ok(slot) => slot,
         Err(response) => return response,
     };
-    state.count(|executions| executions.start(id));
+    state.count(|executions| executions.start(ids.clone()));
     let Ok((bytes, digest)) = read_body(payload).await else {
         return HttpResponse::BadRequest().finish();
     };
-    state.count(|executions| executions.run(id));
+    state.count(|executions| executions.run(ids.clone()));
     tokio::time::sleep(state.service_time()).await;
     answer(state, request, slot, bytes, digest)
 }
--- a/standin/tests/test_target.rs
+++ b/standin/tests/test_target.rs
@@ -217,6 +217,19 @@
     assert_eq!(target.executions().counts["k"].ran, 1);
 }
 
+/// Guards against an execution that is missed because the balancer dropped the key.
+#[test]
+fn a_request_is_counted_by_its_key_and_by_its_id() {
+    let target = start(TargetFaults::default());
+    let headers = [("idempotency-key", "k"), ("x-request-id", "r")];
+    call(target.addr(), "POST /x", &headers, b"").unwrap();
+    call(target.addr(), "POST /x", &headers[1..], b"").unwrap();
+    let executions = target.executions();
+    assert_eq!((executions.ran, executions.most_runs()), (2, 2));
+    assert_eq!(executions.counts["k"].ran, 1);
+    assert_eq!(executions.counts["r"].ran, 2);
+}
+
 #[test]
 fn a_closed_connection_releases_the_slot() {
     let target = start_with(|settings| settings.mean = Duration::from_secs(60));
