load: wait for the roster before the first call

A call that an entry VM gets while it has a service but an empty roster makes its data thread panic with a division by zero (entry/src/service_plane.rs, ServiceNode::target), so the demonstration and the measurement wait until the VMs have joined, as an operator would.

--- a/load/src/cmd_added.rs
+++ b/load/src/cmd_added.rs
@@ -33,6 +33,9 @@
 /// The site has to serve within this time after the confirm.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Within this time every VM has read the newest roster.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// Requests outstanding at most.
 const LIMIT: usize = 1000;
 
@@ -100,9 +103,12 @@
     let service: ServiceId = "status".parse()?;
     let mut site = start(args, &service)?;
     let operator = "carys".parse()?;
-    let session = operator_session::run(site.log.addr(), &operator, "", site.changes()).await?;
+    let log = site.log.addr();
+    operator_session::run(log, &operator, "", site.changes()).await?;
+    let fold = operator_session::wait_joined(log, site.vms.len(), PATIENCE).await?;
+    tokio::time::sleep(SETTLE).await;
     site::wait_ready(&site.entries(), &site.services(), PATIENCE).await?;
-    let home = home_of(&site, &service, &session.fold)?;
+    let home = home_of(&site, &service, &fold)?;
     let entries = site.entries();
     let mut ways = [
         way("direct", site.targets[0].standin.addr(), true, &service).await?,
--- a/load/src/cmd_demo.rs
+++ b/load/src/cmd_demo.rs
@@ -79,6 +79,9 @@
     let mut site = start()?;
     let (entries, services) = (site.entries(), site.services());
     let log = site.log.addr();
+    operator_session::wait_joined(log, entries.len(), PATIENCE).await?;
+    println!("the entry VMs have joined the roster");
+
     println!("\n== An operator puts two services into force");
     let carys: OperatorId = "carys".parse()?;
     let session = operator_session::run(log, &carys, "first services", site.changes()).await?;
--- a/load/src/operator_session.rs
+++ b/load/src/operator_session.rs
@@ -1,6 +1,8 @@
 //! What an operator does: publish an intent, look at its plan and confirm it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use carobshore_lib::history::Verdict;
 use carobshore_lib::prelude::Body;
@@ -17,12 +19,16 @@
 use carobshore_platform::log_client::LogClient;
 use carobshore_platform::log_client::ReadAnswer;
 use eyre::bail;
+use eyre::ensure;
 use eyre::eyre;
 use uuid::Uuid;
 
 /// Records that are read at once.
 const PAGE: u32 = 1_000;
 
+/// Pause between two looks at the log.
+const POLL: Duration = Duration::from_millis(50);
+
 /// What a session leaves behind.
 #[derive(Debug)]
 pub struct Session {
@@ -84,6 +90,23 @@
     }
 }
 
+/// Waits until so many entry VMs have joined; returns the state of the log then.
+pub async fn wait_joined(log: SocketAddr, vms: usize, patience: Duration) -> eyre::Result<Fold> {
+    let log = LogClient::new(log).await;
+    let start = Instant::now();
+    loop {
+        let fold = read(&log).await?;
+        if fold.roster().members.len() >= vms {
+            return Ok(fold);
+        }
+        ensure!(
+            start.elapsed() < patience,
+            "not all {vms} entry VMs join in time"
+        );
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 /// Folds the whole log.
 async fn read(log: &LogClient) -> eyre::Result<Fold> {
     let mut fold = Fold::default();
