--- a/entry/src/data.rs
+++ b/entry/src/data.rs
@@ -33,7 +33,7 @@
 use crate::view::DataReport;
 use crate::view::DataRequest;
 
-/// How often the planned stop and the pauses of the thread are looked at.
+/// How often the planned stop is told that time has passed.
 const TICK: Duration = Duration::from_millis(100);
 /// How often idle connections are closed and loads are reported, in ticks.
 const HOUSEKEEPING_TICKS: u32 = 10;
@@ -144,6 +144,7 @@
                     self.tell_stop(StopEvent::Tick);
                     if ticks.is_multiple_of(HOUSEKEEPING_TICKS) {
                         self.plane.links.sweep(Instant::now());
+                        self.plane.expire_keys();
                         self.plane.report_loads();
                     }
                 }
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,9 +21,12 @@
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use ntex::http::Version;
+use tokio::sync::oneshot;
 
 use crate::call_head::CallHead;
 use crate::call_head::Port;
+use crate::caller_end::CallerConnection;
+use crate::caller_end::CallerEnd;
 use crate::driver::Driver;
 use crate::headers;
 use crate::in_flight::InFlight;
@@ -75,7 +79,7 @@
             services: RefCell::default(),
             tickets: Cell::new(0),
         });
-        plane.take_over(view);
+        plane.take_over(view, true);
         plane
     }
 
@@ -83,27 +87,11 @@
     pub(crate) fn update(self: &Rc<Self>, view: &Arc<View>) {
         let old = self.view.replace(Arc::clone(view));
         if old.me != view.me {
-            // This VM joined again under another id. Requests in flight keep their old state; the
-            // new key tables accept no key from before.
+            // This VM was displaced and has joined again; nothing that it owned before counts.
             self.services.borrow_mut().clear();
         }
-        let changed = old.me != view.me
-            || !Arc::ptr_eq(&old.config, &view.config)
-            || !Arc::ptr_eq(&old.roster, &view.roster)
-            || old.leaving != view.leaving;
-        if changed {
-            self.take_over(view);
-        }
-        for service in self.services.borrow().values() {
-            service.update_keys(view);
-            view.down.iter().for_each(|vm| service.unreachable(vm));
-        }
-        let services = self.services.borrow();
-        for (service, load) in &view.loads {
-            if let Some(service) = services.get(service) {
-                service.observe(load.clone());
-            }
-        }
+        let roster = old.me != view.me || !Arc::ptr_eq(&old.roster, &view.roster);
+        self.take_over(view, roster);
     }
 
     /// Returns the latest view.
@@ -136,10 +124,17 @@
             Err(refusal) => return self.refuse(port, refusal),
         };
         let payload = request.take_payload();
-        let io = request.io().cloned();
-        let in_flight = InFlight::start(&self.load);
-        let plane = Rc::clone(&self);
-        Ok(Driver::serve(plane, service, head, payload, io, in_flight).await)
+        let connection = request.io().and_then(CallerConnection::of);
+        let (reply, response) = oneshot::channel();
+        let caller = CallerEnd {
+            reply,
+            connection,
+            in_flight: InFlight::start(&self.load),
+        };
+        Driver::start(Rc::clone(&self), service, head, payload, caller);
+        Ok(response.await.unwrap_or_else(|_| {
+            Refusal::of_outcome(Outcome::MayHaveRun, ResultCode::Internal).response()
+        }))
     }
 
     /// Returns the connections to a target of a service.
@@ -175,7 +170,8 @@
 
     /// Reports the load of this VM as a home, for its heartbeats.
     pub(crate) fn report_loads(&self) {
-        for service in self.services.borrow().values() {
+        let services = self.services.borrow();
+        for service in services.values().filter(|service| service.is_home()) {
             let (free, queued) = service.seat(SeatKind::Owned).load();
             let service = service.id.clone();
             self.control.send(DataReport::Load {
@@ -186,6 +182,14 @@
         }
     }
 
+    /// Drops the outcomes of keys that have expired.
+    pub(crate) fn expire_keys(&self) {
+        self.services
+            .borrow()
+            .values()
+            .for_each(|service| service.expire_keys());
+    }
+
     /// Returns the state for the dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let services = self.services.borrow();
@@ -231,20 +235,34 @@
         view.roster.member(vm).map(|member| member.forward)
     }
 
-    fn take_over(self: &Rc<Self>, view: &View) {
+    fn take_over(self: &Rc<Self>, view: &View, roster_changed: bool) {
         let mut services = self.services.borrow_mut();
         services.retain(|id, _| view.config.services.contains_key(id));
         for (id, spec) in &view.config.services {
-            let service = services.entry(id.clone()).or_insert_with(|| {
-                let seed = self.tickets.get() ^ u64::from(std::process::id());
-                let policy = self.settings.policy;
-                let (service, probes) = ServicePlane::new(id, spec, view, policy, seed);
-                prober::start(self, &service, probes);
-                service
-            });
-            service.update(spec, view, self.settings.homes);
+            let service = services
+                .entry(id.clone())
+                .or_insert_with(|| self.new_service(id, view));
+            let leaving = leaving(view, id);
+            if roster_changed || service.differs(spec, &leaving) {
+                service.update(spec, view, leaving, self.settings.homes);
+            }
+        }
+        for service in services.values() {
             service.update_keys(view);
+            view.down.iter().for_each(|vm| service.unreachable(vm));
         }
+        for (id, load) in &view.loads {
+            if let Some(service) = services.get(id) {
+                service.observe(load.clone());
+            }
+        }
+    }
+
+    fn new_service(self: &Rc<Self>, id: &ServiceId, view: &View) -> Rc<ServicePlane> {
+        let policy = self.settings.policy;
+        let (service, probes) = ServicePlane::new(id, view, policy, rand::random());
+        prober::start(self, &service, probes);
+        service
     }
 
     fn refuse(&self, port: Port, refusal: Refusal) -> Result<Response, Closing> {
@@ -273,6 +291,12 @@
     }
 }
 
+/// Returns the targets of a service that leave.
+fn leaving(view: &View, service: &ServiceId) -> BTreeSet<TargetId> {
+    let of_service = view.leaving.iter().filter(|(id, _)| id == service);
+    of_service.map(|(_, target)| target.clone()).collect()
+}
+
 /// Adds the load of this VM to a response for another entry VM.
 pub(crate) fn add_load(response: &mut Response, service: &ServicePlane) {
     let (free, queued) = service.seat(SeatKind::Owned).load();
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -21,6 +21,8 @@
 use carobshore_entry::view::DataRequest;
 use carobshore_entry::view::View;
 use carobshore_lib::config::Config;
+use carobshore_lib::homes::Homes;
+use carobshore_lib::homes::HomesSettings;
 use carobshore_lib::key_history::Handover;
 use carobshore_lib::key_ownership::KeyOwnership;
 use carobshore_lib::prelude::Offset;
@@ -54,13 +56,10 @@
 
 /// Checks settings of a VM that uses no platform, with all addresses chosen by the kernel.
 pub fn settings(extra: &[&str]) -> Settings {
-    let fixed = [
-        "--vm-name=entry-1",
-        "--domain=a",
-        "--log=127.0.0.1:1",
-        "--vm-list=127.0.0.1:1",
-    ];
-    settings_of(&[&fixed, extra].concat())
+    let fixed = ["--domain=a", "--log=127.0.0.1:1", "--vm-list=127.0.0.1:1"];
+    let named = extra.iter().any(|flag| flag.starts_with("--vm-name"));
+    let name: &[&str] = if named { &[] } else { &["--vm-name=entry-1"] };
+    settings_of(&[&fixed, name, extra].concat())
 }
 
 /// Checks settings with all addresses chosen by the kernel.
@@ -116,12 +115,12 @@
 
 /// Returns the view of a VM that has been in the roster for a minute and holds the read lease.
 pub fn view(me: &VmId, config: Config, roster: Roster) -> View {
-    let minute = Duration::from_secs(60);
     let now = Instant::now();
-    let mut keys = KeyOwnership::new(me.clone());
-    keys.configured(&config);
-    let joined = (now - minute, SystemTime::now() - minute);
-    keys.roster_step(joined.0, joined.1, roster.clone(), Handover::Lease);
+    let joined = now - Duration::from_secs(60);
+    let wall = SystemTime::now() - Duration::from_secs(60);
+    let mut ownership = KeyOwnership::new(me.clone());
+    ownership.configured(&config);
+    ownership.roster_step(joined, wall, roster.clone(), Handover::Lease);
     let mut lease = ReadLease::default();
     lease.read_ok(now, true);
     View {
@@ -130,7 +129,7 @@
         config: Arc::new(config),
         roster: Arc::new(roster),
         applied: Offset(1),
-        keys: Arc::new(keys.histories().clone()),
+        keys: Arc::new(ownership.histories().clone()),
         lease,
         leaving: Arc::new(BTreeSet::new()),
         down: Arc::new(BTreeSet::new()),
@@ -151,6 +150,36 @@
         Self::start(settings, listeners, view)
     }
 
+    /// Starts two VMs in one failure domain that serve `status` with the given targets. The home of
+    /// the service is the first one.
+    pub fn pair(targets: &[SocketAddr], extra: &[&str]) -> [Self; 2] {
+        let ids = ["entry-1.00000001", "entry-2.00000001"].map(|id| id.parse::<VmId>().unwrap());
+        let names = ["--vm-name=entry-1", "--vm-name=entry-2"];
+        let starts = names.map(|name| {
+            let settings = settings(&[extra, &[name]].concat());
+            let listeners = Listeners::bind(&settings).unwrap();
+            (settings, listeners)
+        });
+        let forwards = starts
+            .each_ref()
+            .map(|(_, listeners)| listeners.forward().unwrap());
+        let roster = roster(&[(&ids[0], forwards[0]), (&ids[1], forwards[1])]);
+        let config = config("status", targets);
+        let id = "status".parse().unwrap();
+        let spec = &config.services[&id];
+        let homes = Homes::assign(&id, spec, &roster, &HomesSettings::default());
+        let home = homes.vms().next().unwrap().clone();
+        let mut starts = starts.into_iter();
+        let mut vms = ids.map(|me| {
+            let (settings, listeners) = starts.next().unwrap();
+            let is_home = me == home;
+            let view = view(&me, config.clone(), roster.clone());
+            (is_home, Self::start(settings, listeners, view))
+        });
+        vms.sort_by_key(|(is_home, _)| !is_home);
+        vms.map(|(_, vm)| vm)
+    }
+
     /// Starts a VM with the given view.
     pub fn start(settings: Settings, listeners: Listeners, view: View) -> Self {
         let (views, view_receiver) = watch::channel(Arc::new(view));
