follower: bound the bytes of the records kept for peers

Cause: 1,024 records of the largest size are far more than the 64 MB of the control plane. Change: 4 MiB of records at most, in a type of its own; a read asks for 256 records, not 512.

--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -1,6 +1,5 @@
 //! Follows the log and decides what a VM serves.
 
-use std::collections::VecDeque;
 use std::time::Instant;
 
 use crate::error::Error;
@@ -14,6 +13,7 @@
 use crate::log_page::LogRecord;
 use crate::offset::Offset;
 use crate::peer_offers::PeerOffers;
+use crate::recent_records::RecentRecords;
 use crate::record::Body;
 use crate::record::Record;
 use crate::result_code::ResultCode;
@@ -52,7 +52,7 @@
     current: Option<Instant>,
     fetching: Option<(VmId, Instant)>,
     offers: PeerOffers,
-    recent: VecDeque<LogRecord>,
+    recent: RecentRecords,
     schedule: SnapshotSchedule,
 }
 
@@ -65,6 +65,7 @@
             settings.snapshot_age,
             settings.rank_delay,
         );
+        let recent = RecentRecords::new(settings.recent, settings.recent_bytes);
         Self {
             page: settings.page,
             settings,
@@ -82,7 +83,7 @@
             current: None,
             fetching: None,
             offers: PeerOffers::default(),
-            recent: VecDeque::new(),
+            recent,
             schedule,
         }
     }
@@ -115,19 +116,8 @@
     /// Answers a peer's `records_since` from the records that were applied last; `first` of the
     /// page is the oldest of them.
     pub fn records_since(&self, from: Offset) -> LogPage {
-        let first = self
-            .recent
-            .front()
-            .map_or(self.fold.applied(), |record| record.offset);
-        let after = self.recent.iter().filter(|record| record.offset >= from);
-        LogPage {
-            first,
-            next: self.fold.applied(),
-            records: match from < first {
-                true => Vec::new(),
-                false => after.take(self.settings.page as usize).cloned().collect(),
-            },
-        }
+        let max = self.settings.page as usize;
+        self.recent.page(from, self.fold.applied(), max)
     }
 
     /// Takes an event and adds what has to be done. A `Tick` every 100 ms is enough, because reads
@@ -253,7 +243,7 @@
                 }
                 Applied::Duplicate if record.offset.next() != self.fold.applied() => {}
                 Applied::Applied | Applied::Duplicate | Applied::Rejected { .. } => {
-                    self.keep_recent(record);
+                    self.recent.push(record);
                 }
             }
         }
@@ -263,17 +253,6 @@
         whole
     }
 
-    fn keep_recent(&mut self, record: LogRecord) {
-        let follows = |last: &LogRecord| last.offset.next() == record.offset;
-        if self.recent.back().is_some_and(|last| !follows(last)) {
-            return;
-        }
-        self.recent.push_back(record);
-        if self.recent.len() > self.settings.recent {
-            self.recent.pop_front();
-        }
-    }
-
     fn versions(&self) -> (u64, Vec<Offset>) {
         let roster = self.fold.roster().members.values();
         (
--- a/lib/src/follower_message.rs
+++ b/lib/src/follower_message.rs
@@ -31,6 +31,8 @@
     pub page: u32,
     /// The number of applied records that are kept for peers.
     pub recent: usize,
+    /// The bytes of applied records that are kept for peers.
+    pub recent_bytes: usize,
     /// The number of records after which a new snapshot is due.
     pub snapshot_every: u64,
     /// The age at which a new snapshot is due. It has to be well below the retention time.
@@ -48,8 +50,9 @@
             patience: Duration::from_millis(1_500),
             peer_wait: Duration::from_secs(2),
             rescan: Duration::from_secs(5),
-            page: 512,
+            page: 256,
             recent: 1_024,
+            recent_bytes: 4 * 1_024 * 1_024,
             snapshot_every: 10_000,
             snapshot_age: Duration::from_secs(3_600),
             rank_delay: Duration::from_secs(2),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod ramp;
 pub mod read_lease;
 pub mod recent_ids;
+mod recent_records;
 pub mod record;
 pub mod record_id;
 pub mod region_id;
--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -457,6 +457,35 @@
     assert_eq!(vm.follower.fold().applied(), log.next());
 }
 
+/// Guards against the records that are kept for peers filling the memory, and against a peer that
+/// takes a part of them for all.
+#[test]
+fn the_records_kept_for_peers_are_bounded() {
+    let (mut log, _) = sample();
+    let large = intent(900, "gwen", whole_service("rack", 20));
+    for _ in 0..50 {
+        log.append(&large);
+    }
+    let size = large.to_json().len();
+    let mut vm = Vm::new(FollowerSettings {
+        recent: 40,
+        recent_bytes: 10 * size,
+        ..FollowerSettings::default()
+    });
+    vm.run(&log, 5);
+    let oldest = Offset(log.next().0 - 10);
+    let kept = vm.follower.records_since(oldest);
+    assert_eq!((kept.first, kept.records.len()), (oldest, 10));
+    let before = vm.follower.records_since(Offset(oldest.0 - 1));
+    assert_eq!((before.first, before.records.len()), (oldest, 0));
+    for _ in 0..50 {
+        log.append_text("{}".to_owned());
+    }
+    vm.run(&log, 10);
+    let oldest = Offset(log.next().0 - 40);
+    assert_eq!(vm.follower.records_since(oldest).records.len(), 40);
+}
+
 /// Guards against records that are too large for one answer stopping the follower for good.
 #[test]
 fn failed_reads_ask_for_less() {
