--- a/standin/tests/test_target.rs
+++ b/standin/tests/test_target.rs
@@ -366,3 +366,31 @@
     assert!(shifted);
     assert!(first >= short && first <= short * 3);
 }
+
+#[test]
+fn refusals_and_failed_probes_can_be_ordered() {
+    let target = start(TargetFaults {
+        shed: Trigger::next(1),
+        probe_fail: Trigger::next(1),
+        ..TargetFaults::default()
+    });
+    let status = |line| call(target.addr(), line, &[], b"").unwrap().status;
+    assert_eq!((status("GET /x"), status("GET /x")), (503, 200));
+    assert_eq!((status("GET /probe"), status("GET /probe")), (500, 200));
+    let executions = target.executions();
+    assert_eq!(
+        (executions.ran, executions.shed, executions.probes),
+        (1, 1, 1)
+    );
+}
+
+#[test]
+fn a_trigger_hits_the_next_requests_and_then_its_share() {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut trigger = Trigger { next: 3, rate: 0.2 };
+    assert!((0..3).all(|_| trigger.fires(&mut random)));
+    let hits = (0..10_000).filter(|_| trigger.fires(&mut random)).count();
+    assert!((1_900..2_100).contains(&hits), "{hits}");
+    let mut never = Trigger::NEVER;
+    assert!((0..100).all(|_| !never.fires(&mut random)));
+}
--- a/standin/tests/test_vm_list.rs
+++ b/standin/tests/test_vm_list.rs
@@ -2,15 +2,18 @@
 
 mod http;
 
+use std::io::ErrorKind;
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_standin::Trigger;
 use carobshore_standin::VmEntry;
 use carobshore_standin::VmListFaults;
 use carobshore_standin::VmListSettings;
 use carobshore_standin::VmListStandin;
 use carobshore_standin::VmState;
 use carobshore_standin::vm_history::VmHistory;
+use http::Conn;
 use http::call;
 
 fn vm(name: &str, state: VmState) -> VmEntry {
@@ -109,3 +112,23 @@
     list.set_faults(faults);
     assert_eq!(states(&list), [("one".into(), "leaving".into())]);
 }
+
+#[test]
+fn a_list_that_is_down_refuses_or_never_answers() {
+    let list = start();
+    list.set_faults(VmListFaults {
+        refuse: Trigger::next(1),
+        ..VmListFaults::default()
+    });
+    let status = || call(list.addr(), "GET /v1/vms", &[], b"").unwrap().status;
+    assert_eq!((status(), status()), (503, 200));
+    list.set_faults(VmListFaults {
+        hang: Trigger::next(1),
+        ..VmListFaults::default()
+    });
+    let mut conn = Conn::open(list.addr());
+    conn.patience(Duration::from_millis(200));
+    let error = conn.call("GET /v1/vms", &[], b"").err().expect("no answer");
+    assert_eq!(error.kind(), ErrorKind::WouldBlock);
+    assert_eq!(status(), 200);
+}
