--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use carobshore_entry::view::DataReport;
+use carobshore_lib::key_history::SKEW_MARGIN;
 use carobshore_lib::roster::Roster;
 use common::PATIENCE;
 use common::field;
@@ -22,8 +23,10 @@
 use common::read_until_quiet;
 use common::vm::Vm;
 
-/// The time for which a stopping VM still accepts requests.
-const NOTICE: Duration = Duration::from_secs(5);
+/// The time for which a stopping VM still accepts requests. It differs from the default, so that
+/// a setting without effect is noticed.
+const NOTICE: Duration = Duration::from_secs(3);
+const NOTICE_FLAG: &str = "--drain-notice-ms=3000";
 const QUIET: Duration = Duration::from_millis(300);
 const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: status\r\n\r\n";
 
@@ -65,7 +68,7 @@
 /// load balancer has noticed, or does not end.
 #[test]
 fn slow_upload_outlives_the_stop_and_nothing_is_refused_early() {
-    let mut vm = Vm::alone(&[target(1000)], &[]);
+    let mut vm = Vm::alone(&[target(1000)], &[NOTICE_FLAG]);
     let mut upload = TcpStream::connect(vm.listen).unwrap();
     let head = "POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 1000\r\n\r\n";
     upload.write_all(head.as_bytes()).unwrap();
@@ -85,7 +88,7 @@
             let answer = raw_exchange(vm.listen, b"", Duration::from_millis(10));
             assert!(!answer.closed, "part {part}: the listener was closed early");
         }
-        thread::sleep(Duration::from_millis(800));
+        thread::sleep(Duration::from_millis(500));
     }
     assert!(stopped.elapsed() > NOTICE);
     assert!(
@@ -127,6 +130,36 @@
     assert_eq!(field(&answer, "carobshore-code"), Some("4010"), "{answer}");
 }
 
+/// Guards against a VM that releases its keys while a request with a key still runs, though the
+/// caller of the request has left.
+#[test]
+fn keys_are_released_only_after_the_last_keyed_request() {
+    const REST: Duration = Duration::from_millis(1500);
+    let target = raw_server(|mut stream| {
+        read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no");
+        thread::sleep(REST);
+        let _ = stream.write_all(b"k");
+    });
+    let mut vm = Vm::alone(&[target], &[]);
+    // Keys from before the start may have been accepted by an earlier run of the VM.
+    thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
+    let mut caller = TcpStream::connect(vm.listen).unwrap();
+    let key = uuid::Uuid::now_v7();
+    let request = format!(
+        "POST / HTTP/1.1\r\nhost: status\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let head = read_head(&mut caller);
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    let answered = Instant::now();
+    drop(caller);
+    thread::sleep(Duration::from_millis(200));
+    vm.stop.request();
+    leave_when_asked(&mut vm);
+    assert!(answered.elapsed() >= REST - Duration::from_millis(200));
+}
+
 /// Guards against a second signal that waits for requests in flight.
 #[test]
 fn second_signal_cuts_off() {
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,9 +1,11 @@
 //! The load tool.
 
 use carobshore_load::cmd_added;
+use carobshore_load::cmd_control_cost;
 use carobshore_load::cmd_demo;
 use carobshore_load::cmd_run;
 use carobshore_load::cmd_simulate;
+use carobshore_load::cmd_spread;
 use clap::Parser;
 use clap::Subcommand;
 
@@ -23,6 +25,10 @@
     Demo(cmd_demo::DemoArgs),
     /// Measures what calls through an entry VM take longer than direct calls.
     Added(cmd_added::AddedArgs),
+    /// Measures what idle entry processes cost.
+    ControlCost(cmd_control_cost::ControlCostArgs),
+    /// Measures how long a change takes until every entry VM has it.
+    Spread(cmd_spread::SpreadArgs),
     /// Compares routing policies in virtual time.
     Simulate(cmd_simulate::SimulateArgs),
 }
@@ -34,6 +40,8 @@
         Command::Run(args) => cmd_run::run(&args),
         Command::Demo(args) => cmd_demo::run(&args),
         Command::Added(args) => cmd_added::run(&args),
+        Command::ControlCost(args) => cmd_control_cost::run(&args),
+        Command::Spread(args) => cmd_spread::run(&args),
         Command::Simulate(args) => cmd_simulate::run(&args),
     }
 }
