--- a/cli/src/dump_view.rs
+++ b/cli/src/dump_view.rs
@@ -8,29 +8,6 @@
 use serde::Serialize;
 use serde_json::Value;
 
-const VM: &[&str] = &["/vm", "/id", "/vm_id", "/self/vm"];
-const DOMAIN: &[&str] = &["/domain", "/self/domain"];
-const READY: &[&str] = &[
-    "/ready",
-    "/configuration/ready",
-    "/config/ready",
-    "/state/ready",
-];
-const APPLIED: &[&str] = &[
-    "/applied",
-    "/configuration/applied",
-    "/configuration/offset",
-    "/config/applied",
-    "/config/offset",
-    "/fold/applied",
-];
-const SERVICES: &[&str] = &[
-    "/configuration/services",
-    "/config/services",
-    "/fold/config/services",
-    "/services",
-];
-
 /// One VM.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct VmView {
@@ -97,10 +74,10 @@
     pub(crate) fn new(addr: String, dump: &Value) -> Self {
         Self {
             addr,
-            vm: first(dump, VM).and_then(text),
-            domain: first(dump, DOMAIN).and_then(text),
-            ready: first(dump, READY).and_then(Value::as_bool),
-            applied: first(dump, APPLIED).and_then(Value::as_u64),
+            vm: dump.get("vm").and_then(text),
+            domain: dump.get("domain").and_then(text),
+            ready: dump.get("ready").and_then(Value::as_bool),
+            applied: dump.get("applied").and_then(Value::as_u64),
             lag: None,
             error: None,
         }
@@ -109,12 +86,10 @@
 
 /// Reads the services of a dump.
 pub(crate) fn services(dump: &Value) -> BTreeMap<String, ServiceView> {
-    let found = SERVICES.iter().filter_map(|path| dump.pointer(path));
-    let Some(services) = found.filter_map(Value::as_object).next() else {
-        return BTreeMap::new();
-    };
+    let services = dump.get("services").and_then(Value::as_object);
     services
-        .iter()
+        .into_iter()
+        .flatten()
         .map(|(id, service)| (id.clone(), service_view(service)))
         .collect()
 }
@@ -131,17 +106,13 @@
         let all = targets.values();
         all.filter(|target| target.state.as_deref() == Some("serving"))
     };
-    let listed = !targets.is_empty();
     ServiceView {
         version: number("version"),
-        measuring: number("measuring")
-            .or(number("measuring_us_per_s"))
-            .map(TargetTime),
+        measuring: number("measuring").map(TargetTime),
         connections: number("connections"),
-        count: number("targets").or(listed.then_some(targets.len() as u64)),
-        serving: number("serving").or(listed.then(|| serving().count() as u64)),
-        slots: number("slots")
-            .or(listed.then(|| serving().filter_map(|target| target.slots).sum())),
+        count: Some(targets.len() as u64),
+        serving: Some(serving().count() as u64),
+        slots: Some(serving().filter_map(|target| target.slots).sum()),
         in_flight: None,
         queued: None,
         targets,
@@ -188,11 +159,6 @@
     }
 }
 
-/// Returns the value at the first path that exists.
-fn first<'a>(dump: &'a Value, paths: &[&str]) -> Option<&'a Value> {
-    paths.iter().find_map(|path| dump.pointer(path))
-}
-
 fn text(value: &Value) -> Option<String> {
     value.as_str().map(str::to_owned)
 }
--- a/load/src/log_operator.rs
+++ b/load/src/log_operator.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use carobshore_lib::history::Verdict;
 use carobshore_lib::prelude::*;
 use carobshore_lib::record::Confirm;
 use carobshore_platform::log_client::AppendAnswer;
@@ -13,6 +14,17 @@
 /// Most records that one read asks for.
 const READ_RECORDS: u32 = 512;
 
+/// An intent on the log with the plan that it has there.
+#[derive(Clone, Debug)]
+pub struct Published {
+    /// The intent's record id.
+    pub id: RecordId,
+    /// The intent's offset.
+    pub offset: Offset,
+    /// The plan.
+    pub plan: Plan,
+}
+
 /// Publishes and confirms changes, with a fold of its own to plan on.
 #[derive(Debug)]
 pub struct LogOperator {
@@ -36,25 +48,42 @@
         &self.fold
     }
 
-    /// Puts changes into force and returns the offset of the confirm.
-    pub async fn change(&mut self, changes: Vec<Change>) -> eyre::Result<Offset> {
-        self.catch_up().await?;
+    /// Publishes an intent.
+    pub async fn publish(&mut self, note: &str, changes: Vec<Change>) -> eyre::Result<Published> {
         let intent = Intent {
             operator: self.operator.clone(),
-            note: "".into(),
+            note: note.into(),
             changes,
         };
-        let plan = Plan::new(self.fold.config(), &intent)?;
         let id = RecordId(Uuid::now_v7());
+        let offset = self.append(id, Body::Intent(intent.clone())).await?;
+        self.catch_up().await?;
+        let plan = Plan::new(self.fold.config(), &intent)?;
+        Ok(Published { id, offset, plan })
+    }
+
+    /// Confirms the plan of an intent and returns the offset of the confirm. The log's order
+    /// decides whether it holds.
+    pub async fn confirm(&mut self, published: &Published) -> eyre::Result<Offset> {
         let confirm = Confirm {
             operator: self.operator.clone(),
-            intent: id,
-            digest: plan.digest(),
-            bases: plan.bases().clone(),
+            intent: published.id,
+            digest: published.plan.digest(),
+            bases: published.plan.bases().clone(),
         };
-        self.append(id, Body::Intent(intent)).await?;
         let id = RecordId(Uuid::now_v7());
-        self.append(id, Body::Confirm(confirm)).await
+        let offset = self.append(id, Body::Confirm(confirm)).await?;
+        self.catch_up().await?;
+        match self.fold.judged(id).map(|entry| &entry.verdict) {
+            Some(Verdict::InForce { .. }) => Ok(offset),
+            judged => bail!("the confirm at offset {offset} does not hold: {judged:?}"),
+        }
+    }
+
+    /// Puts changes into force and returns the offset of the confirm.
+    pub async fn change(&mut self, changes: Vec<Change>) -> eyre::Result<Offset> {
+        let published = self.publish("", changes).await?;
+        self.confirm(&published).await
     }
 
     /// Reads to the end of the log.
--- a/load/src/operator_session.rs
+++ b/load/src/operator_session.rs
@@ -4,27 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use carobshore_lib::history::Verdict;
-use carobshore_lib::prelude::Body;
 use carobshore_lib::prelude::Change;
 use carobshore_lib::prelude::Fold;
-use carobshore_lib::prelude::Intent;
-use carobshore_lib::prelude::Offset;
 use carobshore_lib::prelude::OperatorId;
-use carobshore_lib::prelude::Plan;
-use carobshore_lib::prelude::Record;
-use carobshore_lib::prelude::RecordId;
-use carobshore_lib::record::Confirm;
-use carobshore_platform::log_client::AppendAnswer;
-use carobshore_platform::log_client::LogClient;
-use carobshore_platform::log_client::ReadAnswer;
-use eyre::bail;
 use eyre::ensure;
-use eyre::eyre;
-use uuid::Uuid;
 
-/// Records that are read at once.
-const PAGE: u32 = 1_000;
+use crate::log_operator::LogOperator;
 
 /// Pause between two looks at the log.
 const POLL: Duration = Duration::from_millis(50);
@@ -38,27 +23,19 @@
     pub fold: Fold,
 }
 
-/// Runs the session. The log's order decides whether the confirm holds.
+/// Runs the session.
 pub async fn run(
     log: SocketAddr,
     operator: &OperatorId,
     note: &str,
     changes: Vec<Change>,
 ) -> eyre::Result<Session> {
-    let log = LogClient::new(log).await;
-    let mut lines = Vec::new();
-    let intent = Intent {
-        operator: operator.clone(),
-        note: note.into(),
-        changes,
-    };
-    let id = RecordId(Uuid::now_v7());
-    let offset = append(&log, id, Body::Intent(intent.clone())).await?;
-    lines.push(format!(
+    let mut session = LogOperator::new(log, operator.clone()).await;
+    let published = session.publish(note, changes).await?;
+    let (id, offset, plan) = (published.id, published.offset, &published.plan);
+    let mut lines = vec![format!(
         "{operator} publishes intent {id} at offset {offset}: {note}"
-    ));
-    let fold = read(&log).await?;
-    let plan = Plan::new(fold.config(), &intent)?;
+    )];
     lines.push(format!("plan {}", plan.digest()));
     lines.extend(plan.lines().into_iter().map(|line| format!("  {line}")));
     lines.extend(
@@ -66,38 +43,20 @@
             .into_iter()
             .map(|line| format!("  warning: {line}")),
     );
-    let confirm = Confirm {
-        operator: operator.clone(),
-        intent: id,
-        digest: plan.digest(),
-        bases: plan.bases().clone(),
-    };
-    let confirm_id = RecordId(Uuid::now_v7());
-    let offset = append(&log, confirm_id, Body::Confirm(confirm)).await?;
-    let fold = read(&log).await?;
-    match fold.judged(confirm_id).map(|entry| &entry.verdict) {
-        Some(Verdict::InForce { .. }) => lines.push(format!("confirmed at offset {offset}")),
-        judged => bail!("the confirm at offset {offset} does not hold: {judged:?}"),
-    }
+    let offset = session.confirm(&published).await?;
+    lines.push(format!("confirmed at offset {offset}"));
+    let fold = session.fold().clone();
     Ok(Session { lines, fold })
 }
 
-async fn append(log: &LogClient, id: RecordId, body: Body) -> eyre::Result<Offset> {
-    match log.append(&Record { id, body }).await {
-        AppendAnswer::Appended(offset) => Ok(offset),
-        AppendAnswer::Refused(message) => Err(eyre!("the log refuses the record: {message}")),
-        AppendAnswer::Lost => Err(eyre!("the log did not answer; read it before trying again")),
-    }
-}
-
 /// Waits until so many entry VMs have joined; returns the state of the log then.
 pub async fn wait_joined(log: SocketAddr, vms: usize, patience: Duration) -> eyre::Result<Fold> {
-    let log = LogClient::new(log).await;
+    let mut reader = LogOperator::new(log, "reader".parse()?).await;
     let start = Instant::now();
     loop {
-        let fold = read(&log).await?;
-        if fold.roster().members.len() >= vms {
-            return Ok(fold);
+        reader.catch_up().await?;
+        if reader.fold().roster().members.len() >= vms {
+            return Ok(reader.fold().clone());
         }
         ensure!(
             start.elapsed() < patience,
@@ -106,23 +65,3 @@
         tokio::time::sleep(POLL).await;
     }
 }
-
-/// Folds the whole log.
-async fn read(log: &LogClient) -> eyre::Result<Fold> {
-    let mut fold = Fold::default();
-    let mut from = Offset(0);
-    loop {
-        let page = match log.read(from, PAGE).await {
-            ReadAnswer::Page(page) => page,
-            ReadAnswer::Expired(first) => bail!("records before offset {first} have expired"),
-            ReadAnswer::Failed => bail!("the log does not answer"),
-        };
-        for record in &page.records {
-            fold.apply_text(record.offset, &record.data);
-            from = Offset(record.offset.0 + 1);
-        }
-        if from >= page.next {
-            return Ok(fold);
-        }
-    }
-}
