entry: test the spill between homes, with and without a key

Cause: no test had two homes of one service. Change: test_spill.rs with two VMs in two failure domains. Conclusion: a home passes requests on, and a key stays with its owner.

--- /dev/null
+++ b/entry/tests/test_spill.rs
@@ -0,0 +1,172 @@
+//! A home without free slots passes requests on to another home.
+
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use carobshore_entry::listeners::Listeners;
+use carobshore_lib::homes::Homes;
+use carobshore_lib::homes::HomesSettings;
+use carobshore_lib::key_history::SKEW_MARGIN;
+use carobshore_lib::peer_load::PeerLoad;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::RequestKey;
+use carobshore_lib::prelude::VmId;
+use common::field;
+use common::raw_call;
+use common::raw_server;
+use common::read_head;
+use common::vm;
+use common::vm::Vm;
+use uuid::Uuid;
+
+const DELAY: Duration = Duration::from_millis(400);
+
+/// Starts a slow target that reports the head of each request.
+fn slow() -> (SocketAddr, mpsc::Receiver<String>) {
+    let (heads, seen) = mpsc::channel();
+    let addr = raw_server(move |mut stream| {
+        let heads = heads.clone();
+        thread::spawn(move || {
+            loop {
+                let head = read_head(&mut stream);
+                if head.is_empty() {
+                    return;
+                }
+                let _ = heads.send(head);
+                thread::sleep(DELAY);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            }
+        });
+    });
+    (addr, seen)
+}
+
+/// Two VMs in two failure domains, each the home of the target in its own domain.
+struct Pair {
+    vms: Vec<Vm>,
+    homes: Homes,
+    ids: [VmId; 2],
+}
+
+fn pair(targets: [SocketAddr; 2]) -> Pair {
+    let domains = ["a", "b"].map(|name| name.parse::<DomainId>().unwrap());
+    let ids = ["entry-1.00000001", "entry-2.00000001"].map(|id| id.parse::<VmId>().unwrap());
+    let mut config = vm::config("status", &targets);
+    let service = "status".parse().unwrap();
+    let spec = config.services.get_mut(&service).unwrap();
+    for (target, domain) in spec.targets.values_mut().zip(&domains) {
+        target.domain = domain.clone();
+    }
+    let starts = ["--vm-name=entry-1", "--vm-name=entry-2"].map(|name| {
+        let settings = vm::settings(&[name]);
+        let listeners = Listeners::bind(&settings).unwrap();
+        (settings, listeners)
+    });
+    let members = ids.iter().zip(&starts);
+    let members: Vec<_> = members
+        .map(|(id, (_, listeners))| (id, listeners.forward().unwrap()))
+        .collect();
+    let mut roster = vm::roster(&members);
+    for (member, domain) in roster.members.values_mut().zip(&domains) {
+        member.domain = domain.clone();
+    }
+    let spec = &config.services[&service];
+    let homes = Homes::assign(&service, spec, &roster, &HomesSettings::default());
+    let start = |((settings, listeners), (id, domain))| {
+        let mut view = vm::view(id, config.clone(), roster.clone());
+        view.domain = DomainId::clone(domain);
+        Vm::start(settings, listeners, view)
+    };
+    let vms = starts
+        .into_iter()
+        .zip(ids.iter().zip(&domains))
+        .map(start)
+        .collect();
+    Pair { vms, homes, ids }
+}
+
+/// Tells the first VM that the second one has free slots, as its heartbeat would.
+fn report_free_slots(pair: &Pair, free: u32) {
+    let load = PeerLoad {
+        vm: pair.ids[1].clone(),
+        free,
+        queued: 0,
+    };
+    pair.vms[0].update(|view| view.loads = vec![("status".parse().unwrap(), load)]);
+}
+
+fn call_all(listen: SocketAddr, requests: Vec<String>) -> Vec<String> {
+    let calls: Vec<_> = requests
+        .into_iter()
+        .map(|request| {
+            thread::sleep(Duration::from_millis(5));
+            thread::spawn(move || raw_call(listen, request.as_bytes(), DELAY * 6))
+        })
+        .collect();
+    calls.into_iter().map(|call| call.join().unwrap()).collect()
+}
+
+/// Guards against a queue at one home while another one has free slots.
+#[test]
+fn full_home_passes_requests_on() {
+    let (near, _near_heads) = slow();
+    let (far, far_heads) = slow();
+    let pair = pair([near, far]);
+    let request = "POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n".to_owned();
+    report_free_slots(&pair, 2);
+    let answers = call_all(pair.vms[0].listen, vec![request; 4]);
+    for answer in &answers {
+        assert_eq!(
+            field(answer, "carobshore-outcome"),
+            Some("whole"),
+            "{answer}"
+        );
+    }
+    let heads: Vec<_> = far_heads.try_iter().collect();
+    assert!(!heads.is_empty());
+    assert!(
+        heads.iter().all(|head| head.matches("via: ").count() == 2),
+        "{heads:?}"
+    );
+}
+
+/// Guards against the second home taking the key for its own: the entry in the table stays with
+/// the owner, and the second home would refuse the request.
+#[test]
+fn key_stays_with_its_owner() {
+    let (near, near_heads) = slow();
+    let (far, far_heads) = slow();
+    let pair = pair([near, far]);
+    thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
+    let owned = |key: &Uuid| {
+        let key = RequestKey::try_from(*key).unwrap();
+        pair.homes.key_owner(&key) == Some(&pair.ids[0])
+    };
+    let keys = std::iter::repeat_with(Uuid::now_v7).filter(owned).take(4);
+    let requests =
+        keys.map(|key| format!("GET / HTTP/1.1\r\nhost: status\r\nidempotency-key: {key}\r\n\r\n"));
+    let requests: Vec<_> = requests.collect();
+    for free in [2, 1] {
+        report_free_slots(&pair, free);
+        for answer in call_all(pair.vms[0].listen, requests.clone()) {
+            assert_eq!(
+                field(&answer, "carobshore-outcome"),
+                Some("whole"),
+                "{answer}"
+            );
+        }
+    }
+    let far_heads: Vec<_> = far_heads.try_iter().collect();
+    let near_heads: Vec<_> = near_heads.try_iter().collect();
+    assert!(!far_heads.is_empty());
+    assert_eq!(far_heads.len() + near_heads.len(), 4, "a request ran twice");
+    for head in far_heads {
+        assert_eq!(field(&head, "idempotency-key"), None, "{head}");
+        assert_eq!(field(&head, "carobshore-repeatable"), Some("no"), "{head}");
+    }
+}
