--- a/testutils/src/sim_control.rs
+++ b/testutils/src/sim_control.rs
@@ -269,10 +269,7 @@
                     self.vms[vm].ready = true;
                     self.member(vm, MembershipEvent::Ready);
                 }
-                FollowerAction::RosterStep { .. }
-                | FollowerAction::Installed
-                | FollowerAction::AppendSnapshot { .. }
-                | FollowerAction::Report(_) => {}
+                FollowerAction::AppendSnapshot { .. } | FollowerAction::Report(_) => {}
             }
         }
     }
