--- a/lib/src/follower.rs
+++ b/lib/src/follower.rs
@@ -1,6 +1,5 @@
 //! Follows the log and decides what a VM serves.
 
-use std::collections::VecDeque;
 use std::time::Instant;
 
 use crate::error::Error;
@@ -14,6 +13,7 @@
 use crate::log_page::LogRecord;
 use crate::offset::Offset;
 use crate::peer_offers::PeerOffers;
+use crate::recent_records::RecentRecords;
 use crate::record::Body;
 use crate::record::Record;
 use crate::result_code::ResultCode;
@@ -37,6 +37,8 @@
     loaded: bool,
     ready: bool,
     search: Option<SnapshotSearch>,
+    /// Whether a search has ended, so that a log without a snapshot is applied from its beginning.
+    searched: bool,
     /// Whether the log has lost records that the fold still needs.
     gap: bool,
     first: Offset,
@@ -50,7 +52,7 @@
     current: Option<Instant>,
     fetching: Option<(VmId, Instant)>,
     offers: PeerOffers,
-    recent: VecDeque<LogRecord>,
+    recent: RecentRecords,
     schedule: SnapshotSchedule,
 }
 
@@ -63,6 +65,7 @@
             settings.snapshot_age,
             settings.rank_delay,
         );
+        let recent = RecentRecords::new(settings.recent, settings.recent_bytes);
         Self {
             page: settings.page,
             settings,
@@ -70,6 +73,7 @@
             loaded: false,
             ready: false,
             search: None,
+            searched: false,
             gap: false,
             first: Offset(0),
             started: now,
@@ -79,7 +83,7 @@
             current: None,
             fetching: None,
             offers: PeerOffers::default(),
-            recent: VecDeque::new(),
+            recent,
             schedule,
         }
     }
@@ -112,19 +116,8 @@
     /// Answers a peer's `records_since` from the records that were applied last; `first` of the
     /// page is the oldest of them.
     pub fn records_since(&self, from: Offset) -> LogPage {
-        let first = self
-            .recent
-            .front()
-            .map_or(self.fold.applied(), |record| record.offset);
-        let after = self.recent.iter().filter(|record| record.offset >= from);
-        LogPage {
-            first,
-            next: self.fold.applied(),
-            records: match from < first {
-                true => Vec::new(),
-                false => after.take(self.settings.page as usize).cloned().collect(),
-            },
-        }
+        let max = self.settings.page as usize;
+        self.recent.page(from, self.fold.applied(), max)
     }
 
     /// Takes an event and adds what has to be done. A `Tick` every 100 ms is enough, because reads
@@ -206,6 +199,12 @@
         if from > self.fold.applied() {
             return;
         }
+        if !self.loaded && !self.searched && page.next.0 > self.span() {
+            // Applying a long log from its beginning takes longer than a start may.
+            self.search = Some(SnapshotSearch::new(page.first, self.span()));
+            self.read_at = now;
+            return;
+        }
         // The log still has every record that the fold lacks. An empty fold gets here only when
         // nothing has expired yet.
         self.loaded = true;
@@ -244,7 +243,7 @@
                 }
                 Applied::Duplicate if record.offset.next() != self.fold.applied() => {}
                 Applied::Applied | Applied::Duplicate | Applied::Rejected { .. } => {
-                    self.keep_recent(record);
+                    self.recent.push(record);
                 }
             }
         }
@@ -254,17 +253,6 @@
         whole
     }
 
-    fn keep_recent(&mut self, record: LogRecord) {
-        let follows = |last: &LogRecord| last.offset.next() == record.offset;
-        if self.recent.back().is_some_and(|last| !follows(last)) {
-            return;
-        }
-        self.recent.push_back(record);
-        if self.recent.len() > self.settings.recent {
-            self.recent.pop_front();
-        }
-    }
-
     fn versions(&self) -> (u64, Vec<Offset>) {
         let roster = self.fold.roster().members.values();
         (
@@ -289,13 +277,17 @@
             return;
         }
         self.gap = true;
-        // The search starts again when the log has dropped records that it was about to read. Its
-        // first part is a little larger than the distance between two snapshots.
-        let span = self.settings.snapshot_every + self.settings.snapshot_every / 4;
-        self.search = Some(SnapshotSearch::new(first, span));
+        // The search starts again when the log has dropped records that it was about to read.
+        self.search = Some(SnapshotSearch::new(first, self.span()));
         self.read_at = now;
     }
 
+    /// Returns the size of the part in which a snapshot is searched first: a little more than the
+    /// distance between two snapshots.
+    fn span(&self) -> u64 {
+        self.settings.snapshot_every + self.settings.snapshot_every / 4
+    }
+
     fn search_page(
         &mut self,
         now: Instant,
@@ -312,8 +304,11 @@
             return;
         };
         self.search = None;
+        self.searched = true;
         actions.extend(error.map(FollowerAction::Report));
-        if !fold.is_some_and(|fold| self.install(*fold, actions)) {
+        let installed = fold.is_some_and(|fold| self.install(*fold, actions));
+        let from_start = !self.loaded && self.first == Offset(0);
+        if !installed && !from_start {
             actions.push(FollowerAction::Report(no_snapshot(
                 self.fold.applied(),
                 self.first,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,23 +4,19 @@
 //! with the time at which they happened and return the actions that the caller has to carry out,
 //! so that the daemon, the load tool and the tests all drive the same code.
 
-mod canonical;
-mod draft;
-mod peer_offers;
-mod snapshot_schedule;
-mod snapshot_search;
-
 pub mod appender;
 pub mod attempt_table;
 pub mod backoff;
 pub mod baseline;
 pub mod byte_size;
+mod canonical;
 pub mod change;
 pub mod charge_window;
 pub mod clock;
 pub mod config;
 pub mod connection_pool;
 pub mod domain_id;
+mod draft;
 pub mod error;
 pub mod exchange;
 pub mod fair_queue;
@@ -46,6 +42,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod peer_load;
+mod peer_offers;
 pub mod peer_table;
 pub mod pending;
 pub mod plan;
@@ -62,6 +59,7 @@
 pub mod ramp;
 pub mod read_lease;
 pub mod recent_ids;
+mod recent_records;
 pub mod record;
 pub mod record_id;
 pub mod region_id;
@@ -78,6 +76,8 @@
 pub mod snapshot;
 pub mod snapshot_marks;
 pub mod snapshot_scan;
+mod snapshot_schedule;
+mod snapshot_search;
 pub mod target;
 pub mod target_entry;
 pub mod target_id;
