testutils: strengthen the matrix against mixed responses and old configurations

Change: late responses come up to 2 s after the deadline from a target that is slow as well; the eleventh wrong rule is in the test; a test that a read cut at its maximum, or from an old copy of the log, renews no lease.

--- a/lib/tests/test_fault_matrix.rs
+++ b/lib/tests/test_fault_matrix.rs
@@ -182,7 +182,7 @@
         ),
         (
             "4",
-            Fault::VmCrash,
+            Fault::VmIsolated,
             Policy {
                 no_history: true,
                 ..right
@@ -228,6 +228,14 @@
                 ..right
             },
         ),
+        (
+            "7",
+            Fault::Straggler,
+            Policy {
+                serve_old: true,
+                ..right
+            },
+        ),
         (
             "8",
             Fault::Straggler,
--- a/lib/tests/test_read_lease.rs
+++ b/lib/tests/test_read_lease.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use carobshore_lib::follower::Follower;
+use carobshore_lib::follower_message::FollowerAction;
+use carobshore_lib::follower_message::FollowerEvent;
+use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::log_page::LogPage;
+use carobshore_lib::log_page::LogRecord;
 use carobshore_lib::prelude::*;
 use carobshore_lib::read_lease::LEASE;
 use carobshore_lib::read_lease::LEASE_WAIT;
@@ -52,3 +58,40 @@
     lease.read_ok(clock.now(), true);
     assert!(lease.holds(clock.now()));
 }
+
+/// Guards against a lease from a read that was cut at its maximum number of records, or that came
+/// from an old copy of the log: either may have missed the record that moves ownership.
+#[test]
+fn only_a_read_that_reached_the_end_renews_the_lease() {
+    let clock = ManualClock::default();
+    let settings = FollowerSettings {
+        page: 2,
+        ..FollowerSettings::default()
+    };
+    let mut follower = Follower::new(clock.now(), settings);
+    let mut read = |from: u64, next: u64, count: u64| {
+        let records = (from..from + count).map(|at| LogRecord {
+            offset: Offset(at),
+            data: "{}".into(),
+        });
+        let page = LogPage {
+            first: Offset(0),
+            next: Offset(next),
+            records: records.collect(),
+        };
+        let event = FollowerEvent::Page {
+            from: Offset(from),
+            issued: clock.now(),
+            page,
+        };
+        let mut actions = Vec::new();
+        follower.handle(clock.now(), event, &mut actions);
+        let current = |action: &FollowerAction| matches!(action, FollowerAction::Current { .. });
+        actions.iter().any(current)
+    };
+    assert!(!read(0, 5, 2));
+    assert!(!read(2, 5, 2));
+    assert!(read(4, 5, 1));
+    assert!(!read(5, 4, 0), "a copy of the log that lags");
+    assert!(read(5, 5, 0));
+}
--- a/testutils/src/sim_data.rs
+++ b/testutils/src/sim_data.rs
@@ -490,7 +490,7 @@
 
     fn respond(&mut self, target: usize, vm: usize, conn: ConnId, delivery: usize, drains: bool) {
         let quick = Duration::from_millis(5) + self.random_time(Duration::from_millis(40));
-        let late = self.random_time(Duration::from_millis(60));
+        let late = self.random_time(Duration::from_secs(2));
         let call = self.records.deliveries[delivery].call;
         let now = self.now;
         let state = &mut self.targets[target];
--- a/testutils/src/sim_fault.rs
+++ b/testutils/src/sim_fault.rs
@@ -194,7 +194,11 @@
             Fault::ConfirmRace => self.race(target),
             Fault::SilentConnection => self.silence(vm, target),
             Fault::CutResponse => self.targets[target].cut += 2,
-            Fault::LateResponse => self.targets[target].late += 2,
+            // Slow as well, so that other requests are outstanding when the late responses come.
+            Fault::LateResponse => {
+                self.targets[target].late += 2;
+                self.targets[target].slow.push((now, now + SPELL * 2));
+            }
             Fault::TargetCrash => self.crash_target(target),
             Fault::VmCrash => self.crash_and_replace(vm, Duration::from_secs(6)),
             Fault::VmReplaced => self.crash_and_replace(vm, Duration::ZERO),
