--- a/lib/tests/test_follower.rs
+++ b/lib/tests/test_follower.rs
@@ -386,26 +386,42 @@
     add(&mut log, &mut fold, false);
     fill(&mut log, &mut fold, 60);
     add(&mut log, &mut fold, true);
-    log.first = 1;
-    let small = FollowerSettings {
-        snapshot_every: 8,
-        ..settings(None)
-    };
-    let mut vm = Vm::new(small);
-    let mut lowest = log.next();
-    for _ in 0..200 {
-        vm.tick();
-        while let Some((from, max)) = vm.read() {
-            if from.0 > 1 {
-                lowest = lowest.min(from);
+    for first in [0, 1] {
+        log.first = first;
+        let mut vm = Vm::new(FollowerSettings {
+            snapshot_every: 8,
+            ..settings(None)
+        });
+        let mut reads = Vec::new();
+        for _ in 0..200 {
+            vm.tick();
+            while let Some((from, max)) = vm.read() {
+                reads.push(from.0);
+                let event = answer(&log, vm.now, from, max);
+                vm.handle(event);
             }
-            let event = answer(&log, vm.now, from, max);
-            vm.handle(event);
         }
+        assert_eq!(vm.follower.fold(), &fold);
+        assert_eq!(vm.error().unwrap().code, ResultCode::BadSnapshot);
+        let between = reads.iter().find(|from| (2..400).contains(*from));
+        assert_eq!(between, None, "first {first}");
     }
-    assert_eq!(vm.follower.fold(), &fold);
-    assert_eq!(vm.error().unwrap().code, ResultCode::BadSnapshot);
-    assert!(lowest.0 > 400, "read from {lowest}");
+}
+
+/// Guards against a long log without a snapshot, from which nothing has expired, being refused.
+#[test]
+fn a_long_log_without_a_snapshot_is_applied_from_its_beginning() {
+    let (mut log, mut fold) = sample();
+    for _ in 0..100 {
+        fold.apply_text(log.append_text("{}".to_owned()), "{}");
+    }
+    let mut vm = Vm::new(FollowerSettings {
+        snapshot_every: 8,
+        ..settings(None)
+    });
+    vm.run(&log, 20);
+    assert!(vm.follower.is_ready());
+    assert_eq!((vm.follower.fold(), vm.error()), (&fold, None));
 }
 
 /// Guards against a log of another installation, or one that was emptied, taking a VM back.
@@ -420,6 +436,27 @@
     assert_eq!(vm.follower.fold(), &fold);
 }
 
+/// Guards against a read lease that is renewed, or a VM that is ready, before the VM has applied
+/// all that was on the log: it could own keys that another VM owns by now.
+#[test]
+fn only_a_read_up_to_the_end_makes_the_fold_current() {
+    let (mut log, _) = sample();
+    for _ in 0..20 {
+        log.append_text("{}".to_owned());
+    }
+    let mut vm = Vm::new(settings(None));
+    vm.tick();
+    while let Some((from, max)) = vm.read() {
+        let early = vm.follower.fold().applied() < log.next();
+        assert_eq!(vm.was_current(), !early);
+        assert_eq!(vm.follower.is_ready(), !early);
+        let event = answer(&log, vm.now, from, max);
+        vm.handle(event);
+    }
+    assert!(vm.was_current() && vm.follower.is_ready());
+    assert_eq!(vm.follower.fold().applied(), log.next());
+}
+
 /// Guards against records that are too large for one answer stopping the follower for good.
 #[test]
 fn failed_reads_ask_for_less() {
