testutils: split the simulation and name the wrong rules

Change: sim_link.rs has the connections and targets; a macro lists steps and faults; a wrong rule is an enum instead of a struct of flags. No test is changed in what it checks.

--- a/lib/tests/test_fault_matrix.rs
+++ b/lib/tests/test_fault_matrix.rs
@@ -11,8 +11,8 @@
 use carobshore_testutils::sim_fault::Fault;
 use carobshore_testutils::sim_fault::Step;
 use carobshore_testutils::sim_fault::Variant;
-use carobshore_testutils::sim_world::Policy;
 use carobshore_testutils::sim_world::World;
+use carobshore_testutils::sim_world::WrongRule;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -44,8 +44,8 @@
     });
 }
 
-fn run_cell(seed: u64, cell: Option<Cell>, policy: Policy, traced: bool) -> World {
-    let mut world = World::new(seed, policy);
+fn run_cell(seed: u64, cell: Option<Cell>, wrong: Option<WrongRule>, traced: bool) -> World {
+    let mut world = World::new(seed, wrong);
     world.trace = traced.then(Vec::new);
     let warm = World::warm();
     script(&mut world, cell.map_or(Step::Deliver, |cell| cell.step));
@@ -57,8 +57,8 @@
 
 fn cells() -> Vec<Cell> {
     let mut cells = Vec::new();
-    for fault in Fault::ALL {
-        for step in Step::ALL {
+    for &fault in Fault::ALL {
+        for &step in Step::ALL {
             for variant in [Variant::Once, Variant::Twice, Variant::WithOutage] {
                 let armed = World::warm() + SECOND * 2;
                 cells.push(Cell {
@@ -76,7 +76,7 @@
 type Failure = (u64, Cell, Vec<String>);
 
 /// Runs the cells and returns the failures.
-fn run_matrix(seed: u64, policy: Policy, cells: &[Cell]) -> Vec<Failure> {
+fn run_matrix(seed: u64, wrong: Option<WrongRule>, cells: &[Cell]) -> Vec<Failure> {
     let next = AtomicUsize::new(0);
     let failures = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -88,7 +88,7 @@
                         return;
                     };
                     let seed = seed + n as u64;
-                    let world = run_cell(seed, Some(*cell), policy, false);
+                    let world = run_cell(seed, Some(*cell), wrong, false);
                     let mut found = violations(&world);
                     if world.cell.is_some() {
                         found.push("the step was not reached".to_owned());
@@ -109,7 +109,7 @@
     for violation in found {
         println!("  {violation}");
     }
-    let world = run_cell(seed, Some(cell), Policy::default(), true);
+    let world = run_cell(seed, Some(cell), None, true);
     for line in world.trace.unwrap() {
         println!("    {line}");
     }
@@ -121,7 +121,7 @@
     let seed = std::env::var("MATRIX_SEED").map_or(1, |text| text.parse().unwrap());
     let start = std::time::Instant::now();
     let cells = cells();
-    let failures = run_matrix(seed, Policy::default(), &cells);
+    let failures = run_matrix(seed, None, &cells);
     println!(
         "{} cells from seed {seed} in {:?}",
         cells.len(),
@@ -144,7 +144,7 @@
 /// Guards against a simulation in which nothing happens: without faults, requests succeed.
 #[test]
 fn without_faults_requests_succeed() {
-    let world = run_cell(1, None, Policy::default(), false);
+    let world = run_cell(1, None, None, false);
     assert_eq!(violations(&world), Vec::<String>::new());
     let counts = count(&world);
     println!("{counts:?} {} executions", world.records.executions.len());
@@ -154,110 +154,32 @@
 /// Guards against a matrix that cannot fail: each wrong rule breaks the invariant that it is about.
 #[test]
 fn wrong_rules_are_caught() {
-    let right = Policy::default();
     let wrong = [
-        (
-            "4",
-            Fault::TargetCrash,
-            Policy {
-                resend_broken: true,
-                ..right
-            },
-        ),
-        (
-            "4",
-            Fault::VmIsolated,
-            Policy {
-                no_wait: true,
-                ..right
-            },
-        ),
-        (
-            "4",
-            Fault::VmIsolated,
-            Policy {
-                no_lease: true,
-                ..right
-            },
-        ),
-        (
-            "4",
-            Fault::VmIsolated,
-            Policy {
-                no_history: true,
-                ..right
-            },
-        ),
-        (
-            "2",
-            Fault::LateResponse,
-            Policy {
-                reuse_silent: true,
-                ..right
-            },
-        ),
-        (
-            "2",
-            Fault::CutResponse,
-            Policy {
-                pass_cut: true,
-                ..right
-            },
-        ),
-        (
-            "3",
-            Fault::TargetCrash,
-            Policy {
-                claim_not_run: true,
-                ..right
-            },
-        ),
-        (
-            "5",
-            Fault::Drain,
-            Policy {
-                ignore_leaving: true,
-                ..right
-            },
-        ),
-        (
-            "6",
-            Fault::Straggler,
-            Policy {
-                exit_at_once: true,
-                ..right
-            },
-        ),
-        (
-            "7",
-            Fault::Straggler,
-            Policy {
-                serve_old: true,
-                ..right
-            },
-        ),
-        (
-            "8",
-            Fault::Straggler,
-            Policy {
-                no_freshness: true,
-                ..right
-            },
-        ),
+        ("4", Fault::TargetCrash, WrongRule::ResendBroken),
+        ("4", Fault::VmIsolated, WrongRule::NoWait),
+        ("4", Fault::VmIsolated, WrongRule::NoLease),
+        ("4", Fault::VmIsolated, WrongRule::NoHistory),
+        ("2", Fault::LateResponse, WrongRule::ReuseSilent),
+        ("2", Fault::CutResponse, WrongRule::PassCut),
+        ("3", Fault::TargetCrash, WrongRule::ClaimNotRun),
+        ("5", Fault::Drain, WrongRule::IgnoreLeaving),
+        ("6", Fault::Straggler, WrongRule::ExitAtOnce),
+        ("7", Fault::Straggler, WrongRule::ServeOld),
+        ("8", Fault::Straggler, WrongRule::NoFreshness),
     ];
-    for (invariant, fault, policy) in wrong {
+    for (invariant, fault, rule) in wrong {
         let cells: Vec<_> = cells()
             .into_iter()
             .filter(|cell| cell.fault == fault)
             .collect();
-        let failures = run_matrix(1, policy, &cells);
+        let failures = run_matrix(1, Some(rule), &cells);
         let found = |(_, _, found): &&Failure| found.iter().any(|text| text.starts_with(invariant));
         let caught = failures.iter().filter(found).count();
         println!(
-            "{caught} of {} cells break invariant {invariant} with {policy:?}",
+            "{caught} of {} cells break invariant {invariant} with {rule:?}",
             cells.len()
         );
-        assert!(caught > 0, "not caught: {policy:?}");
+        assert!(caught > 0, "not caught: {rule:?}");
     }
 }
 
@@ -274,7 +196,7 @@
     let share = calls / THREADS as u32;
     let worlds = (0..THREADS as u64).map(|n| {
         std::thread::spawn(move || {
-            let mut world = World::new(seed * 1_000 + n, Policy::default());
+            let mut world = World::new(seed * 1_000 + n, None);
             let end = World::warm() + every * share;
             world.calls(World::warm(), every, share, true);
             world.disturb(end);
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod sim_control;
 pub mod sim_data;
 pub mod sim_fault;
+pub mod sim_link;
 pub mod sim_platform;
 pub mod sim_record;
 pub mod sim_world;
--- a/testutils/src/sim_control.rs
+++ b/testutils/src/sim_control.rs
@@ -27,6 +27,7 @@
 use crate::sim_record::Served;
 use crate::sim_world::HOP;
 use crate::sim_world::World;
+use crate::sim_world::WrongRule;
 
 /// How often a VM looks at its timers.
 const TICK: Duration = Duration::from_millis(250);
@@ -165,7 +166,7 @@
     pub fn stop_vm(&mut self, vm: usize) {
         self.on_vm(vm, Duration::ZERO, move |world| {
             world.reach(Step::Signal, vm, None);
-            if world.policy.exit_at_once {
+            if world.breaks(WrongRule::ExitAtOnce) {
                 world.exit(vm);
                 return;
             }
@@ -225,7 +226,7 @@
             .filter(|_| self.vms[vm].ready)
         {
             let (at, mut version) = (self.now, service.version);
-            if self.policy.serve_old && self.rng.random_bool(0.5) {
+            if self.breaks(WrongRule::ServeOld) && self.rng.random_bool(0.5) {
                 version.0 -= 1;
             }
             self.records.served.push(Served { vm, at, version });
@@ -269,10 +270,7 @@
                     self.vms[vm].ready = true;
                     self.member(vm, MembershipEvent::Ready);
                 }
-                FollowerAction::RosterStep { .. }
-                | FollowerAction::Installed
-                | FollowerAction::AppendSnapshot { .. }
-                | FollowerAction::Report(_) => {}
+                FollowerAction::AppendSnapshot { .. } | FollowerAction::Report(_) => {}
             }
         }
     }
@@ -280,7 +278,7 @@
     /// The clocks as they are read after a record; shifted by the wrong rule without a wait.
     fn takeover_clocks(&self, vm: usize) -> (Instant, SystemTime) {
         let (wall, now) = self.clocks(vm);
-        match self.policy.no_wait {
+        match self.breaks(WrongRule::NoWait) {
             true => (now - LEASE_WAIT * 2, wall - LEASE_WAIT * 2),
             false => (now, wall),
         }
--- a/testutils/src/sim_data.rs
+++ b/testutils/src/sim_data.rs
@@ -10,10 +10,10 @@
 use crate::sim_fault::Step;
 use crate::sim_platform::within;
 use crate::sim_record::Answer;
-use crate::sim_record::Execution;
 use crate::sim_record::Kind;
 use crate::sim_world::HOP;
 use crate::sim_world::World;
+use crate::sim_world::WrongRule;
 
 /// Where a request came from: a caller, or the call and attempt of another VM.
 pub(crate) type Origin = Option<(usize, u64, AttemptId)>;
@@ -26,11 +26,11 @@
     /// Whether responses on it are lost.
     pub loses_responses: bool,
     /// The target's run in which it was opened.
-    run: u64,
+    pub(crate) run: u64,
     /// The call and attempt that use it.
-    user: Option<(u64, AttemptId)>,
+    pub(crate) user: Option<(u64, AttemptId)>,
     /// When it last answered.
-    answered: Duration,
+    pub(crate) answered: Duration,
 }
 
 /// A forwarded request in flight.
@@ -54,7 +54,7 @@
     once: bool,
     attempts: BTreeMap<AttemptId, Attempt>,
     /// The call that the response names.
-    body: Option<usize>,
+    pub(crate) body: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -113,7 +113,7 @@
             .map_or(Ownership::NotOwner, |history| {
                 history.owned_since_creation(&key, now, wall)
             });
-        if self.policy.no_history && ownership != Ownership::NotOwner {
+        if self.breaks(WrongRule::NoHistory) && ownership != Ownership::NotOwner {
             ownership = Ownership::Owned;
         }
         let lease = self.lease(vm);
@@ -130,7 +130,7 @@
 
     fn lease(&self, vm: usize) -> ReadLease {
         let mut lease = self.vms[vm].lease;
-        if self.policy.no_lease {
+        if self.breaks(WrongRule::NoLease) {
             let (_, now) = self.clocks(vm);
             lease.read_ok(now, true);
         }
@@ -318,7 +318,8 @@
             );
         };
         let open = |target: &&TargetId| {
-            self.policy.ignore_leaving || !state.leaving.is_leaving(&self.service, target)
+            self.breaks(WrongRule::IgnoreLeaving)
+                || !state.leaving.is_leaving(&self.service, target)
         };
         let open: Vec<_> = service.targets.keys().filter(open).cloned().collect();
         if open.is_empty() {
@@ -343,7 +344,7 @@
         let Some(live) = self.vms[vm].calls.get(&id) else {
             return;
         };
-        let need = match live.once && !self.policy.no_freshness {
+        let need = match live.once && !self.breaks(WrongRule::NoFreshness) {
             true => Freshness::Fresh,
             false => Freshness::Any,
         };
@@ -402,7 +403,7 @@
     fn first_byte(&mut self, vm: usize, id: u64, attempt: AttemptId, target: usize, conn: ConnId) {
         let (wall, now) = self.clocks(vm);
         let lease = self.lease(vm);
-        let no_freshness = self.policy.no_freshness;
+        let no_freshness = self.breaks(WrongRule::NoFreshness);
         let at = self.now;
         let state = &mut self.vms[vm];
         let pool = state.pools.get_mut(&target).unwrap();
@@ -448,163 +449,6 @@
         }
     }
 
-    fn at_target(&mut self, target: usize, vm: usize, conn: ConnId, delivery: usize) {
-        let at = self.now;
-        let state = &self.targets[target];
-        let link = self.vms[vm].conns.get(&(target, conn));
-        let same_run = link.is_none_or(|link| link.run == state.run);
-        if within(&state.down, at) || !same_run {
-            return self.on_vm(vm, HOP, move |world| world.broken(vm, target, conn));
-        }
-        let sheds = within(&state.sheds, at);
-        let drains = state.drains;
-        if drains
-            && !self
-                .records
-                .signs
-                .iter()
-                .any(|s| s.target == target && s.until.is_none())
-        {
-            self.sign(target, at, false);
-        }
-        if sheds || (drains && self.rng.random_bool(0.5)) {
-            let by = if sheds {
-                RefusedBy::Shed
-            } else {
-                RefusedBy::Drain
-            };
-            return self.on_vm(vm, HOP, move |world| world.refused(vm, target, conn, by));
-        }
-        self.reach(Step::Run, vm, Some(target));
-        let call = self.records.deliveries[delivery].call;
-        self.records.executions.push(Execution {
-            call,
-            delivery,
-            target,
-            vm,
-            at,
-        });
-        self.note(|| format!("target {target} runs call {call} delivery {delivery}"));
-        self.respond(target, vm, conn, delivery, drains);
-    }
-
-    fn respond(&mut self, target: usize, vm: usize, conn: ConnId, delivery: usize, drains: bool) {
-        let quick = Duration::from_millis(5) + self.random_time(Duration::from_millis(40));
-        let late = self.random_time(Duration::from_secs(2));
-        let call = self.records.deliveries[delivery].call;
-        let now = self.now;
-        let state = &mut self.targets[target];
-        let mut time = quick;
-        if within(&state.slow, now) {
-            time += Duration::from_secs(3);
-        }
-        if state.late > 0 {
-            state.late -= 1;
-            let deadline = self.records.deliveries[delivery].deadline;
-            time = deadline.saturating_sub(now) + late;
-        }
-        let cut = state.cut > 0;
-        state.cut = state.cut.saturating_sub(1);
-        let run = state.run;
-        self.after(time, move |world| {
-            let link = world.vms[vm].conns.get(&(target, conn));
-            let lost = link.is_none_or(|link| link.loses_responses);
-            if lost || world.targets[target].run != run {
-                return;
-            }
-            world.on_vm(vm, HOP, move |world| {
-                world.head(vm, target, conn, call, drains);
-            });
-            world.on_vm(vm, HOP * 3, move |world| match cut {
-                true => world.broken(vm, target, conn),
-                false => world.end(vm, target, conn),
-            });
-        });
-    }
-
-    fn user(&self, vm: usize, target: usize, conn: ConnId) -> Option<(u64, AttemptId)> {
-        self.vms[vm]
-            .conns
-            .get(&(target, conn))
-            .and_then(|link| link.user)
-    }
-
-    fn head(&mut self, vm: usize, target: usize, conn: ConnId, call: usize, drains: bool) {
-        if drains {
-            self.drain_signal(vm, target);
-        }
-        self.reach(Step::Head, vm, Some(target));
-        let Some((id, attempt)) = self.user(vm, target, conn) else {
-            return;
-        };
-        if let Some(live) = self.vms[vm].calls.get_mut(&id) {
-            live.body = Some(call);
-        }
-        let status = 200;
-        self.give(vm, id, ExchangeEvent::Head { attempt, status });
-    }
-
-    fn drain_signal(&mut self, vm: usize, target: usize) {
-        let id = Self::target_id(target);
-        let state = &mut self.vms[vm];
-        let config = state.follower.fold().config();
-        let service = config.services.get(&self.service);
-        if let Some(known) = service.and_then(|service| service.targets.get(&id)) {
-            state.leaving.drained(&LeavingTarget {
-                service: self.service.clone(),
-                target: id,
-                generation: known.generation,
-            });
-        }
-    }
-
-    /// Frees a connection after a complete response and returns who used it.
-    fn free(&mut self, vm: usize, target: usize, conn: ConnId) -> Option<(u64, AttemptId)> {
-        let (_, now) = self.clocks(vm);
-        let at = self.now;
-        let state = &mut self.vms[vm];
-        let link = state.conns.get_mut(&(target, conn))?;
-        let user = link.user.take()?;
-        link.answered = at;
-        if !state
-            .pools
-            .get_mut(&target)
-            .unwrap()
-            .answered(now, conn, true)
-        {
-            state.conns.remove(&(target, conn));
-        }
-        Some(user)
-    }
-
-    fn end(&mut self, vm: usize, target: usize, conn: ConnId) {
-        self.reach(Step::End, vm, Some(target));
-        if let Some((id, attempt)) = self.free(vm, target, conn) {
-            self.give(vm, id, ExchangeEvent::Ended { attempt });
-        }
-    }
-
-    fn refused(&mut self, vm: usize, target: usize, conn: ConnId, by: RefusedBy) {
-        if by == RefusedBy::Drain {
-            self.drain_signal(vm, target);
-        }
-        if let Some((id, attempt)) = self.free(vm, target, conn) {
-            self.give(vm, id, ExchangeEvent::Refused { attempt, by });
-        }
-    }
-
-    /// A connection breaks.
-    pub(crate) fn broken(&mut self, vm: usize, target: usize, conn: ConnId) {
-        let user = self.user(vm, target, conn);
-        self.vms[vm].conns.remove(&(target, conn));
-        if let Some(pool) = self.vms[vm].pools.get_mut(&target) {
-            pool.closed(conn);
-        }
-        if let Some((id, attempt)) = user {
-            self.give(vm, id, ExchangeEvent::Broken { attempt });
-        }
-    }
-
     /// Gives an event to a request's exchange and carries out the actions.
     pub(crate) fn give(&mut self, vm: usize, id: u64, event: ExchangeEvent) {
         self.give_allowed(vm, id, event, AttemptId(0));
@@ -644,7 +488,8 @@
             ExchangeAction::Answer { .. } => {}
             ExchangeAction::Fail { outcome, code } => {
                 let broken = code == ResultCode::ConnectionBroken;
-                if self.policy.resend_broken && broken && live.attempts.len() < 3 {
+                if self.wrong == Some(WrongRule::ResendBroken) && broken && live.attempts.len() < 3
+                {
                     // The wrong rule: a new exchange, which knows nothing of the first attempt.
                     let (key, attempts) = (live.key.take(), live.attempts.len());
                     self.run(vm, delivery, origin, key);
@@ -654,7 +499,7 @@
                     new.attempts.insert(used, Attempt::Vm);
                     return;
                 }
-                let wrong = self.policy.claim_not_run && broken;
+                let wrong = self.breaks(WrongRule::ClaimNotRun) && broken;
                 let outcome = if wrong { Outcome::NotRun } else { outcome };
                 self.refuse(delivery, origin, outcome, code);
             }
@@ -665,7 +510,7 @@
             }
             ExchangeAction::Abort => {
                 let body = live.body;
-                match self.policy.pass_cut {
+                match self.breaks(WrongRule::PassCut) {
                     true => {
                         let whole = Some(Outcome::Whole);
                         self.reply(delivery, origin, whole, ResultCode::AnswerCut, body);
@@ -701,7 +546,7 @@
         let Some(pool) = state.pools.get_mut(&target) else {
             return;
         };
-        if self.policy.reuse_silent {
+        if self.wrong == Some(WrongRule::ReuseSilent) {
             if let Some(link) = state.conns.get_mut(&(target, conn)) {
                 link.user = None;
                 link.answered = at;
--- a/testutils/src/sim_fault.rs
+++ b/testutils/src/sim_fault.rs
@@ -9,117 +9,77 @@
 use crate::sim_world::HOP;
 use crate::sim_world::World;
 
-/// A step of a request, of a configuration change, of a membership change or of a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(missing_docs, reason = "the names are the steps")]
-pub enum Step {
-    Deliver,
-    Arrive,
-    Forward,
-    Begin,
-    Connect,
-    Write,
-    Run,
-    Head,
-    End,
-    Answer,
-    Intent,
-    Confirm,
-    ConfigRead,
-    TakenBack,
-    Join,
-    Joined,
-    Silent,
-    Displace,
-    Displaced,
-    Signal,
-    Announce,
-    Leave,
-    Left,
-    Closed,
-    Exit,
-}
+macro_rules! listed {
+    ($(#[$meta:meta])* $name:ident { $($(#[$inner:meta])* $variant:ident,)* }) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        #[allow(missing_docs, reason = "the names are those of the design page")]
+        pub enum $name {
+            $($(#[$inner])* $variant,)*
+        }
 
-impl Step {
-    /// Every step.
-    pub const ALL: [Self; 25] = [
-        Self::Deliver,
-        Self::Arrive,
-        Self::Forward,
-        Self::Begin,
-        Self::Connect,
-        Self::Write,
-        Self::Run,
-        Self::Head,
-        Self::End,
-        Self::Answer,
-        Self::Intent,
-        Self::Confirm,
-        Self::ConfigRead,
-        Self::TakenBack,
-        Self::Join,
-        Self::Joined,
-        Self::Silent,
-        Self::Displace,
-        Self::Displaced,
-        Self::Signal,
-        Self::Announce,
-        Self::Leave,
-        Self::Left,
-        Self::Closed,
-        Self::Exit,
-    ];
+        impl $name {
+            /// Every value.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+        }
+    };
 }
 
-/// A fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(missing_docs, reason = "the names are those of the design page")]
-pub enum Fault {
-    Straggler,
-    Drain,
-    FastFailure,
-    LogDown,
-    LogSlow,
-    AppendAnswerLost,
-    LeaseLapsedInPause,
-    ConfirmRace,
-    SilentConnection,
-    CutResponse,
-    LateResponse,
-    TargetCrash,
-    VmCrash,
-    VmReplaced,
-    ListLagging,
-    ListWrong,
-    ClockStep,
-    DuplicatedMessage,
-    /// Cut off from the log and its peers, while callers and targets reach it.
-    VmIsolated,
+listed! {
+    /// A step of a request, of a configuration change, of a membership change or of a planned stop.
+    Step {
+        Deliver,
+        Arrive,
+        Forward,
+        Begin,
+        Connect,
+        Write,
+        Run,
+        Head,
+        End,
+        Answer,
+        Intent,
+        Confirm,
+        ConfigRead,
+        TakenBack,
+        Join,
+        Joined,
+        Silent,
+        Displace,
+        Displaced,
+        Signal,
+        Announce,
+        Leave,
+        Left,
+        Closed,
+        Exit,
+    }
 }
 
-impl Fault {
-    /// Every fault.
-    pub const ALL: [Self; 19] = [
-        Self::Straggler,
-        Self::Drain,
-        Self::FastFailure,
-        Self::LogDown,
-        Self::LogSlow,
-        Self::AppendAnswerLost,
-        Self::LeaseLapsedInPause,
-        Self::ConfirmRace,
-        Self::SilentConnection,
-        Self::CutResponse,
-        Self::LateResponse,
-        Self::TargetCrash,
-        Self::VmCrash,
-        Self::VmReplaced,
-        Self::ListLagging,
-        Self::ListWrong,
-        Self::ClockStep,
-        Self::DuplicatedMessage,
-        Self::VmIsolated,
-    ];
+listed! {
+    /// A fault.
+    Fault {
+        Straggler,
+        Drain,
+        FastFailure,
+        LogDown,
+        LogSlow,
+        AppendAnswerLost,
+        LeaseLapsedInPause,
+        ConfirmRace,
+        SilentConnection,
+        CutResponse,
+        LateResponse,
+        TargetCrash,
+        VmCrash,
+        VmReplaced,
+        ListLagging,
+        ListWrong,
+        ClockStep,
+        DuplicatedMessage,
+        /// Cut off from the log and its peers, while callers and targets reach it.
+        VmIsolated,
+    }
 }
 
 /// How often a fault is injected, and with what.
--- a/testutils/src/sim_world.rs
+++ b/testutils/src/sim_world.rs
@@ -37,31 +37,31 @@
 /// The time that a message takes.
 pub const HOP: Duration = Duration::from_millis(1);
 
-/// Wrong rules that the matrix has to catch. The default follows the rules.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Policy {
+/// A wrong rule that the matrix has to catch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WrongRule {
     /// Sends a run-once request again after its connection broke.
-    pub resend_broken: bool,
+    ResendBroken,
     /// Takes keys over as soon as the record is read.
-    pub no_wait: bool,
+    NoWait,
     /// Never checks the read lease.
-    pub no_lease: bool,
+    NoLease,
     /// Never compares a key's age with the ownership.
-    pub no_history: bool,
+    NoHistory,
     /// Keeps using a connection whose response did not come in time.
-    pub reuse_silent: bool,
+    ReuseSilent,
     /// Passes a cut response on as complete.
-    pub pass_cut: bool,
+    PassCut,
     /// Claims "not run" when a connection breaks.
-    pub claim_not_run: bool,
+    ClaimNotRun,
     /// Sends work to leaving targets.
-    pub ignore_leaving: bool,
+    IgnoreLeaving,
     /// Exits on the first signal.
-    pub exit_at_once: bool,
+    ExitAtOnce,
     /// Writes run-once requests to any open connection.
-    pub no_freshness: bool,
+    NoFreshness,
     /// Serves an older configuration now and then.
-    pub serve_old: bool,
+    ServeOld,
 }
 
 type Task = Box<dyn FnOnce(&mut World)>;
@@ -98,8 +98,8 @@
     pub now: Duration,
     /// The seeded source of all choices.
     pub rng: StdRng,
-    /// The rules that the VMs follow.
-    pub policy: Policy,
+    /// The wrong rule that the VMs follow, if any.
+    pub wrong: Option<WrongRule>,
     /// What was seen from outside.
     pub records: Records,
     /// The log.
@@ -130,11 +130,11 @@
 
 impl World {
     /// Builds three VMs and three targets. Calls may start at [`World::warm`].
-    pub fn new(seed: u64, policy: Policy) -> Self {
+    pub fn new(seed: u64, wrong: Option<WrongRule>) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
             rng: StdRng::seed_from_u64(seed),
-            policy,
+            wrong,
             records: Records::default(),
             log: FakeLog::default(),
             list: FakeList::default(),
@@ -165,6 +165,11 @@
         world
     }
 
+    /// Returns whether the VMs follow a wrong rule.
+    pub(crate) fn breaks(&self, rule: WrongRule) -> bool {
+        self.wrong == Some(rule)
+    }
+
     /// The time at which all VMs own their keys.
     pub fn warm() -> Duration {
         Duration::from_secs(17)
