entry: claim "not run" for a key only with the word of its owner

Cause: a caller that repeated a request through another VM, after the owner of its key had run it and crashed, was told "not run", because no connection to the owner could be opened. The same held for refusals during a log outage, a planned stop and a move of ownership. "Not run" was true of the copy and false of the request.

Change: the owner marks refusals of keys that it knows to be unused; every other refusal of a caller's request with a key is told as "may have run" with the code of its reason. The key travels with a spilled request for the target.

Ruled out: renumbering the codes (the reason stays the same), and trusting a caller's word that it sends a key for the first time (a balancer in between may repeat it).

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -162,6 +162,9 @@
     if head.port == Port::Callers {
         headers::add_forwarded(&mut fields, head.peer, &head.host);
     }
+    if let Some(key) = &head.target_key {
+        headers::set(&mut fields, field::KEY, key);
+    }
     if let Place::Vm { spill, .. } = place {
         forward_fields(plane, head, *spill, &mut fields);
     }
@@ -183,8 +186,12 @@
     let repeatable = if head.repeatable { "yes" } else { "no" };
     headers::set(fields, field::REPEATABLE, repeatable);
     if spill {
-        // The key's table entry stays with this VM, which owns the key.
+        // The key's table entry stays with this VM, which owns the key. The other home must not
+        // look the key up in its own table, but the target gets it.
         fields.remove(field::KEY);
+        if let Some(key) = head.key {
+            headers::set(fields, field::TARGET_KEY, key.to_string());
+        }
     }
 }
 
--- a/entry/src/call_head.rs
+++ b/entry/src/call_head.rs
@@ -64,6 +64,8 @@
     pub repeatable: bool,
     /// The key of a run-once request.
     pub key: Option<RequestKey>,
+    /// The key that another home looked up in its table and that is only for the target.
+    pub target_key: Option<Box<str>>,
     /// When the caller stops waiting.
     pub deadline: Instant,
     /// Who calls, for fair queueing.
@@ -87,6 +89,10 @@
         let host = host(fields)?;
         let key = key(fields)?;
         let repeatable = repeatable(&head.method, fields, key)?;
+        let target_key = match port {
+            Port::Callers => None,
+            Port::Peers => single(fields, field::TARGET_KEY, "one UUIDv7")?.map(Box::from),
+        };
         let mut kept = headers::end_to_end(fields);
         headers::remove_all(&mut kept, &field::ENTRY_ONLY);
         Ok(Self {
@@ -99,6 +105,7 @@
             size: size(fields, settings)?,
             repeatable,
             key,
+            target_key,
             deadline: now + deadline(fields, settings)?,
             caller: caller(fields, peer)?,
             hops: hops(fields, port)?,
@@ -106,6 +113,12 @@
         })
     }
 
+    /// Returns whether a caller sent the request with a key. Refusals of such a request must not
+    /// claim more than the owner of the key knows.
+    pub fn is_keyed_by_caller(&self) -> bool {
+        self.port == Port::Callers && self.key.is_some()
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -65,6 +65,8 @@
     pub(crate) head: CallHead,
     pub(crate) started: Instant,
     pub(crate) key_accepted: bool,
+    /// The owner of the key said that no request with it has run.
+    pub(crate) key_unused: bool,
     body: RequestBody,
     exchange: Exchange,
     outbox: VecDeque<ExchangeAction>,
@@ -113,6 +115,7 @@
             head,
             started: Instant::now(),
             key_accepted: false,
+            key_unused: false,
             exchange: Exchange::new(spec),
             outbox: VecDeque::new(),
             grants,
@@ -519,6 +522,8 @@
         let (outcome, code) = self
             .done
             .unwrap_or((Outcome::MayHaveRun, ResultCode::Internal));
+        let unused = self.key_accepted || self.key_unused;
+        let doubtful = self.head.is_keyed_by_caller() && !unused;
         let refusal = match self.body.fault() {
             Some(fault) => self.of_fault(fault, outcome),
             None => self
@@ -526,10 +531,14 @@
                 .take()
                 .unwrap_or_else(|| Refusal::of_outcome(outcome, code)),
         };
+        let refusal = refusal.claimed(!doubtful);
+        self.done = Some((refusal.outcome, code));
         self.finish(stored(outcome, code));
         let mut response = refusal.response();
         if self.head.port == Port::Peers {
             crate::plane::add_load(&mut response, &self.service);
+            let unused = unused && refusal.outcome == Outcome::NotRun;
+            crate::headers::mark_unused(response.headers_mut(), unused);
         }
         let _ = caller.reply.send(response);
     }
--- a/entry/src/field.rs
+++ b/entry/src/field.rs
@@ -24,6 +24,10 @@
 pub const QUEUED: &str = "carobshore-queued";
 /// The key of a run-once request.
 pub const KEY: &str = "idempotency-key";
+/// The key of a run-once request that its owner passes on to another home for the target.
+pub const TARGET_KEY: &str = "carobshore-target-key";
+/// `unused` when the owner of the key knows that no request with it has run.
+pub const KEY_STATE: &str = "carobshore-key-state";
 /// The target's load.
 pub const TARGET_LOAD: &str = "target-load";
 /// Whether the target leaves.
@@ -32,7 +36,9 @@
 pub const TARGET_REFUSED: &str = "target-refused";
 
 /// Fields that are for the entry VM that receives the request, and not for the target.
-pub const ENTRY_ONLY: [&str; 7] = [SERVICE, DEADLINE, CALLER, HOPS, ORIGIN, FREE, QUEUED];
+pub const ENTRY_ONLY: [&str; 8] = [
+    SERVICE, DEADLINE, CALLER, HOPS, ORIGIN, FREE, QUEUED, TARGET_KEY,
+];
 
 /// Fields that are for the home that receives the response, and not for the caller.
 pub const HOME_ONLY: [&str; 3] = [TARGET_LOAD, TARGET_DRAIN, TARGET_REFUSED];
--- a/entry/src/headers.rs
+++ b/entry/src/headers.rs
@@ -9,6 +9,8 @@
 use ntex::http::header::HeaderName;
 use ntex::http::header::HeaderValue;
 
+use crate::field;
+
 /// Fields that belong to one connection (RFC 9110, section 7.6.1), and `Expect`, which this VM
 /// answers itself.
 const HOP_BY_HOP: [&str; 10] = [
@@ -24,6 +26,9 @@
     "upgrade",
 ];
 
+/// The value of the field that says that no request with the key has run.
+const UNUSED: &str = "unused";
+
 /// Copies all fields that are passed on. `Content-Length` is left out, because the codec writes it.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named = named_by_connection(headers);
@@ -67,6 +72,18 @@
     set(headers, name, value.to_string());
 }
 
+/// Tells another VM whether this one knows that no request with the key has run.
+pub fn mark_unused(headers: &mut HeaderMap, unused: bool) {
+    if unused {
+        set(headers, field::KEY_STATE, UNUSED);
+    }
+}
+
+/// Returns whether the owner of the key knows that no request with it has run.
+pub fn is_unused(headers: &HeaderMap) -> bool {
+    single(headers, field::KEY_STATE) == Ok(Some(UNUSED))
+}
+
 /// Adds this VM to `Via`.
 pub fn add_via(headers: &mut HeaderMap, vm_name: &str) {
     if let Ok(value) = HeaderValue::from_str(&format!("1.1 {vm_name}")) {
--- a/entry/src/keyed.rs
+++ b/entry/src/keyed.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep_until;
 
 use crate::call_head::CallHead;
+use crate::call_head::Port;
 use crate::caller_end::CallerEnd;
 use crate::driver::Driver;
 use crate::headers;
@@ -38,13 +39,7 @@
             return Some(caller);
         }
         if self.plane.stop.borrow().is_stopping() {
-            let refusal = Refusal::of_outcome(Outcome::NotRun, ResultCode::NotReady);
-            self.answer_key(
-                caller,
-                Outcome::NotRun,
-                ResultCode::NotReady,
-                refusal.response(),
-            );
+            self.refuse_key(caller, Outcome::NotRun, ResultCode::NotReady, false);
             return None;
         }
         let call = KeyedCall {
@@ -62,7 +57,7 @@
                 None
             }
             decision => {
-                self.answer_decision(caller, decision);
+                self.answer_decision(caller, decision, false);
                 None
             }
         }
@@ -84,23 +79,38 @@
                 code: ResultCode::StillRunning,
             }
         });
-        self.answer_decision(caller, decision);
+        // The first request was accepted here, so its end tells whether the key has run.
+        self.answer_decision(caller, decision, true);
     }
 
-    fn answer_decision(&mut self, caller: CallerEnd, decision: KeyDecision) {
+    fn answer_decision(&mut self, caller: CallerEnd, decision: KeyDecision, waited: bool) {
         match decision {
             KeyDecision::Replay(answer) => {
                 let response = replay(&answer);
                 self.answer_key(caller, Outcome::Whole, ResultCode::Ok, response);
             }
             KeyDecision::Refuse { outcome, code } => {
-                let response = Refusal::of_outcome(outcome, code).response();
-                self.answer_key(caller, outcome, code, response);
+                // A full table is found after ownership, and a reused key names another request.
+                let owner = matches!(code, ResultCode::QueueFull | ResultCode::KeyReused);
+                self.refuse_key(caller, outcome, code, waited || owner);
             }
             KeyDecision::Run | KeyDecision::Wait => {}
         }
     }
 
+    fn refuse_key(&mut self, caller: CallerEnd, outcome: Outcome, code: ResultCode, unused: bool) {
+        let refusal = match self.head.port {
+            Port::Callers => Refusal::of_keyed(outcome, code, unused),
+            Port::Peers => Refusal::of_outcome(outcome, code),
+        };
+        let mut response = refusal.response();
+        if self.head.port == Port::Peers {
+            let unused = unused && refusal.outcome == Outcome::NotRun;
+            headers::mark_unused(response.headers_mut(), unused);
+        }
+        self.answer_key(caller, refusal.outcome, code, response);
+    }
+
     fn answer_key(
         &mut self,
         caller: CallerEnd,
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -125,9 +125,14 @@
             return Err(self.refuse_version(port));
         }
         let head = CallHead::parse(request.head(), peer, port, &self.settings, started);
-        let admitted = head
-            .map_err(Refusal::of_request)
-            .and_then(|head| Ok((self.admit(&head)?, head)));
+        let admitted = head.map_err(Refusal::of_request).and_then(|head| {
+            let service = self.admit(&head);
+            let service = service.map_err(|refusal| match head.is_keyed_by_caller() {
+                true => refusal.claimed(false),
+                false => refusal,
+            });
+            Ok((service?, head))
+        });
         let (service, head) = match admitted {
             Ok(admitted) => admitted,
             Err(refusal) => return self.refuse(port, refusal),
--- a/entry/src/refusal.rs
+++ b/entry/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use carobshore_lib::key_table::claim;
 use carobshore_lib::prelude::Error;
 use carobshore_lib::prelude::Outcome;
 use carobshore_lib::prelude::ResultCode;
@@ -16,6 +17,9 @@
 use crate::field;
 use crate::headers;
 
+/// What to do after a refusal that leaves open whether an earlier delivery with the key ran.
+const SAME_KEY: &str = "send the request again with the same key; it runs at most once";
+
 /// An answer of this VM's own: what is known about the request, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -66,6 +70,21 @@
         }
     }
 
+    /// Builds the answer to a caller's request with a key, see [`claim`].
+    pub fn of_keyed(outcome: Outcome, code: ResultCode, unused: bool) -> Self {
+        Self::of_outcome(outcome, code).claimed(unused)
+    }
+
+    /// Lowers the claim "not run" unless the owner of the request's key supports it.
+    pub fn claimed(mut self, unused: bool) -> Self {
+        let claimed = claim(self.outcome, unused);
+        if claimed != self.outcome {
+            self.outcome = claimed;
+            self.error.help = SAME_KEY.into();
+        }
+        self
+    }
+
     /// Returns the HTTP status that suits the code.
     pub fn status(&self) -> StatusCode {
         match self.error.code {
--- a/entry/src/vm_answer.rs
+++ b/entry/src/vm_answer.rs
@@ -29,6 +29,7 @@
     /// Takes in the response of another entry VM.
     pub(crate) fn on_vm_answer(&mut self, id: AttemptId, vm: &VmId, link: Link, answer: Answer) {
         self.observe(vm, &answer.headers);
+        self.key_unused |= headers::is_unused(&answer.headers);
         let outcome = headers::single(&answer.headers, field::OUTCOME);
         let code = code_of(&answer.headers);
         match outcome.ok().flatten().and_then(|text| text.parse().ok()) {
--- a/lib/src/key_table.rs
+++ b/lib/src/key_table.rs
@@ -343,6 +343,18 @@
     }
 }
 
+/// Returns what a caller may be told about a request with a key.
+///
+/// A refusal proves that this delivery did not run. An earlier delivery with the same key may have
+/// run through another VM, so the caller is told "not run" only when the owner of the key knows
+/// that none has (`unused`).
+pub fn claim(outcome: Outcome, unused: bool) -> Outcome {
+    match outcome {
+        Outcome::NotRun if !unused => Outcome::MayHaveRun,
+        outcome => outcome,
+    }
+}
+
 /// The resolution of a key's creation time.
 const KEY_TICK: Duration = Duration::from_millis(1);
 
