--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -37,6 +37,10 @@
 /// How much shorter the wait at another home has to be, in mean service times. A report is up to
 /// 100 ms old, and smaller differences come and go within that time.
 const SHORTER: f64 = 0.4;
+/// Evidence against a target from which its requests are hedged after the 95th percentile; other
+/// requests are hedged after twice that time. Without slot ownership a request may also wait inside
+/// the target, unseen, so that all are hedged after the 95th percentile.
+const SUSPECTED: f64 = 2.0;
 /// Pause between two searches for idle targets.
 const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a due trial is left to a probe, which delays no caller.
@@ -491,15 +495,21 @@
         }
         let tail = self.baseline.tail();
         while self.queue.is_empty() && self.targets.free() > 0 {
-            let Some((first, attempt)) = self.attempts.hedgeable().next() else {
+            let late = self
+                .attempts
+                .hedgeable()
+                .take_while(|(_, attempt)| attempt.started + tail <= now);
+            let due = |(_, attempt): &(AttemptId, &Attempt)| {
+                let suspected = !policy.owns_slots()
+                    || self.targets.entry(attempt.target).outlier.sum() >= SUSPECTED;
+                suspected || attempt.started + tail * 2 <= now
+            };
+            let Some((first, attempt)) = late.into_iter().find(due) else {
                 return;
             };
             let AttemptKind::First { ticket, .. } = attempt.kind else {
                 return;
             };
-            if attempt.started + tail > now {
-                return;
-            }
             let except = Some(attempt.target);
             let Some(target) = self.targets.choose(now, policy, &self.baseline, except) else {
                 return;
--- a/lib/tests/test_slot_pool.rs
+++ b/lib/tests/test_slot_pool.rs
@@ -280,7 +280,13 @@
     let tail = bench.pool.dump(bench.now)["hedge_after_us"]
         .as_u64()
         .unwrap();
-    let second = hedge(&bench.tick_after(Duration::from_micros(tail))).expect("p95 has passed");
+    let tail = Duration::from_micros(tail);
+    assert_eq!(
+        hedge(&bench.tick_after(tail)),
+        None,
+        "nothing speaks against the target"
+    );
+    let second = hedge(&bench.tick_after(tail)).expect("twice the p95 has passed");
     assert_eq!(hedge(&bench.tick_after(MS * 50)), None, "one copy each");
     let actions = bench.event(PoolEvent::FirstByte { attempt: second });
     assert_eq!(actions, [PoolAction::Cancel { attempt: first }]);
@@ -289,6 +295,37 @@
     bench.finish(once, AttemptResult::Done);
 }
 
+/// Guards against a caller that waits for a target of which bad signs are known already.
+#[test]
+fn a_request_on_a_suspected_target_is_hedged_after_the_p95() {
+    let mut bench = warm(4, 2);
+    let suspected = loop {
+        let (attempt, target) = started(&bench.submit()).unwrap();
+        if target == target_id(0) {
+            bench.finish(attempt, AttemptResult::Broken);
+            break target;
+        }
+        bench.now += MS * 20;
+        bench.finish(attempt, AttemptResult::Done);
+    };
+    let mut others = Vec::new();
+    loop {
+        let (attempt, target) = started(&bench.submit_repeatable()).unwrap();
+        if target == suspected {
+            break;
+        }
+        others.push(attempt);
+    }
+    for attempt in others {
+        bench.finish(attempt, AttemptResult::Done);
+    }
+    let tail = bench.pool.dump(bench.now)["hedge_after_us"]
+        .as_u64()
+        .unwrap();
+    let actions = bench.tick_after(Duration::from_micros(tail) + MS);
+    assert!(hedge(&actions).is_some());
+}
+
 /// Guards against hedges that add load without bound when everything is slow.
 #[test]
 fn hedges_stay_within_their_budget() {
