--- a/lib/tests/common/simulation.rs
+++ b/lib/tests/common/simulation.rs
@@ -14,6 +14,10 @@
 use rand_distr::Distribution;
 use rand_distr::LogNormal;
 
+pub use super::scenario::*;
+
+use super::ideal_queue::quantiles;
+use super::ideal_queue::run_central;
 use super::*;
 
 pub const VMS: usize = 15;
@@ -23,46 +27,10 @@
 const NEAR: Duration = Duration::from_micros(100);
 const FAR: Duration = Duration::from_millis(1);
 const PROBE: f64 = 0.006;
-const SLOWDOWN: f64 = 10.0;
+pub const SLOWDOWN: f64 = 10.0;
 /// The measurement budget is closed for 11.5 s after the start.
-const WARM_UP: Duration = Duration::from_secs(13);
-const SHIFT: Duration = Duration::from_millis(5);
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Weather {
-    Quiet,
-    /// A random target is ten times slower for 2 s, then all are well for 1 s.
-    Straggler,
-    /// The rate of each VM changes every 5 ms by a factor between 0 and 2.
-    Shifting,
-}
-
-#[derive(Clone, Debug)]
-pub struct Scenario {
-    /// `None` stands for one ideal central queue.
-    pub policy: Option<Policy>,
-    pub load: f64,
-    pub sigma: f64,
-    pub weather: Weather,
-    pub repeatable: f64,
-    pub targets: usize,
-    pub time: Duration,
-    pub seed: u64,
-    pub hedge_permille: u32,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Figures {
-    pub p50: f64,
-    pub p99: f64,
-    pub p999: f64,
-    pub answered: usize,
-    pub rejected: usize,
-    pub spilled: u64,
-    pub hedges: u64,
-    pub probes: u64,
-    pub ejections: u64,
-}
+pub const WARM_UP: Duration = Duration::from_secs(13);
+pub const SHIFT: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -176,7 +144,7 @@
 }
 
 /// Draws arrivals and work as the simulation of the policies does.
-fn work(sigma: f64) -> LogNormal<f64> {
+pub fn work(sigma: f64) -> LogNormal<f64> {
     LogNormal::new(MEAN.ln() - sigma * sigma / 2.0, sigma).unwrap()
 }
 
@@ -629,55 +597,3 @@
         }
     }
 }
-
-fn quantiles(mut times: Vec<f64>) -> Figures {
-    times.sort_by(f64::total_cmp);
-    let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize] * 1_000.0;
-    Figures {
-        p50: at(0.5),
-        p99: at(0.99),
-        p999: at(0.999),
-        answered: times.len(),
-        ..Figures::default()
-    }
-}
-
-/// One queue in front of all slots, without any delay. It does not know which target is slow.
-fn run_central(scenario: &Scenario) -> Figures {
-    let mut rng = StdRng::seed_from_u64(scenario.seed);
-    let work = work(scenario.sigma);
-    let rate = scenario.load * f64::from(SLOTS) * scenario.targets as f64 / MEAN;
-    let end = (WARM_UP + scenario.time).as_secs_f64();
-    // Each entry is the time at which a slot gets free, in nanoseconds, and its target.
-    let mut slots: BinaryHeap<Reverse<(u64, usize)>> = (0..scenario.targets * SLOTS as usize)
-        .map(|slot| Reverse((0, slot / SLOTS as usize)))
-        .collect();
-    let (mut now, mut times) = (0.0, Vec::new());
-    let (mut factor, mut shift_end) = (1.0, 0.0);
-    let (mut slow, mut slow_end) = (None, 0.0);
-    while now < end {
-        if scenario.weather == Weather::Shifting && now >= shift_end {
-            let sum: f64 = (0..VMS).map(|_| rng.random_range(0.0..2.0)).sum();
-            factor = sum / VMS as f64;
-            shift_end = now + SHIFT.as_secs_f64();
-        }
-        now += -(1.0 - rng.random::<f64>()).ln() / (rate * factor);
-        let Reverse((free, target)) = slots.pop().unwrap();
-        let start = now.max(free as f64 / 1e9);
-        if scenario.weather == Weather::Straggler && start >= slow_end {
-            slow = if slow.is_none() {
-                Some(rng.random_range(0..scenario.targets))
-            } else {
-                None
-            };
-            slow_end = start + if slow.is_some() { 2.0 } else { 1.0 };
-        }
-        let factor = if slow == Some(target) { SLOWDOWN } else { 1.0 };
-        let done = start + work.sample(&mut rng) * factor;
-        slots.push(Reverse(((done * 1e9) as u64, target)));
-        if now >= WARM_UP.as_secs_f64() {
-            times.push(done - now);
-        }
-    }
-    quantiles(times)
-}
