pool, control: cost nothing for services of which a VM is no home

Each pool looked for idle targets ten times a second, also pools without a share of the measuring budget; every VM held a pool over all targets for the fallback mode; the control thread copied the key histories into each view. Besides, probes were charged their nominal cost, so that probes of a straggler took up to 72 ms of target time in a second with a budget of 30 ms.

Change: a pool wakes up only if it may probe or has an ejected target; the shared pool is filled at the first call in fallback mode; views share the key histories. A probe gets what is left of the budget, at most four times its cost, is cancelled when that is used up, and returns what it did not use.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -18,24 +18,23 @@
 use carobshore_lib::follower_message::FollowerAction;
 use carobshore_lib::follower_message::FollowerEvent;
 use carobshore_lib::follower_message::FollowerSettings;
+use carobshore_lib::key_history::KeyHistory;
 use carobshore_lib::key_ownership::KeyOwnership;
 use carobshore_lib::prelude::*;
 use carobshore_lib::record::Join;
 use carobshore_platform::log_client::AppendAnswer;
-use carobshore_platform::log_client::LogClient;
 use carobshore_platform::log_client::ReadAnswer;
 use carobshore_platform::vm_list_client::ListedState;
-use carobshore_platform::vm_list_client::VmListClient;
-use tokio::sync::mpsc;
-use tokio::sync::watch;
 use uuid::Uuid;
 
+use crate::control_counts::ControlCounts;
+use crate::control_ends::DataEnds;
+use crate::control_ends::PlatformClients;
 use crate::peer_client::PeerClients;
 use crate::rpc::VmRpcClient;
 use crate::settings::Settings;
 use crate::supervisor::Supervisor;
 use crate::view::DataReport;
-use crate::view::DataRequest;
 use crate::view::View;
 
 /// How long an append is tried. After it, the decision that asked for the record asks again.
@@ -43,47 +42,6 @@
 /// How long a report of another home's load is passed on. It is sent once a second.
 const LOAD_AGE: Duration = Duration::from_secs(3);
 
-/// The ends of the channels to the data thread.
-#[derive(Debug)]
-pub(crate) struct DataEnds {
-    /// Publishes views.
-    pub(crate) views: watch::Sender<Arc<View>>,
-    /// Sends requests.
-    pub(crate) requests: mpsc::UnboundedSender<DataRequest>,
-}
-
-/// The clients of the platform's services.
-#[derive(Debug)]
-pub(crate) struct PlatformClients {
-    /// The log.
-    pub(crate) log: LogClient,
-    /// The list of VMs.
-    pub(crate) vm_list: VmListClient,
-}
-
-/// Counts of what the control thread did, for the dump and the metrics.
-#[derive(Clone, Debug, Default, serde::Serialize)]
-pub(crate) struct ControlCounts {
-    /// Successful reads of the log.
-    pub(crate) reads: u64,
-    /// Failed reads of the log.
-    pub(crate) read_failures: u64,
-    /// Records that were appended.
-    pub(crate) appends: u64,
-    /// Records that were given up.
-    pub(crate) append_failures: u64,
-    /// Heartbeats that were answered.
-    pub(crate) heartbeats: u64,
-    /// Heartbeats that were not answered.
-    pub(crate) heartbeat_failures: u64,
-    /// Successful reads of the platform's list.
-    pub(crate) list_reads: u64,
-    /// Failed reads of the platform's list.
-    pub(crate) list_failures: u64,
-    /// Views that were published to the data thread.
-    pub(crate) views: u64,
-}
-
 /// Everything that the control thread decides on.
 pub(crate) struct Control {
     pub(crate) settings: Arc<Settings>,
@@ -102,6 +60,7 @@
     pub(crate) counts: RefCell<ControlCounts>,
     pub(crate) last_report: RefCell<Option<Error>>,
     config: RefCell<Arc<Config>>,
+    keys: RefCell<Arc<BTreeMap<ServiceId, Arc<KeyHistory>>>>,
     roster: RefCell<Arc<Roster>>,
     own_loads: RefCell<BTreeMap<ServiceId, PeerLoad>>,
     loads: RefCell<BTreeMap<(ServiceId, VmId), (Instant, PeerLoad)>>,
@@ -150,6 +109,7 @@
             counts: RefCell::default(),
             last_report: RefCell::default(),
             config: RefCell::default(),
+            keys: RefCell::default(),
             roster: RefCell::default(),
             own_loads: RefCell::default(),
             loads: RefCell::default(),
@@ -176,7 +136,8 @@
         self.lease.borrow_mut().distrust(now);
         let mut ownership = self.ownership.borrow_mut();
         ownership.installed(now, self.clock.wall(), roster);
-        self.changed.set(true);
+        drop(ownership);
+        self.publish_keys();
     }
 
     /// Passes an event to the follower and carries out what it asks for.
@@ -191,19 +152,23 @@
 
     fn carry_out(self: &Rc<Self>, action: FollowerAction) {
         match action {
-            FollowerAction::Read { from, max } => self.read(from, max),
-            FollowerAction::FetchRecords { vm, from } => self.fetch_records(vm, from),
-            FollowerAction::FetchSnapshot { vm } => self.fetch_snapshot(vm),
+            FollowerAction::Read { from, max } => return self.read(from, max),
+            FollowerAction::FetchRecords { vm, from } => return self.fetch_records(vm, from),
+            FollowerAction::FetchSnapshot { vm } => return self.fetch_snapshot(vm),
             FollowerAction::RosterStep { roster, handover } => {
                 let (now, wall) = (self.clock.now(), self.clock.wall());
                 let mut ownership = self.ownership.borrow_mut();
                 ownership.roster_step(now, wall, roster, handover);
+                drop(ownership);
+                self.publish_keys();
             }
             FollowerAction::Installed => {
                 let (now, wall) = (self.clock.now(), self.clock.wall());
                 let roster = self.follower.borrow().fold().roster().clone();
                 let mut ownership = self.ownership.borrow_mut();
                 ownership.installed(now, wall, roster);
+                drop(ownership);
+                self.publish_keys();
             }
             FollowerAction::Advanced { config, roster } => self.advanced(config, roster),
             FollowerAction::Current { issued } => self.current(issued),
@@ -219,12 +184,20 @@
         self.changed.set(true);
     }
 
+    /// Takes the key histories over into the next view.
+    fn publish_keys(&self) {
+        let histories = self.ownership.borrow().histories().clone();
+        *self.keys.borrow_mut() = Arc::new(histories);
+        self.changed.set(true);
+    }
+
     fn advanced(self: &Rc<Self>, config: bool, roster: bool) {
         let applied = self.follower.borrow().fold().applied();
         if config {
             let config = Arc::new(self.follower.borrow().fold().config().clone());
             self.leaving.borrow_mut().configured(&config);
             self.ownership.borrow_mut().configured(&config);
+            self.publish_keys();
             *self.config.borrow_mut() = config;
         }
         if roster {
@@ -265,8 +238,8 @@
 
     fn carry_out_member(self: &Rc<Self>, action: MembershipAction) {
         match action {
-            MembershipAction::Heartbeat { to, round } => self.beat(&to, round),
-            MembershipAction::Append(body) => self.append(body),
+            MembershipAction::Heartbeat { to, round } => return self.beat(&to, round),
+            MembershipAction::Append(body) => return self.append(body),
             MembershipAction::Suspect(vm) => {
                 log::warn!(vm = vm.as_str(); "VM misses heartbeats; routing avoids it");
                 self.down.borrow_mut().insert(vm);
@@ -294,6 +267,7 @@
         let Ok(vm) = id else { return };
         log::warn!(vm = vm.as_str(); "this VM was displaced from the roster; joining again under a new id");
         self.ownership.borrow_mut().renamed(vm.clone());
+        self.publish_keys();
         self.lease.borrow_mut().distrust(self.clock.now());
         self.member(MembershipEvent::NewId(vm));
     }
@@ -489,10 +463,12 @@
         let mut loads = self.loads.borrow_mut();
         for (service, load) in &beat.loads {
             let key = (service.clone(), load.vm.clone());
-            loads.insert(key, (now, load.clone()));
+            let old = loads.insert(key, (now, load.clone()));
+            if old.is_none_or(|(_, old)| old != *load) {
+                self.changed.set(true);
+            }
         }
         drop(loads);
-        self.changed.set(true);
         self.member(MembershipEvent::Heard(beat));
     }
 
@@ -592,7 +568,7 @@
             config: Arc::clone(&self.config.borrow()),
             roster: Arc::clone(&self.roster.borrow()),
             applied: follower.fold().applied(),
-            keys: Arc::new(self.ownership.borrow().histories().clone()),
+            keys: Arc::clone(&self.keys.borrow()),
             lease: *self.lease.borrow(),
             leaving: Arc::new(targets.map(|sign| (sign.service, sign.target)).collect()),
             down: Arc::new(self.down.borrow().clone()),
--- /dev/null
+++ b/entry/src/control_ends.rs
@@ -0,0 +1,45 @@
+//! What connects the control thread to the data thread, its peers and the platform.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use carobshore_platform::log_client::LogClient;
+use carobshore_platform::vm_list_client::VmListClient;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::view::DataReport;
+use crate::view::DataRequest;
+use crate::view::View;
+
+/// The ends of the channels to the data thread.
+#[derive(Debug)]
+pub(crate) struct DataEnds {
+    /// Publishes views.
+    pub(crate) views: watch::Sender<Arc<View>>,
+    /// Sends requests.
+    pub(crate) requests: mpsc::UnboundedSender<DataRequest>,
+}
+
+/// The clients of the platform's services.
+#[derive(Debug)]
+pub(crate) struct PlatformClients {
+    /// The log.
+    pub(crate) log: LogClient,
+    /// The list of VMs.
+    pub(crate) vm_list: VmListClient,
+}
+
+/// The ends of the control thread's channels and its listener.
+#[derive(Debug)]
+pub(crate) struct ControlEnds {
+    /// Where peers and operators call procedures.
+    pub(crate) rpc: TcpListener,
+    /// To the data thread.
+    pub(crate) data: DataEnds,
+    /// From the data thread.
+    pub(crate) reports: mpsc::UnboundedReceiver<DataReport>,
+    /// Ends the thread when it resolves or is dropped.
+    pub(crate) stop: oneshot::Receiver<()>,
+}
--- a/entry/src/control_run.rs
+++ b/entry/src/control_run.rs
@@ -21,9 +21,9 @@
 use tokio::time::timeout;
 
 use crate::control::Control;
-use crate::control::DataEnds;
-use crate::control::PlatformClients;
 use crate::control_dump::control_dump;
+use crate::control_ends::ControlEnds;
+use crate::control_ends::PlatformClients;
 use crate::rpc::RpcCall;
 use crate::rpc::RpcRelay;
 use crate::rpc::VmRpcServer;
@@ -42,19 +42,6 @@
 /// How long a dump waits for the data thread.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The ends of the control thread's channels and its listener.
-#[derive(Debug)]
-pub(crate) struct ControlEnds {
-    /// Where peers and operators call procedures.
-    pub(crate) rpc: TcpListener,
-    /// To the data thread.
-    pub(crate) data: DataEnds,
-    /// From the data thread.
-    pub(crate) reports: mpsc::UnboundedReceiver<DataReport>,
-    /// Ends the thread when it resolves or is dropped.
-    pub(crate) stop: oneshot::Receiver<()>,
-}
-
 /// Runs the control thread until it is stopped. It blocks the calling thread.
 pub(crate) fn run(settings: Arc<Settings>, vm: VmId, ends: ControlEnds) -> eyre::Result<()> {
     System::build()
--- a/entry/src/entry_vm.rs
+++ b/entry/src/entry_vm.rs
@@ -13,9 +13,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::control::DataEnds;
+use crate::control_ends::ControlEnds;
+use crate::control_ends::DataEnds;
 use crate::control_run;
-use crate::control_run::ControlEnds;
 use crate::data;
 use crate::listeners::Listeners;
 use crate::settings::Settings;
--- a/entry/src/pool_seat.rs
+++ b/entry/src/pool_seat.rs
@@ -21,6 +21,7 @@
 use carobshore_lib::ticket::TicketId;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use crate::service_plane::SeatKind;
 
@@ -92,6 +93,8 @@
     pub(crate) attempt: AttemptId,
     /// The target.
     pub(crate) target: TargetId,
+    /// Resolves when the probe has to be cancelled.
+    pub(crate) cut: oneshot::Receiver<()>,
 }
 
 #[derive(Debug)]
@@ -107,6 +110,7 @@
     pool: RefCell<SlotPool>,
     requests: RefCell<HashMap<TicketId, Waiting>>,
     attempts: RefCell<HashMap<AttemptId, TicketId>>,
+    cuts: RefCell<HashMap<AttemptId, oneshot::Sender<()>>>,
     probes: mpsc::UnboundedSender<ProbeOrder>,
     due: Cell<Option<Instant>>,
     alarm: Rc<Notify>,
@@ -126,6 +130,7 @@
             pool: RefCell::new(pool),
             requests: RefCell::default(),
             attempts: RefCell::default(),
+            cuts: RefCell::default(),
             probes,
             due: Cell::new(None),
             alarm: Rc::clone(&alarm),
@@ -155,6 +160,7 @@
     /// Reports the end of an attempt or probe.
     pub(crate) fn finished(&self, attempt: AttemptId, result: AttemptResult) {
         self.attempts.borrow_mut().remove(&attempt);
+        self.cuts.borrow_mut().remove(&attempt);
         self.handle(PoolEvent::Finished { attempt, result });
     }
 
@@ -208,14 +214,24 @@
             PoolAction::Reject { ticket, code } => self.tell(ticket, Grant::Reject(code)),
             PoolAction::Spill { ticket, vm } => self.tell(ticket, Grant::Spill(vm)),
             PoolAction::Probe { attempt, target } => {
-                let order = ProbeOrder { attempt, target };
+                let (sender, cut) = oneshot::channel();
+                self.cuts.borrow_mut().insert(attempt, sender);
+                let order = ProbeOrder {
+                    attempt,
+                    target,
+                    cut,
+                };
                 if self.probes.send(order).is_err() {
                     self.finished(attempt, AttemptResult::Cancelled);
                 }
             }
             PoolAction::Cancel { attempt } => {
                 let ticket = self.attempts.borrow().get(&attempt).copied();
-                if let Some(ticket) = ticket {
+                let cut = self.cuts.borrow_mut().remove(&attempt);
+                if let Some(cut) = cut {
+                    // The probe may have ended just now.
+                    let _ = cut.send(());
+                } else if let Some(ticket) = ticket {
                     self.tell(ticket, Grant::Cancel((self.kind, attempt)));
                 }
             }
--- a/entry/src/prober.rs
+++ b/entry/src/prober.rs
@@ -51,8 +51,11 @@
         };
         ntex::rt::spawn(async move {
             let sent = probe(&plane, &service, &order.target, kind);
-            let result = timeout(PROBE_TIMEOUT, sent).await;
-            let result = result.unwrap_or(AttemptResult::TimedOut);
+            // Dropping the probe closes its connection, which cancels it at the target.
+            let result = tokio::select! {
+                result = timeout(PROBE_TIMEOUT, sent) => result.unwrap_or(AttemptResult::TimedOut),
+                _ = order.cut => AttemptResult::Cancelled,
+            };
             plane.metrics.probed(&service.id, result);
             seat.finished(order.attempt, result);
         });
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -74,6 +74,8 @@
     leaving: RefCell<BTreeSet<TargetId>>,
     vms: Cell<u32>,
     home: Cell<bool>,
+    /// Whether the shared pool is in use.
+    fallback: Cell<bool>,
     owned: Rc<PoolSeat>,
     shared: Rc<PoolSeat>,
     router: RefCell<Router>,
@@ -125,6 +127,7 @@
             leaving: RefCell::default(),
             vms: Cell::new(1),
             home: Cell::new(false),
+            fallback: Cell::new(false),
             owned: Rc::clone(&owned),
             shared: Rc::clone(&shared),
             router: router(policy),
@@ -162,9 +165,9 @@
         self.home.set(homes.contains(&self.me));
         let owned = PoolTargets::owned(spec, &homes, &self.me);
         self.owned.set_targets(&self.mark_leaving(owned));
-        let sharers = if self.policy == Policy::Homes { 0 } else { vms };
-        let shared = PoolTargets::shared(spec, vms, sharers);
-        self.shared.set_targets(&self.mark_leaving(shared));
+        if self.policy != Policy::Homes || self.fallback.get() {
+            self.fill_shared(spec);
+        }
         self.router.borrow_mut().set_homes(homes);
         // The owners of keys do not depend on settings: two VMs that differ would both own a key.
         let settings = HomesSettings::default();
@@ -172,6 +175,24 @@
         self.key_router.borrow_mut().set_homes(homes);
     }
 
+    /// Fills the shared pool at the first call in fallback mode. At the expected scale the targets of
+    /// services that this VM never calls in that mode would take most of its memory.
+    fn start_fallback(&self) {
+        if self.fallback.replace(true) {
+            return;
+        }
+        if let Some(spec) = self.spec.borrow().as_ref() {
+            self.fill_shared(spec);
+        }
+    }
+
+    fn fill_shared(&self, spec: &Service) {
+        let vms = self.vms.get();
+        let sharers = if self.policy == Policy::Homes { 0 } else { vms };
+        let shared = PoolTargets::shared(spec, vms, sharers);
+        self.shared.set_targets(&self.mark_leaving(shared));
+    }
+
     /// Takes over who owns keys, and the read lease. Both are of the same view: a lease proves
     /// only what the records before its read say.
     pub(crate) fn update_keys(&self, view: &View) {
@@ -199,7 +220,11 @@
             Some(_) => &self.key_router,
             None => &self.router,
         };
-        router.borrow_mut().route(Instant::now(), call)
+        let route = router.borrow_mut().route(Instant::now(), call);
+        if route == Route::Fallback {
+            self.start_fallback();
+        }
+        route
     }
 
     /// Takes in the load of another home.
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -101,6 +101,16 @@
         .map(|(_, value)| value)
 }
 
+/// Checks what a response says about whether the request ran.
+#[track_caller]
+pub fn assert_outcome(answer: &str, expected: &str) {
+    assert_eq!(
+        field(answer, "carobshore-outcome"),
+        Some(expected),
+        "{answer}"
+    );
+}
+
 /// Makes the close of `stream` a reset.
 pub fn reset(stream: TcpStream) {
     let socket = socket2::Socket::from(stream);
--- a/entry/tests/test_entry_vm.rs
+++ b/entry/tests/test_entry_vm.rs
@@ -7,7 +7,7 @@
 use carobshore_lib::prelude::*;
 use carobshore_standin::LogFaults;
 use carobshore_standin::Trigger;
-use common::field;
+use common::assert_outcome;
 use common::raw_call;
 use common::site::Site;
 use serde_json::Value;
@@ -43,11 +43,7 @@
         site.wait_for(vm, "membership of three", members(3));
         for _ in 0..5 {
             let answer = get(&site, vm, "/seats");
-            assert_eq!(
-                field(&answer, "carobshore-outcome"),
-                Some("whole"),
-                "{answer}"
-            );
+            assert_outcome(&answer, "whole");
         }
     }
 }
@@ -91,11 +87,7 @@
     let targets = dump["services"]["booking"]["targets"].as_object();
     assert_eq!(targets.map(|targets| targets.len()), Some(3));
     let answer = get(&site, late, "/seats");
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
 }
 
 /// Guards against a VM without log and peers that claims to be ready.
@@ -110,11 +102,7 @@
     std::thread::sleep(Duration::from_secs(3));
     assert_eq!(site.dump(0)["ready"], false);
     let answer = get(&site, 0, "/seats");
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("not-run"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "not-run");
 }
 
 /// Guards against a planned stop that leaves the VM in the roster, so that its keys wait for the
--- a/entry/tests/test_forwarding.rs
+++ b/entry/tests/test_forwarding.rs
@@ -13,6 +13,7 @@
 use carobshore_lib::peer_load::PeerLoad;
 use carobshore_lib::roster::Roster;
 use common::PATIENCE;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_server;
@@ -48,20 +49,12 @@
     let (target, seen) = reporting();
     let [home, other] = Vm::pair(&[target], &[]);
     let answer = raw_call(home.listen, GET, QUIET);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
     let head = seen.recv_timeout(PATIENCE).unwrap();
     assert_eq!(head.matches("via: ").count(), 1, "{head}");
 
     let answer = raw_call(other.listen, GET, QUIET);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
     assert_eq!(answer.matches("via: ").count(), 2, "{answer}");
     for name in ["carobshore-free", "carobshore-queued"] {
         assert_eq!(field(&answer, name), None, "{answer}");
@@ -86,11 +79,7 @@
         raw_call(home.forward, request.as_bytes(), QUIET)
     };
     let answer = call("carobshore-hops: 1\r\n");
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
     assert!(field(&answer, "carobshore-free").is_some(), "{answer}");
     assert!(field(&answer, "carobshore-queued").is_some(), "{answer}");
     for hops in ["", "carobshore-hops: 0\r\n", "carobshore-hops: 3\r\n"] {
@@ -108,11 +97,7 @@
     for _ in 0..3 {
         let post = b"POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n";
         let answer = raw_call(other.listen, post, QUIET);
-        assert_eq!(
-            field(&answer, "carobshore-outcome"),
-            Some("whole"),
-            "{answer}"
-        );
+        assert_outcome(&answer, "whole");
     }
     let reports = std::iter::from_fn(|| other.reports.try_recv().ok());
     let unreachable = reports.filter(|report| matches!(report, DataReport::Unreachable { .. }));
@@ -136,11 +121,7 @@
     drop(home);
     for _ in 0..6 {
         let answer = raw_call(other.listen, GET, Duration::from_millis(30));
-        assert_eq!(
-            field(&answer, "carobshore-outcome"),
-            Some("whole"),
-            "{answer}"
-        );
+        assert_outcome(&answer, "whole");
         other.update(|_| {});
         thread::sleep(Duration::from_millis(20));
     }
@@ -188,11 +169,7 @@
     let mut vm = Vm::alone(&[leaving, staying], &[]);
     for _ in 0..12 {
         let answer = raw_call(vm.listen, GET, Duration::from_millis(100));
-        assert_eq!(
-            field(&answer, "carobshore-outcome"),
-            Some("whole"),
-            "{answer}"
-        );
+        assert_outcome(&answer, "whole");
     }
     assert_eq!(seen.try_iter().count(), 1);
     let mut reports = std::iter::from_fn(|| vm.reports.try_recv().ok());
--- a/entry/tests/test_hedging.rs
+++ b/entry/tests/test_hedging.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use common::PATIENCE;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_server;
@@ -110,11 +111,7 @@
     caller.write_all(head.as_bytes()).unwrap();
     caller.write_all(&[b'x'; 100_000]).unwrap();
     let head = read_head(&mut caller);
-    assert_eq!(
-        field(&head, "carobshore-outcome"),
-        Some("may-have-run"),
-        "{head}"
-    );
+    assert_outcome(&head, "may-have-run");
     let dump = vm.dump();
     let owned = &dump["services"]["status"]["owned"];
     assert_ne!(owned["counters"]["hedges"], 0, "{owned:#}");
--- a/entry/tests/test_keys.rs
+++ b/entry/tests/test_keys.rs
@@ -15,6 +15,7 @@
 use carobshore_lib::prelude::RequestKey;
 use carobshore_lib::read_lease::ReadLease;
 use common::PATIENCE;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_server;
@@ -80,11 +81,7 @@
     }
     assert_eq!(runs.try_iter().count(), 1);
     let answer = call(&vm, "/other", key);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("not-run"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "not-run");
     let answer = call(&vm, "/seat", Uuid::now_v7());
     assert_eq!(field(&answer, "x"), Some("1"), "{answer}");
 }
@@ -105,11 +102,7 @@
         post("/seat", key).as_bytes(),
         Duration::from_secs(2),
     );
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
     assert_eq!(field(&answer, "x"), Some("0"), "{answer}");
     assert_eq!(runs.try_iter().count(), 0);
 }
@@ -123,20 +116,12 @@
     vm.update(|view| view.lease = ReadLease::default());
     thread::sleep(Duration::from_millis(100));
     let answer = call(&vm, "/seat", Uuid::now_v7());
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("may-have-run"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "may-have-run");
     assert_eq!(field(&answer, "carobshore-code"), Some("4008"), "{answer}");
     assert_eq!(runs.try_iter().count(), 0);
     let plain = b"POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n";
     let answer = raw_call(vm.listen, plain, QUIET);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
 }
 
 /// Guards against a key that is served by a VM other than its owner.
@@ -184,19 +169,11 @@
     let request_key = RequestKey::try_from(key).unwrap();
     let owner = usize::from(homes.owner(&request_key) == Some(&other_id));
     let answer = call(&vms[1 - owner], "/seat", key);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("whole"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "whole");
     assert_eq!(runs.try_iter().count(), 1);
     let other = vms.remove(1 - owner);
     drop(vms);
     let answer = call(&other, "/seat", key);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("may-have-run"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "may-have-run");
     assert_eq!(runs.try_iter().count(), 0);
 }
--- a/entry/tests/test_malformed.rs
+++ b/entry/tests/test_malformed.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use common::RawAnswer;
+use common::assert_outcome;
 use common::field;
 use common::raw_exchange;
 use common::raw_server;
@@ -203,7 +204,7 @@
     );
     let answer = raw_exchange(vm.listen, sized.as_bytes(), QUIET);
     assert!(answer.text.starts_with("HTTP/1.1 413 "), "{}", answer.text);
-    assert_eq!(field(&answer.text, "carobshore-outcome"), Some("not-run"));
+    assert_outcome(&answer.text, "not-run");
     assert_eq!(seen.try_iter().count(), 0);
 
     let chunk = format!("400\r\n{}\r\n", "x".repeat(1024));
@@ -241,11 +242,7 @@
             "{case}: {}",
             answer.text
         );
-        assert_eq!(
-            field(&answer.text, "carobshore-outcome"),
-            Some("not-run"),
-            "{case}"
-        );
+        assert_outcome(&answer.text, "not-run");
     }
     assert_eq!(seen.try_iter().count(), 0);
 }
@@ -281,7 +278,7 @@
     thread::sleep(Duration::from_millis(200));
     let answer = raw_exchange(vm.listen, b"", QUIET);
     assert!(answer.text.starts_with("HTTP/1.1 503 "), "{}", answer.text);
-    assert_eq!(field(&answer.text, "carobshore-outcome"), Some("not-run"));
+    assert_outcome(&answer.text, "not-run");
     assert!(answer.closed);
     drop(held);
     thread::sleep(Duration::from_millis(200));
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -15,6 +15,7 @@
 use carobshore_lib::key_history::SKEW_MARGIN;
 use carobshore_lib::roster::Roster;
 use common::PATIENCE;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_exchange;
@@ -99,7 +100,7 @@
     upload.write_all(&[b'x'; 100]).unwrap();
     let answer = read_until_quiet(&mut upload, PATIENCE);
     assert!(answer.text.starts_with("HTTP/1.1 200 "), "{}", answer.text);
-    assert_eq!(field(&answer.text, "carobshore-outcome"), Some("whole"));
+    assert_outcome(&answer.text, "whole");
     assert!(
         answer.text.ends_with("ok") && answer.closed,
         "{}",
@@ -123,11 +124,7 @@
         "POST / HTTP/1.1\r\nhost: status\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
     );
     let answer = raw_call(vm.listen, keyed.as_bytes(), QUIET);
-    assert_eq!(
-        field(&answer, "carobshore-outcome"),
-        Some("may-have-run"),
-        "{answer}"
-    );
+    assert_outcome(&answer, "may-have-run");
     assert_eq!(field(&answer, "carobshore-code"), Some("4010"), "{answer}");
 }
 
--- a/entry/tests/test_proxy.rs
+++ b/entry/tests/test_proxy.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use common::PATIENCE;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_exchange;
@@ -170,11 +171,7 @@
     let vm = Vm::alone(&[refused_addr()], &[]);
     for method in ["GET", "POST"] {
         let answer = call(&vm, method, "");
-        assert_eq!(
-            field(&answer, "carobshore-outcome"),
-            Some("not-run"),
-            "{answer}"
-        );
+        assert_outcome(&answer, "not-run");
     }
 }
 
--- a/entry/tests/test_spill.rs
+++ b/entry/tests/test_spill.rs
@@ -16,6 +16,7 @@
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::RequestKey;
 use carobshore_lib::prelude::VmId;
+use common::assert_outcome;
 use common::field;
 use common::raw_call;
 use common::raw_server;
@@ -121,11 +122,7 @@
     report_free_slots(&pair, 2);
     let answers = call_all(pair.vms[0].listen, vec![request; 4]);
     for answer in &answers {
-        assert_eq!(
-            field(answer, "carobshore-outcome"),
-            Some("whole"),
-            "{answer}"
-        );
+        assert_outcome(answer, "whole");
     }
     let heads: Vec<_> = far_heads.try_iter().collect();
     assert!(!heads.is_empty());
@@ -156,11 +153,7 @@
     for free in [2, 1] {
         report_free_slots(&pair, free);
         for answer in call_all(pair.vms[0].listen, requests.clone()) {
-            assert_eq!(
-                field(&answer, "carobshore-outcome"),
-                Some("whole"),
-                "{answer}"
-            );
+            assert_outcome(&answer, "whole");
         }
     }
     let far_heads: Vec<_> = far_heads.try_iter().collect();
--- a/lib/src/attempt_table.rs
+++ b/lib/src/attempt_table.rs
@@ -149,6 +149,12 @@
         losers
     }
 
+    /// Marks an attempt as cancelled and returns whether it is in flight and was not cancelled.
+    pub fn cancel(&mut self, id: AttemptId) -> bool {
+        let attempt = self.attempts.get_mut(&id);
+        attempt.is_some_and(|attempt| !std::mem::replace(&mut attempt.cancelled, true))
+    }
+
     /// Returns the number of attempts.
     pub fn len(&self) -> usize {
         self.attempts.len()
--- a/lib/src/charge_window.rs
+++ b/lib/src/charge_window.rs
@@ -28,23 +28,44 @@
 impl ChargeWindow {
     /// Takes tokens for new work, or returns `None` when the limit does not allow it.
     pub fn charge(&mut self, now: Instant, limit: Duration, cost: Duration) -> Option<ChargeId> {
-        if self.held(now) + cost > limit {
+        self.charge_up_to(now, limit, cost, cost).map(|(id, _)| id)
+    }
+
+    /// Takes as many tokens as the limit allows, between `least` and `most`.
+    pub fn charge_up_to(
+        &mut self,
+        now: Instant,
+        limit: Duration,
+        least: Duration,
+        most: Duration,
+    ) -> Option<(ChargeId, Duration)> {
+        let granted = limit.saturating_sub(self.held(now)).min(most);
+        if granted < least || granted.is_zero() {
             return None;
         }
         let id = ChargeId(self.next);
         self.next += 1;
-        self.held += cost;
-        self.running.insert(id, cost);
-        Some(id)
+        self.held += granted;
+        self.running.insert(id, granted);
+        Some((id, granted))
     }
 
-    /// Notes that the work ended.
+    /// Notes that the work ended and took all its tokens.
     pub fn settle(&mut self, now: Instant, id: ChargeId) {
         if let Some(cost) = self.running.remove(&id) {
             self.returning.push_back((now + WINDOW, cost));
         }
     }
 
+    /// Notes that the work ended after `used`. Tokens that were not used return at once; work that
+    /// took longer than granted holds tokens for all of it.
+    pub fn settle_used(&mut self, now: Instant, id: ChargeId, used: Duration) {
+        if let Some(granted) = self.running.remove(&id) {
+            self.held = self.held + used - granted;
+            self.returning.push_back((now + WINDOW, used));
+        }
+    }
+
     /// Returns the tokens that are held by work which runs or ended within the last second.
     pub fn held(&mut self, now: Instant) -> Duration {
         while let Some((at, cost)) = self.returning.front() {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod pool_settings;
 pub mod pool_targets;
 pub mod prelude;
+pub mod probe_limits;
 pub mod ramp;
 pub mod read_lease;
 pub mod recent_ids;
--- a/lib/src/measuring_budget.rs
+++ b/lib/src/measuring_budget.rs
@@ -58,15 +58,27 @@
         old.map_or(self.share, |old| old.min(self.share))
     }
 
-    /// Takes the cost of a probe, or returns `None` when the probe has to wait.
-    pub fn charge(&mut self, now: Instant, cost: Duration) -> Option<ChargeId> {
+    /// Takes target time for a probe, between `least` and `most`, or returns `None` when the probe
+    /// has to wait. A probe that is not over after the time it got has to be cancelled: a straggler
+    /// would otherwise work on it for longer than the budget allows.
+    pub fn charge(
+        &mut self,
+        now: Instant,
+        least: Duration,
+        most: Duration,
+    ) -> Option<(ChargeId, Duration)> {
         let limit = self.limit(now);
-        self.window.charge(now, limit, cost)
+        self.window.charge_up_to(now, limit, least, most)
     }
 
-    /// Notes that the probe ended.
-    pub fn settle(&mut self, now: Instant, charge: ChargeId) {
-        self.window.settle(now, charge);
+    /// Notes that the probe ended after `used`.
+    pub fn settle(&mut self, now: Instant, charge: ChargeId, used: Duration) {
+        self.window.settle_used(now, charge, used);
+    }
+
+    /// Returns whether this VM has a share, so that it may probe at some time.
+    pub fn has_share(&self) -> bool {
+        !self.share.is_zero()
     }
 
     /// Returns the target time that is in use.
--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -19,6 +19,7 @@
 use crate::pool_event::PoolEvent;
 use crate::pool_settings::PoolSettings;
 use crate::pool_targets::PoolTargets;
+use crate::probe_limits::ProbeLimits;
 use crate::result_code::ResultCode;
 use crate::retry_budget::RetryBudget;
 use crate::service_id::ServiceId;
@@ -64,6 +65,7 @@
     baseline: Baseline,
     peers: PeerTable,
     measuring: MeasuringBudget,
+    probes: ProbeLimits,
     hedging: HedgeBudget,
     retries: RetryBudget,
     counters: PoolCounters,
@@ -82,6 +84,7 @@
             baseline: Baseline::new(settings.initial),
             peers: PeerTable::new(settings.report_age),
             measuring: MeasuringBudget::default(),
+            probes: ProbeLimits::default(),
             hedging: HedgeBudget::new(settings.hedge_permille),
             retries: RetryBudget::new(now),
             counters: PoolCounters::default(),
@@ -140,6 +143,7 @@
     /// Does what has become possible or due.
     fn advance(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
         self.check_ages(now);
+        self.cut_probes(now, actions);
         self.try_ejected(now, actions);
         self.dispatch(now, actions);
         self.hedge(now, actions);
@@ -337,11 +341,17 @@
                 }
             }
             AttemptKind::Probe { charge } => {
-                self.measuring.settle(now, charge);
                 let took = now.saturating_duration_since(attempt.started);
+                self.measuring.settle(now, charge, took);
+                self.probes.end(id);
                 let passes = took <= self.settings.probe_cost * PROBE_PASSES;
                 let entry = self.targets.entry_mut(at);
-                entry.finished_probe(now, id, result, passes);
+                match (attempt.cancelled, entry.trial() == Some(id)) {
+                    (false, _) => entry.finished_probe(now, id, result, passes),
+                    (true, true) => entry.finished_probe(now, id, AttemptResult::TimedOut, false),
+                    // Too little time was granted to judge a target that is in use.
+                    (true, false) => {}
+                }
             }
         }
         self.targets.refresh(at);
@@ -471,8 +481,11 @@
         target: usize,
         actions: &mut Vec<PoolAction>,
     ) -> Option<AttemptId> {
-        let charge = self.measuring.charge(now, self.settings.probe_cost)?;
+        let cost = self.settings.probe_cost;
+        let (least, most) = (cost + cost / 2, cost * PROBE_PASSES);
+        let (charge, granted) = self.measuring.charge(now, least, most)?;
         let attempt = self.begin(now, target, AttemptKind::Probe { charge }, false);
+        self.probes.start(attempt, now + granted);
         self.counters.probes += 1;
         actions.push(PoolAction::Probe {
             attempt,
@@ -481,6 +494,15 @@
         Some(attempt)
     }
 
+    /// Cancels probes that have used the target time that they got.
+    fn cut_probes(&mut self, now: Instant, actions: &mut Vec<PoolAction>) {
+        for attempt in self.probes.take_due(now) {
+            if self.attempts.cancel(attempt) {
+                actions.push(PoolAction::Cancel { attempt });
+            }
+        }
+    }
+
     fn due_trial(&self, now: Instant) -> Option<usize> {
         let mut due = self.targets.due_trials(now);
         due.find(|at| self.targets.entry(*at).trial_overdue(now, PROBE_FIRST))
@@ -536,12 +558,14 @@
         // A hedge that is due waits for a slot or for budget.
         let hedge = hedge.map(|due| due.max(self.checked + CHECK_PAUSE));
         let check = (!self.attempts.is_empty()).then(|| self.checked + CHECK_PAUSE);
-        let search = self
-            .targets
-            .any_usable()
-            .then(|| self.searched + IDLE_PAUSE);
-        let times = [self.queue.next_expiry(), hedge, check, search];
-        times.into_iter().flatten().min()
+        // Most pools belong to services of which this VM is no home: they must cost nothing.
+        let searches = self.measuring.has_share() && self.targets.any_usable();
+        let search = (searches || self.targets.any_ejected()).then(|| self.searched + IDLE_PAUSE);
+        let queue = self.queue.next_expiry();
+        [queue, self.probes.next(), hedge, check, search]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns the free slots and the queue length, for `PeerLoad`.
@@ -557,15 +581,10 @@
 
     /// Returns the pool's state for the dump.
     pub fn dump(&self, now: Instant) -> serde_json::Value {
-        let targets: Vec<_> = self
-            .targets
-            .iter()
-            .map(|(_, entry)| entry.dump(now, &self.baseline))
-            .collect();
         serde_json::json!({
             "service": self.service,
             "policy": self.settings.policy,
-            "targets": targets,
+            "targets": self.targets.dump(now, &self.baseline),
             "in_flight": self.attempts.len(),
             "free": self.targets.free(),
             "queued": self.queue.len(),
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -189,6 +189,17 @@
         !self.open.is_empty() || self.iter().any(|(_, entry)| entry.is_usable())
     }
 
+    /// Returns the state of all targets for the dump.
+    pub fn dump(&self, now: Instant, baseline: &Baseline) -> Vec<serde_json::Value> {
+        let entries = self.iter().map(|(_, entry)| entry.dump(now, baseline));
+        entries.collect()
+    }
+
+    /// Tells whether a target is ejected.
+    pub fn any_ejected(&self) -> bool {
+        !self.ejected.is_empty()
+    }
+
     /// Returns the ejected targets for which a trial may start.
     pub fn due_trials(&self, now: Instant) -> impl Iterator<Item = usize> {
         let ejected = self.ejected.iter().copied();
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -13,10 +13,6 @@
 use carobshore_lib::target::Target;
 use carobshore_lib::target::TargetState;
 
-pub mod ideal_queue;
-pub mod scenario;
-pub mod simulation;
-
 pub const MS: Duration = Duration::from_millis(1);
 
 pub fn service_id() -> ServiceId {
--- a/lib/tests/test_measuring_budget.rs
+++ b/lib/tests/test_measuring_budget.rs
@@ -62,8 +62,8 @@
                     budgets[vm].set_lease(now + Duration::from_secs(10));
                     reads[vm] = step + pauses[vm][step as usize % pauses[vm].len()];
                 }
-                while let Some(charge) = budgets[vm].charge(now, COST) {
-                    budgets[vm].settle(now + COST, charge);
+                while let Some((charge, _)) = budgets[vm].charge(now, COST, COST) {
+                    budgets[vm].settle(now + COST, charge, COST);
                     probes.push(now);
                 }
             }
@@ -81,18 +81,22 @@
     let mut budget = MeasuringBudget::default();
     budget.set_share(start, BUDGET, 3);
     budget.set_lease(start + TRANSITION + Duration::from_secs(10));
-    assert!(budget.charge(start + TRANSITION - MS, COST).is_none());
+    assert!(budget.charge(start + TRANSITION - MS, COST, COST).is_none());
     let open = start + TRANSITION;
-    let first = budget.charge(open, COST).expect("the share is open");
+    let (first, _) = budget.charge(open, COST, COST).expect("the share is open");
     assert!(
-        budget.charge(open, COST).is_none(),
+        budget.charge(open, COST, COST).is_none(),
         "10 ms/s hold one probe of 6 ms"
     );
-    budget.settle(open + COST, first);
-    assert!(budget.charge(open + Duration::from_secs(1), COST).is_none());
+    budget.settle(open + COST, first, COST);
+    assert!(
+        budget
+            .charge(open + Duration::from_secs(1), COST, COST)
+            .is_none()
+    );
     let later = open + COST + Duration::from_secs(1);
     assert!(
-        budget.charge(later, COST).is_some(),
+        budget.charge(later, COST, COST).is_some(),
         "tokens return a second after the probe"
     );
     let lapsed = start + TRANSITION + Duration::from_secs(10);
@@ -117,3 +121,35 @@
     // 300 are the share, and 10 s of the floor add at most 10.
     assert!((290..=310).contains(&retries), "{retries} retries");
 }
+
+/// Guards against a probe of a straggler that takes more target time than its share: it gets what
+/// is left, and what it used in excess is held as well.
+#[test]
+fn a_probe_gets_what_is_left_and_holds_what_it_used() {
+    let start = Instant::now();
+    let mut budget = MeasuringBudget::default();
+    budget.set_share(start, BUDGET, 3);
+    let open = start + TRANSITION;
+    budget.set_lease(open + Duration::from_secs(10));
+    let (first, granted) = budget
+        .charge(open, COST, COST * 4)
+        .expect("the share is open");
+    assert_eq!(granted, MS * 10, "the whole share of 10 ms/s");
+    budget.settle(open + MS * 2, first, MS * 2);
+    assert_eq!(
+        budget.held(open + MS * 2),
+        MS * 2,
+        "unused time returns at once"
+    );
+    let (second, granted) = budget
+        .charge(open + MS * 2, COST, COST * 4)
+        .expect("8 ms are left");
+    assert_eq!(granted, MS * 8);
+    budget.settle(open + MS * 22, second, MS * 20);
+    assert_eq!(
+        budget.held(open + MS * 22),
+        MS * 22,
+        "late cancellation counts in full"
+    );
+    assert!(budget.charge(open + MS * 900, COST, COST).is_none());
+}
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -165,12 +165,12 @@
 fn one_probe_readmits_a_target() {
     let mut bench = warm(6, 2);
     bench.now += TRANSITION;
-    let until = bench.now + SECOND * 60;
-    bench.event(PoolEvent::Lease { until });
     eject(&mut bench, 4);
+    // The lease comes last, so that no probe is sent whose end the test would have to report.
+    let until = bench.now + SECOND * 60;
+    let mut actions = bench.event(PoolEvent::Lease { until });
     let mut results = vec![MS * 6, MS * 60];
     for _ in 0..400 {
-        let actions = bench.tick_after(MS * 10);
         if let Some((attempt, target)) = probe(&actions) {
             let time = if target == target_id(4) {
                 results.pop().unwrap()
@@ -183,6 +183,7 @@
         if ejected(&bench).is_empty() {
             break;
         }
+        actions = bench.tick_after(MS * 10);
     }
     assert_eq!(
         results,
@@ -215,3 +216,38 @@
     assert_eq!(ejected(&bench), [""; 0]);
     assert_eq!(bench.pool.counters().probes, 0);
 }
+
+/// Guards against a probe that works on a straggler for longer than the budget of the service: it is
+/// cancelled when its target time is used up, and counts as failed.
+#[test]
+fn a_probe_is_cancelled_when_its_target_time_is_used_up() {
+    let mut bench = warm(6, 2);
+    bench.now += TRANSITION;
+    eject(&mut bench, 4);
+    let until = bench.now + SECOND * 60;
+    let mut actions = bench.event(PoolEvent::Lease { until });
+    let mut straggler = None;
+    for _ in 0..400 {
+        match probe(&actions) {
+            Some((attempt, target)) if target == target_id(4) => {
+                straggler = Some(attempt);
+                break;
+            }
+            Some((attempt, _)) => {
+                bench.now += MS * 6;
+                bench.finish(attempt, AttemptResult::Done);
+            }
+            None => {}
+        }
+        actions = bench.tick_after(MS * 10);
+    }
+    let attempt = straggler.expect("the ejected target is probed");
+    let cut = (1..=100).find(|_| {
+        let actions = bench.tick_after(MS);
+        actions.contains(&PoolAction::Cancel { attempt })
+    });
+    // The only home has the whole budget of 30 ms/s.
+    assert!(cut.is_some_and(|millis| millis <= 30), "{cut:?}");
+    bench.finish(attempt, AttemptResult::Cancelled);
+    assert_eq!(ejected(&bench), [target_id(4).to_string()]);
+}
--- a/load/src/cmd_fill.rs
+++ b/load/src/cmd_fill.rs
@@ -1,6 +1,7 @@
 //! The subcommand `fill`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use carobshore_lib::prelude::*;
 use clap::Args;
@@ -10,6 +11,8 @@
 
 /// Most targets that one intent adds, so that a record stays small.
 const TARGETS_PER_INTENT: usize = 200;
+/// The pause between two intents. The log refuses more than several hundred appends a second.
+const PAUSE: Duration = Duration::from_millis(20);
 /// Failure domains among which targets are divided, named `d0` and so on.
 const DOMAINS: usize = 3;
 
@@ -54,6 +57,7 @@
         }
         if changes.len() >= TARGETS_PER_INTENT {
             operator.change(std::mem::take(&mut changes)).await?;
+            tokio::time::sleep(PAUSE).await;
         }
     }
     if !changes.is_empty() {
