entry: metrics of the control thread and of the measuring budget

Cause: the metrics showed the data plane only; the budget, what was spent and what was refused, the log, the lease and the roster were in the dump alone.

Change: gauges that are read from the state at each scrape; the pool counts the target time of its probes and the probes that had to wait. The constants of the slot pool have a file of their own.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -575,6 +575,7 @@
             loads: loads
                 .map(|((service, _), (_, load))| (service.clone(), load.clone()))
                 .collect(),
+            counts: self.counts.borrow().clone(),
             ready: follower.is_ready(),
         }
     }
--- a/entry/src/data.rs
+++ b/entry/src/data.rs
@@ -230,6 +230,7 @@
         "/ready" => http_server::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => {
             let in_flight = plane.load.keyed() + plane.load.other();
+            plane.record_state();
             match plane.metrics.text(in_flight, plane.links.connections()) {
                 Ok(text) => http_server::text(StatusCode::OK, text),
                 Err(error) => {
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus::TextEncoder;
 
 use crate::call_head::Port;
+use crate::state_metrics::StateMetrics;
 
 /// Upper bounds of the buckets of response times, in seconds.
 const BUCKETS: [f64; 14] = [
@@ -35,6 +36,8 @@
     seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
     connections: Gauge<u64>,
+    /// Gauges of the state, recorded at each scrape.
+    pub(crate) state: StateMetrics,
 }
 
 impl Metrics {
@@ -46,6 +49,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("carobshore-entry");
         Ok(Self {
+            state: StateMetrics::new(&meter),
             requests: meter
                 .u64_counter("carobshore.requests")
                 .with_description("Requests by how they ended")
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -196,6 +196,18 @@
         }
     }
 
+    /// Records the gauges of the state for a scrape of the metrics.
+    pub(crate) fn record_state(&self) {
+        let state = &self.metrics.state;
+        state.record_view(Instant::now(), &self.view.borrow());
+        for service in self.services.borrow().values() {
+            if service.is_home() {
+                let (share, counters) = service.seat(SeatKind::Owned).measuring();
+                state.record_measuring(&service.id, share, &counters);
+            }
+        }
+    }
+
     /// Drops the outcomes of keys that have expired.
     pub(crate) fn expire_keys(&self) {
         self.services
--- a/entry/src/pool_seat.rs
+++ b/entry/src/pool_seat.rs
@@ -6,9 +6,11 @@
 use std::fmt;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::time::Duration;
 use std::time::Instant;
 
 use carobshore_lib::pool_action::PoolAction;
+use carobshore_lib::pool_counters::PoolCounters;
 use carobshore_lib::pool_event::AttemptId;
 use carobshore_lib::pool_event::AttemptResult;
 use carobshore_lib::pool_event::PoolEvent;
@@ -179,6 +181,12 @@
         self.pool.borrow().load()
     }
 
+    /// Returns the share of the measuring budget and the counters.
+    pub(crate) fn measuring(&self) -> (Duration, PoolCounters) {
+        let pool = self.pool.borrow();
+        (pool.measuring_share(), pool.counters().clone())
+    }
+
     /// Returns the state for the dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         self.pool.borrow().dump(Instant::now())
--- a/entry/src/view.rs
+++ b/entry/src/view.rs
@@ -18,6 +18,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::control_counts::ControlCounts;
+
 /// What the control thread knows, published to the data thread as an immutable value.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -42,6 +44,8 @@
     pub down: Arc<BTreeSet<VmId>>,
     /// Loads of other homes, from heartbeats.
     pub loads: Vec<(ServiceId, PeerLoad)>,
+    /// What the control thread has done, for the metrics.
+    pub counts: ControlCounts,
     /// Whether the configuration is as new as that of any reachable peer.
     pub ready: bool,
 }
@@ -60,6 +64,7 @@
             leaving: Arc::default(),
             down: Arc::default(),
             loads: Vec::new(),
+            counts: ControlCounts::default(),
             ready: false,
         }
     }
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use carobshore_entry::control_counts::ControlCounts;
 use carobshore_entry::data;
 use carobshore_entry::flags::Flags;
 use carobshore_entry::listeners::Listeners;
@@ -134,6 +135,7 @@
         leaving: Arc::new(BTreeSet::new()),
         down: Arc::new(BTreeSet::new()),
         loads: Vec::new(),
+        counts: ControlCounts::default(),
         ready: true,
     }
 }
--- a/entry/tests/test_entry_vm.rs
+++ b/entry/tests/test_entry_vm.rs
@@ -119,3 +119,27 @@
     vm.wait().unwrap();
     site.wait_for(0, "the leave", members(1));
 }
+
+/// Guards against metrics that stay at zero while the control thread and the probes work.
+#[test]
+fn metrics_show_the_control_thread_and_the_measuring_budget() {
+    let mut site = Site::new(1);
+    site.start_vm(0, &[]);
+    site.wait_for(0, "membership", members(1));
+    let request = b"GET /metrics HTTP/1.1\r\nhost: admin\r\n\r\n";
+    let admin = site.vms[0].addresses().admin;
+    // Metrics follow the view, which is published after the dump shows the state.
+    std::thread::sleep(Duration::from_secs(1));
+    let text = raw_call(admin, request, QUIET);
+    let value = |start: &str| {
+        let line = text.lines().find(|line| line.starts_with(start));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        value.unwrap_or_else(|| panic!("no `{start}` in {text}"))
+    };
+    assert_eq!(value("carobshore_ready{"), 1.0);
+    assert_eq!(value("carobshore_members{"), 1.0);
+    assert!(value("carobshore_read_lease_left_seconds{") > 5.0);
+    assert!(value("carobshore_control_events{event=\"log-read\"") >= 2.0);
+    // 30 ms/s for the only home.
+    assert_eq!(value("carobshore_measuring_share_us{"), 30_000.0);
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod pool_action;
 pub mod pool_counters;
 pub mod pool_event;
+mod pool_rules;
 pub mod pool_settings;
 pub mod pool_targets;
 pub mod prelude;
--- a/lib/src/measuring_budget.rs
+++ b/lib/src/measuring_budget.rs
@@ -76,6 +76,11 @@
         self.window.settle_used(now, charge, used);
     }
 
+    /// Returns this VM's share of the budget, per second.
+    pub fn share(&self) -> Duration {
+        self.share
+    }
+
     /// Returns whether this VM has a share, so that it may probe at some time.
     pub fn has_share(&self) -> bool {
         !self.share.is_zero()
--- a/lib/src/pool_counters.rs
+++ b/lib/src/pool_counters.rs
@@ -19,6 +19,10 @@
     pub hedges: u64,
     /// Probes sent.
     pub probes: u64,
+    /// Target time that probes took, in microseconds, as seen from here.
+    pub probe_micros: u64,
+    /// Probes that had to wait because the measuring budget was spent.
+    pub probes_refused: u64,
     /// Requests sent to an ejected target as a trial.
     pub trials: u64,
     /// Judgements that ejected targets or released them.
--- a/lib/src/slot_pool.rs
+++ b/lib/src/slot_pool.rs
@@ -17,6 +17,15 @@
 use crate::pool_event::AttemptId;
 use crate::pool_event::AttemptResult;
 use crate::pool_event::PoolEvent;
+use crate::pool_rules::CHECK_PAUSE;
+use crate::pool_rules::IDLE;
+use crate::pool_rules::IDLE_PAUSE;
+use crate::pool_rules::OLD;
+use crate::pool_rules::PROBE_FIRST;
+use crate::pool_rules::PROBE_PASSES;
+use crate::pool_rules::SHORTER;
+use crate::pool_rules::SUSPECTED;
+use crate::pool_rules::TRIAL_PATIENCE;
 use crate::pool_settings::PoolSettings;
 use crate::pool_targets::PoolTargets;
 use crate::probe_limits::ProbeLimits;
@@ -27,29 +36,6 @@
 use crate::ticket::Ticket;
 use crate::ticket::TicketId;
 
-/// Pause between two looks at requests that have been in flight for long.
-const CHECK_PAUSE: Duration = Duration::from_millis(10);
-/// Age of a request in flight, in spreads above the typical time, from which it is looked at.
-const OLD: f64 = 1.3;
-/// A probe passes when it takes at most this many times its expected cost.
-const PROBE_PASSES: u32 = 4;
-/// A target with nothing in flight and no response for this long is probed.
-const IDLE: Duration = Duration::from_secs(1);
-/// How much shorter the wait at another home has to be, in mean service times. A report is up to
-/// 100 ms old, and smaller differences come and go within that time.
-const SHORTER: f64 = 0.4;
-/// Evidence against a target from which its requests are hedged after the 95th percentile; other
-/// requests are hedged after twice that time. Without slot ownership a request may also wait inside
-/// the target, unseen, so that all are hedged after the 95th percentile.
-const SUSPECTED: f64 = 2.0;
-/// Pause between two searches for idle targets.
-const IDLE_PAUSE: Duration = Duration::from_millis(100);
-/// Time for which a due trial is left to a probe, which delays no caller.
-const PROBE_FIRST: Duration = Duration::from_millis(200);
-/// An ejected target for which neither a probe nor an idempotent request was possible for this
-/// long is put back with one slot, or it would be lost to a service without either.
-const TRIAL_PATIENCE: Duration = Duration::from_secs(10);
-
 /// Decides which request runs where and when.
 ///
 /// Under the policy `homes` the pool owns its targets' slots and never has more requests in flight
@@ -343,6 +329,7 @@
             AttemptKind::Probe { charge } => {
                 let took = now.saturating_duration_since(attempt.started);
                 self.measuring.settle(now, charge, took);
+                self.counters.probe_micros += micros(took);
                 self.probes.end(id);
                 let passes = took <= self.settings.probe_cost * PROBE_PASSES;
                 let entry = self.targets.entry_mut(at);
@@ -483,14 +470,15 @@
     ) -> Option<AttemptId> {
         let cost = self.settings.probe_cost;
         let (least, most) = (cost + cost / 2, cost * PROBE_PASSES);
-        let (charge, granted) = self.measuring.charge(now, least, most)?;
+        let Some((charge, granted)) = self.measuring.charge(now, least, most) else {
+            self.counters.probes_refused += 1;
+            return None;
+        };
         let attempt = self.begin(now, target, AttemptKind::Probe { charge }, false);
         self.probes.start(attempt, now + granted);
         self.counters.probes += 1;
-        actions.push(PoolAction::Probe {
-            attempt,
-            target: self.targets.entry(target).id.clone(),
-        });
+        let target = self.targets.entry(target).id.clone();
+        actions.push(PoolAction::Probe { attempt, target });
         Some(attempt)
     }
 
@@ -562,10 +550,8 @@
         let searches = self.measuring.has_share() && self.targets.any_usable();
         let search = (searches || self.targets.any_ejected()).then(|| self.searched + IDLE_PAUSE);
         let queue = self.queue.next_expiry();
-        [queue, self.probes.next(), hedge, check, search]
-            .into_iter()
-            .flatten()
-            .min()
+        let times = [queue, self.probes.next(), hedge, check, search];
+        times.into_iter().flatten().min()
     }
 
     /// Returns the free slots and the queue length, for `PeerLoad`.
@@ -574,6 +560,11 @@
         (self.targets.free(), queued)
     }
 
+    /// Returns this VM's share of the measuring budget, per second.
+    pub fn measuring_share(&self) -> Duration {
+        self.measuring.share()
+    }
+
     /// Returns the counters.
     pub fn counters(&self) -> &PoolCounters {
         &self.counters
