entry: share the configuration between the services of the data thread

Cause: with 21,000 targets an idle VM took 67 MiB against 64 MB. Each service kept a copy of its part of the configuration beside the one in the view. The simulation of the load tool counted the whole service time of a probe that was cancelled.

Change: the services share the view's configuration; a cancelled probe costs the slot time until its cancellation.

--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use carobshore_lib::config::Config;
 use carobshore_lib::homes::Homes;
 use carobshore_lib::homes::HomesSettings;
 use carobshore_lib::key_history::KeyHistory;
@@ -28,6 +29,7 @@
 use carobshore_lib::prelude::RequestKey;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::Version;
 use carobshore_lib::prelude::VmId;
 use carobshore_lib::read_lease::ReadLease;
 use carobshore_lib::router::Call;
@@ -70,7 +72,9 @@
     pub(crate) id: ServiceId,
     me: VmId,
     policy: Policy,
-    spec: RefCell<Option<Service>>,
+    /// Shared with the view: a copy of each service would double the memory of the configuration.
+    config: RefCell<Arc<Config>>,
+    version: Cell<Option<Version>>,
     leaving: RefCell<BTreeSet<TargetId>>,
     vms: Cell<u32>,
     home: Cell<bool>,
@@ -123,7 +127,8 @@
             id: id.clone(),
             me: view.me.clone(),
             policy,
-            spec: RefCell::default(),
+            config: RefCell::default(),
+            version: Cell::new(None),
             leaving: RefCell::default(),
             vms: Cell::new(1),
             home: Cell::new(false),
@@ -143,9 +148,7 @@
 
     /// Returns whether the configuration or the leaving targets are others than those in use.
     pub(crate) fn differs(&self, spec: &Service, leaving: &BTreeSet<TargetId>) -> bool {
-        let known = self.spec.borrow();
-        let version = known.as_ref().map(|known| known.version);
-        version != Some(spec.version) || *self.leaving.borrow() != *leaving
+        self.version.get() != Some(spec.version) || *self.leaving.borrow() != *leaving
     }
 
     /// Takes over a new configuration, roster or set of leaving targets.
@@ -156,7 +159,8 @@
         leaving: BTreeSet<TargetId>,
         homes: u32,
     ) {
-        *self.spec.borrow_mut() = Some(spec.clone());
+        *self.config.borrow_mut() = Arc::clone(&view.config);
+        self.version.set(Some(spec.version));
         *self.leaving.borrow_mut() = leaving;
         let vms = u32::try_from(view.roster.members.len()).unwrap_or(u32::MAX);
         self.vms.set(vms.max(1));
@@ -181,7 +185,8 @@
         if self.fallback.replace(true) {
             return;
         }
-        if let Some(spec) = self.spec.borrow().as_ref() {
+        let config = Arc::clone(&self.config.borrow());
+        if let Some(spec) = config.service(&self.id) {
             self.fill_shared(spec);
         }
     }
@@ -196,6 +201,7 @@
     /// Takes over who owns keys, and the read lease. Both are of the same view: a lease proves
     /// only what the records before its read say.
     pub(crate) fn update_keys(&self, view: &View) {
+        *self.config.borrow_mut() = Arc::clone(&view.config);
         *self.history.borrow_mut() = view.keys.get(&self.id).cloned();
         self.lease.set(view.lease);
         let Some(until) = view.lease.until() else {
@@ -252,8 +258,8 @@
 
     /// Returns where a target is, and how many connections to it this VM may hold.
     pub(crate) fn target(&self, id: &TargetId, kind: SeatKind) -> Option<(SocketAddr, u32)> {
-        let spec = self.spec.borrow();
-        let spec = spec.as_ref()?;
+        let config = self.config.borrow();
+        let spec = config.service(&self.id)?;
         let addr = spec.targets.get(id)?.addr;
         let limit = match kind {
             SeatKind::Owned => spec.connections * HOME_EIGHTHS / 8,
@@ -319,7 +325,7 @@
         let keys = self.keys.borrow();
         let homes: Vec<_> = self.router.borrow().homes().vms().cloned().collect();
         serde_json::json!({
-            "version": self.spec.borrow().as_ref().map(|spec| spec.version),
+            "version": self.version.get(),
             "homes": homes,
             "owned": self.owned.dump(),
             "shared": self.shared.dump(),
--- a/load/src/sim_world.rs
+++ b/load/src/sim_world.rs
@@ -87,6 +87,8 @@
     pub(crate) places: HashMap<AttemptRef, Place>,
     pub(crate) costs: Vec<(Duration, Duration)>,
     pub(crate) slot_costs: Vec<(Duration, Duration)>,
+    /// The places of the probes that run in `slot_costs`.
+    pub(crate) probing: HashMap<AttemptRef, usize>,
     pub(crate) result: SimResult,
 }
 
@@ -135,6 +137,7 @@
             places: HashMap::new(),
             costs: Vec::new(),
             slot_costs: Vec::new(),
+            probing: HashMap::new(),
             result: SimResult::default(),
         }
     }
@@ -184,6 +187,7 @@
             Event::Failed { attempt, result } => self.failed(attempt, result),
             Event::Cancelled { attempt, target } => {
                 self.targets[target].cancel(attempt);
+                self.cut_cost(attempt);
                 self.serve(target);
             }
             Event::Returned {
@@ -435,12 +439,22 @@
             let work = sending.map_or(self.spec.size.probe, |sending| self.jobs[sending.job].work);
             let took = self.conditions.service_time(target, now, work);
             if sending.is_none() {
+                self.probing.insert(attempt, self.slot_costs.len());
                 self.slot_costs.push((now, took));
             }
             self.events.push(took, Event::Served(attempt));
         }
     }
 
+    /// Notes that a probe was cancelled before its slot time was over.
+    fn cut_cost(&mut self, attempt: AttemptRef) {
+        let now = self.events.now();
+        if let Some(at) = self.probing.remove(&attempt) {
+            let (from, took) = &mut self.slot_costs[at];
+            *took = (*took).min(now - *from);
+        }
+    }
+
     fn served(&mut self, attempt: AttemptRef) {
         let now = self.events.now();
         let Some(place) = self.places.get(&attempt).copied() else {
