entry: one reporting target for the tests, one way to a peer's client

Cause: three test files each had their own target that reports the head of a request, and two fetches from a peer looked up its client in the same lines.

Change: `reporting_target` in the shared test module takes the delay; `Control::peer_client` serves both fetches. No assertion changes.

Conclusion: behaviour is the same.

--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -25,6 +25,7 @@
 use carobshore_platform::log_client::AppendAnswer;
 use carobshore_platform::log_client::ReadAnswer;
 use carobshore_platform::vm_list_client::ListedState;
+use jsonrpsee::http_client::HttpClient;
 use uuid::Uuid;
 
 use crate::control_counts::ControlCounts;
@@ -370,15 +371,16 @@
         member.or_else(|| self.addresses.borrow().get(vm).copied())
     }
 
+    fn peer_client(&self, vm: &VmId) -> Option<HttpClient> {
+        self.peers.client(self.peer_addr(vm)?).ok()
+    }
+
     fn fetch_records(self: &Rc<Self>, vm: VmId, from: Offset) {
         let control = Rc::clone(self);
         ntex::rt::spawn(async move {
-            let client = control
-                .peer_addr(&vm)
-                .map(|addr| control.peers.client(addr));
-            let answer = match client {
-                Some(Ok(client)) => client.records_since(from).await.ok(),
-                _ => None,
+            let answer = match control.peer_client(&vm) {
+                Some(client) => client.records_since(from).await.ok(),
+                None => None,
             };
             control.follow(match answer {
                 Some(page) => FollowerEvent::PeerRecords { vm, page },
@@ -391,12 +393,9 @@
     fn fetch_snapshot(self: &Rc<Self>, vm: VmId) {
         let control = Rc::clone(self);
         ntex::rt::spawn(async move {
-            let client = control
-                .peer_addr(&vm)
-                .map(|addr| control.peers.client(addr));
-            let answer = match client {
-                Some(Ok(client)) => client.snapshot().await.ok().flatten(),
-                _ => None,
+            let answer = match control.peer_client(&vm) {
+                Some(client) => client.snapshot().await.ok().flatten(),
+                None => None,
             };
             control.follow(match answer {
                 Some(records) => FollowerEvent::PeerSnapshot { vm, records },
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
 
@@ -30,6 +31,26 @@
     addr
 }
 
+/// Starts a target that reports the head of each request and answers it after `delay`.
+pub fn reporting_target(delay: Duration) -> (SocketAddr, Receiver<String>) {
+    let (heads, seen) = channel();
+    let addr = raw_server(move |mut stream| {
+        let heads = heads.clone();
+        thread::spawn(move || {
+            loop {
+                let head = read_head(&mut stream);
+                if head.is_empty() {
+                    return;
+                }
+                let _ = heads.send(head);
+                thread::sleep(delay);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            }
+        });
+    });
+    (addr, seen)
+}
+
 /// Returns an address on which nothing listens.
 pub fn refused_addr() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/entry/tests/test_forwarding.rs
+++ b/entry/tests/test_forwarding.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread;
@@ -18,35 +17,17 @@
 use common::raw_call;
 use common::raw_server;
 use common::read_head;
+use common::reporting_target;
 use common::vm::Vm;
 
 const QUIET: Duration = Duration::from_millis(400);
 const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: status\r\nx: kept\r\n\r\n";
 
-/// Starts a target that reports the head of each request and answers it.
-fn reporting() -> (SocketAddr, mpsc::Receiver<String>) {
-    let (heads, seen) = mpsc::channel();
-    let addr = raw_server(move |mut stream| {
-        let heads = heads.clone();
-        thread::spawn(move || {
-            loop {
-                let head = read_head(&mut stream);
-                if head.is_empty() {
-                    return;
-                }
-                let _ = heads.send(head);
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
-            }
-        });
-    });
-    (addr, seen)
-}
-
 /// Guards against a VM that is not the home sending work to the home's targets itself, and against
 /// fields between VMs that reach the caller or the target.
 #[test]
 fn other_vm_forwards_to_the_home() {
-    let (target, seen) = reporting();
+    let (target, seen) = reporting_target(Duration::ZERO);
     let [home, other] = Vm::pair(&[target], &[]);
     let answer = raw_call(home.listen, GET, QUIET);
     assert_outcome(&answer, "whole");
@@ -72,7 +53,7 @@
 /// without its hops being served.
 #[test]
 fn forward_port_reports_the_load_and_wants_the_hops() {
-    let (target, _seen) = reporting();
+    let (target, _seen) = reporting_target(Duration::ZERO);
     let [home, _other] = Vm::pair(&[target], &[]);
     let call = |hops: &str| {
         let request = format!("GET / HTTP/1.1\r\nhost: status\r\n{hops}\r\n");
@@ -91,7 +72,7 @@
 /// Guards against calls that fail because the home of their service is down.
 #[test]
 fn calls_continue_when_the_home_is_down() {
-    let (target, _seen) = reporting();
+    let (target, _seen) = reporting_target(Duration::ZERO);
     let [home, mut other] = Vm::pair(&[target], &[]);
     drop(home);
     for _ in 0..3 {
@@ -108,7 +89,7 @@
 /// unreachable since.
 #[test]
 fn repeated_loads_do_not_bring_back_a_home_that_is_down() {
-    let (target, _seen) = reporting();
+    let (target, _seen) = reporting_target(Duration::ZERO);
     let [home, mut other] = Vm::pair(&[target], &[]);
     let homes = &other.dump()["services"]["status"]["homes"];
     let vm = homes[0].as_str().unwrap().parse().unwrap();
@@ -134,7 +115,7 @@
 /// Guards against a change of the roster that does not reach the services.
 #[test]
 fn roster_change_moves_the_home() {
-    let (target, seen) = reporting();
+    let (target, seen) = reporting_target(Duration::ZERO);
     let [home, other] = Vm::pair(&[target], &[]);
     let homes = &other.dump()["services"]["status"]["homes"];
     let gone = homes[0].as_str().unwrap().parse().unwrap();
@@ -165,7 +146,7 @@
             }
         });
     });
-    let (staying, _seen) = reporting();
+    let (staying, _seen) = reporting_target(Duration::ZERO);
     let mut vm = Vm::alone(&[leaving, staying], &[]);
     for _ in 0..12 {
         let answer = raw_call(vm.listen, GET, Duration::from_millis(100));
--- a/entry/tests/test_malformed.rs
+++ b/entry/tests/test_malformed.rs
@@ -15,8 +15,8 @@
 use common::field;
 use common::raw_exchange;
 use common::raw_server;
-use common::read_head;
 use common::read_until_quiet;
+use common::reporting_target;
 use common::vm::Vm;
 
 /// How long the raw caller waits for more of an answer.
@@ -26,20 +26,7 @@
 
 /// Starts a VM with one target that reports the heads of the requests that it gets.
 fn vm(extra: &[&str]) -> (Vm, mpsc::Receiver<String>) {
-    let (heads, seen) = mpsc::channel();
-    let target = raw_server(move |mut stream| {
-        let heads = heads.clone();
-        thread::spawn(move || {
-            loop {
-                let head = read_head(&mut stream);
-                if head.is_empty() {
-                    return;
-                }
-                let _ = heads.send(head);
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
-            }
-        });
-    });
+    let (target, seen) = reporting_target(Duration::ZERO);
     (Vm::alone(&[target], extra), seen)
 }
 
--- a/entry/tests/test_spill.rs
+++ b/entry/tests/test_spill.rs
@@ -2,9 +2,7 @@
 
 mod common;
 
-use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -19,34 +17,13 @@
 use common::assert_outcome;
 use common::field;
 use common::raw_call;
-use common::raw_server;
-use common::read_head;
+use common::reporting_target;
 use common::vm;
 use common::vm::Vm;
 use uuid::Uuid;
 
 const DELAY: Duration = Duration::from_millis(400);
 
-/// Starts a slow target that reports the head of each request.
-fn slow() -> (SocketAddr, mpsc::Receiver<String>) {
-    let (heads, seen) = mpsc::channel();
-    let addr = raw_server(move |mut stream| {
-        let heads = heads.clone();
-        thread::spawn(move || {
-            loop {
-                let head = read_head(&mut stream);
-                if head.is_empty() {
-                    return;
-                }
-                let _ = heads.send(head);
-                thread::sleep(DELAY);
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
-            }
-        });
-    });
-    (addr, seen)
-}
-
 /// Two VMs in two failure domains, each the home of the target in its own domain.
 struct Pair {
     vms: Vec<Vm>,
@@ -115,8 +92,8 @@
 /// Guards against a queue at one home while another one has free slots.
 #[test]
 fn full_home_passes_requests_on() {
-    let (near, _near_heads) = slow();
-    let (far, far_heads) = slow();
+    let (near, _near_heads) = reporting_target(DELAY);
+    let (far, far_heads) = reporting_target(DELAY);
     let pair = pair([near, far]);
     let request = "POST / HTTP/1.1\r\nhost: status\r\ncontent-length: 0\r\n\r\n".to_owned();
     report_free_slots(&pair, 2);
@@ -137,8 +114,8 @@
 /// one that recognizes duplicates itself must not lose that protection.
 #[test]
 fn key_stays_with_its_owner() {
-    let (near, near_heads) = slow();
-    let (far, far_heads) = slow();
+    let (near, near_heads) = reporting_target(DELAY);
+    let (far, far_heads) = reporting_target(DELAY);
     let pair = pair([near, far]);
     thread::sleep(SKEW_MARGIN + Duration::from_millis(300));
     let owned = |key: &Uuid| {
