--- /dev/null
+++ b/gateway/src/admin_server.rs
@@ -0,0 +1,85 @@
+//! Readiness, metrics and the state of the process over HTTP.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_http::head::RequestHead;
+use carobshore_http::message_error::MessageError;
+use carobshore_platform::call_fields::READINESS_PATH;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::reply::Reply;
+
+/// The largest request.
+const MAX_REQUEST: usize = 8 << 10;
+/// How long a connection may be idle.
+const IDLE: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections for as long as the process lives.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                ntex::rt::spawn(async move {
+                    if let Ok(Err(error)) = timeout(IDLE, serve(&gateway, stream)).await {
+                        log::debug!(reason:% = error; "an admin connection ended");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(reason:% = error; "cannot accept an admin connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: &Gateway, mut stream: TcpStream) -> Result<(), MessageError> {
+    let mut buffer = BytesMut::new();
+    loop {
+        let Some(head) = RequestHead::take(&mut buffer, MAX_REQUEST)? else {
+            if stream.read_buf(&mut buffer).await? == 0 {
+                return Ok(());
+            }
+            continue;
+        };
+        let mut reply = answer(gateway, &head);
+        reply.close |= !head.keep_alive;
+        stream.write_all(&reply.to_bytes()).await?;
+        if reply.close {
+            return Ok(());
+        }
+    }
+}
+
+fn answer(gateway: &Gateway, head: &RequestHead) -> Reply {
+    match (&*head.method, &*head.target) {
+        ("GET", READINESS_PATH | "/ready") => match gateway.is_ready() {
+            true => Reply::text(200, "ready\n"),
+            false => Reply::text(503, "not ready\n"),
+        },
+        ("GET", "/metrics") => {
+            let version = gateway.routes.borrow().config().version.0;
+            let targets = gateway.directory.borrow().iter().count();
+            match gateway
+                .metrics
+                .text(gateway.in_flight.count(), version, targets)
+            {
+                Ok(text) => Reply::text(200, text),
+                Err(error) => Reply::text(500, format!("{error:#}\n")),
+            }
+        }
+        ("GET", "/dump") => Reply::text(200, gateway.dump(Instant::now()).to_string()),
+        _ => Reply::text(404, "use /ready, /metrics or /dump\n"),
+    }
+}
--- /dev/null
+++ b/gateway/src/attempt.rs
@@ -0,0 +1,183 @@
+//! One attempt of a request at one target.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_http::client::ExchangeFailure;
+use carobshore_http::client::Incoming;
+use carobshore_http::client::Outgoing;
+use carobshore_http::fields::Fields;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::target_outlook::Verdict;
+use carobshore_platform::call_fields;
+use carobshore_platform::call_fields::AnswerFields;
+
+use crate::gateway::Gateway;
+use crate::gateway::Usable;
+use crate::target_search;
+
+/// The request as an attempt sends it.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub target: Box<str>,
+    /// The fields that are passed on.
+    pub fields: Fields,
+    /// The body.
+    pub body: Rc<Vec<u8>>,
+    /// The request's id.
+    pub id: Option<Box<str>>,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// The time that it takes on an idle, quiet target.
+    pub work: Duration,
+    /// When the response has to be there.
+    pub limit: Instant,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// A whole response of the target.
+    Answered(Incoming),
+    /// No byte was sent.
+    NotSent,
+    /// The target says that it did not run the request.
+    NotRun,
+    /// No usable response came, and the request may have run.
+    Unknown,
+}
+
+impl AttemptEnd {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(response) if response.head.status >= 500 => "error-status",
+            Self::Answered(_) => "answered",
+            Self::NotSent => "not-sent",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Counts an attempt at its target until it is dropped.
+struct Counted {
+    usable: Usable,
+    attempt: u64,
+    started: Instant,
+    expected: Duration,
+    /// What the end says about the target; absent while the attempt is under way.
+    verdict: Option<Verdict>,
+}
+
+impl Counted {
+    /// Returns the elapsed time divided by the expected time.
+    fn ratio(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() / self.expected.as_secs_f64().max(0.001)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let ratio = self.ratio();
+        let verdict = self.verdict.unwrap_or(Verdict::GivenUp { ratio });
+        let mut outlook = self.usable.links.outlook.borrow_mut();
+        outlook.ended(Instant::now(), self.attempt, verdict);
+    }
+}
+
+/// Sends the request to a target and waits for the response. Dropping the future closes the
+/// connection, which stops the target's work on the request.
+pub async fn run(
+    gateway: Rc<Gateway>,
+    service: ServiceId,
+    usable: Usable,
+    sending: Rc<Sending>,
+) -> (Usable, AttemptEnd) {
+    let started = Instant::now();
+    let expected = {
+        let outlook = usable.links.outlook.borrow();
+        outlook.expected(started, sending.work, usable.slots)
+    };
+    let mut counted = Counted {
+        usable: usable.clone(),
+        attempt: gateway.next_attempt(),
+        started,
+        expected,
+        verdict: None,
+    };
+    let outlook = &usable.links.outlook;
+    outlook
+        .borrow_mut()
+        .started(started, counted.attempt, expected);
+    let end = exchange(&gateway, &usable, &sending).await;
+    let ratio = counted.ratio();
+    counted.verdict = Some(match &end {
+        AttemptEnd::Answered(response) if response.head.status >= 500 => Verdict::Failed,
+        AttemptEnd::Answered(_) => Verdict::Answered { ratio },
+        AttemptEnd::NotRun => Verdict::Refused,
+        AttemptEnd::NotSent | AttemptEnd::Unknown => Verdict::Failed,
+    });
+    gateway
+        .metrics
+        .attempt(&service, end.as_str(), started.elapsed());
+    drop(counted);
+    (usable, end)
+}
+
+async fn exchange(gateway: &Gateway, usable: &Usable, sending: &Sending) -> AttemptEnd {
+    let links = &usable.links;
+    let Ok(mut link) = links.checkout(!sending.repeatable).await else {
+        return AttemptEnd::NotSent;
+    };
+    if link.new {
+        gateway.metrics.connected();
+    }
+    let left = sending.limit.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        links.checkin(Instant::now(), link.client, None);
+        return AttemptEnd::NotSent;
+    }
+    let mut fields = sending.fields.clone();
+    call_fields::address(&mut fields, &links.id, left);
+    let request = Outgoing::new(&sending.method, &sending.target, &fields, &sending.body);
+    let belongs = |head: &_| call_fields::of_answer(head).request == sending.id;
+    match link.client.exchange(&request, belongs).await {
+        Ok(response) => {
+            let answer = call_fields::of_answer(&response.head);
+            links.checkin(Instant::now(), link.client, answer.keep_alive);
+            judge(usable, response, &answer)
+        }
+        Err(ExchangeFailure { sent: false, .. }) => AttemptEnd::NotSent,
+        Err(failure) => {
+            log::debug!(target = links.id.as_str(), reason:% = failure.error; "attempt broke");
+            AttemptEnd::Unknown
+        }
+    }
+}
+
+/// Decides what a response means.
+fn judge(usable: &Usable, response: Incoming, answer: &AnswerFields) -> AttemptEnd {
+    let now = Instant::now();
+    if let Some(report) = answer.load {
+        usable.links.outlook.borrow_mut().report(now, report);
+    }
+    if answer.misdirected {
+        target_search::displace(&usable.links);
+        return AttemptEnd::NotRun;
+    }
+    if answer.not_run {
+        return AttemptEnd::NotRun;
+    }
+    let success = (200..300).contains(&response.head.status);
+    let encoded = response.head.fields.count("content-encoding") > 0;
+    // A success that the target did not sign, or in another coding, is not its response.
+    if success && (!answer.signed || encoded) {
+        return AttemptEnd::Unknown;
+    }
+    AttemptEnd::Answered(response)
+}
--- /dev/null
+++ b/gateway/src/call.rs
@@ -0,0 +1,438 @@
+//! One request from its arrival to its response.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_http::client::Incoming;
+use carobshore_http::head::RequestHead;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::route::Route;
+use carobshore_lib::target_choice::Demand;
+use carobshore_platform::call_fields;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+
+use crate::attempt;
+use crate::attempt::AttemptEnd;
+use crate::attempt::Sending;
+use crate::gateway::Gateway;
+use crate::gateway::Usable;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+use crate::target_links::TargetLinks;
+use crate::target_search;
+use crate::target_search::Found;
+use crate::target_search::Search;
+
+/// How long a caller waits that does not say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
+/// Part of the time for full worth for which a request may wait for a target with room.
+const WAIT_DIVISOR: u32 = 8;
+/// Bytes of a typical response, for the cost of crossing failure domains.
+const RESPONSE_BYTES: usize = 2 << 10;
+/// A second copy is sent when the first one has taken this many times what was expected.
+const HEDGE_FACTOR: f64 = 2.5;
+/// Least time after which a second copy is sent.
+const HEDGE_LEAST: Duration = Duration::from_millis(100);
+/// When a caller may come back if no target is known.
+const RETRY_SOON: Duration = Duration::from_millis(250);
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub struct Arrived {
+    /// The head.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When its first byte arrived.
+    pub at: Instant,
+}
+
+/// A request on its way.
+struct Call {
+    gateway: Rc<Gateway>,
+    route: Rc<Route>,
+    service: ServiceId,
+    sending: Rc<Sending>,
+    arrived: Instant,
+    /// The targets that the request was given to.
+    tried: Vec<Rc<TargetLinks>>,
+    /// How many targets it may have arrived at.
+    arrivals: u32,
+    /// Whether it may have run without an answer that can be passed on.
+    unknown: bool,
+    /// Whether a target refused it.
+    refused: bool,
+    /// An error of a target, in case nothing better comes.
+    fallback: Option<Incoming>,
+    ends: Vec<Box<str>>,
+}
+
+type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (Usable, AttemptEnd)>>>>;
+
+/// Why a call ended without a response of a target.
+struct Failed {
+    refusal: Refusal,
+    retry: Option<Duration>,
+}
+
+/// Returns the route of a request, or why there is none.
+pub fn route(gateway: &Gateway, head: &RequestHead) -> Result<Rc<Route>, Refusal> {
+    let routes = gateway.routes.borrow();
+    if !routes.is_loaded() {
+        return Err(Refusal::NotReady);
+    }
+    let host = head.fields.text("host").unwrap_or_default();
+    routes.find(host, &head.target).ok_or(Refusal::NoRoute)
+}
+
+/// Serves a request. Returns nothing if the caller has left.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    arrived: Arrived,
+    gone: watch::Receiver<bool>,
+) -> Option<Reply> {
+    let fields = call_fields::of_call(&arrived.head.fields);
+    let id = fields.id.clone();
+    let route = match route(&gateway, &arrived.head) {
+        Ok(route) => route,
+        Err(refusal) => {
+            let failed = Failed::soon(refusal);
+            return Some(refuse(
+                &gateway,
+                "",
+                id.as_deref(),
+                arrived.at,
+                &failed,
+                &[],
+            ));
+        }
+    };
+    let patience = fields.patience.unwrap_or(DEFAULT_PATIENCE);
+    let limit = arrived.at + patience.min(route.timeout);
+    let work = gateway.work(&route);
+    let left = gateway.exit.borrow().time_left(Instant::now());
+    if left.is_some_and(|left| left < work * 2) {
+        let failed = Failed {
+            refusal: Refusal::Stopping,
+            retry: Some(Duration::ZERO),
+        };
+        return Some(refuse(
+            &gateway,
+            &route.name,
+            id.as_deref(),
+            arrived.at,
+            &failed,
+            &[],
+        ));
+    }
+    let service = gateway.routes.borrow_mut().assign(&route);
+    gateway.count_request(Instant::now(), &service);
+    let mut passed = arrived.head.fields;
+    passed.keep_end_to_end();
+    let sending = Sending {
+        method: arrived.head.method,
+        target: arrived.head.target,
+        fields: passed,
+        body: Rc::new(arrived.body),
+        id,
+        repeatable: route.kind.is_repeatable(),
+        work,
+        limit,
+    };
+    let call = Call {
+        gateway,
+        route,
+        service,
+        sending: Rc::new(sending),
+        arrived: arrived.at,
+        tried: Vec::new(),
+        arrivals: 0,
+        unknown: false,
+        refused: false,
+        fallback: None,
+        ends: Vec::new(),
+    };
+    call.run(gone).await
+}
+
+impl Call {
+    async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
+        let repeatable = self.sending.repeatable;
+        let mut left = false;
+        let mut running = Running::new();
+        let ended = loop {
+            if running.is_empty() {
+                let found = tokio::select! {
+                    biased;
+                    () = left_by(&mut gone), if !left => {
+                        left = true;
+                        break None;
+                    }
+                    found = self.search(self.wait_end()) => found,
+                };
+                match found {
+                    Ok(usable) => self.start(&mut running, usable),
+                    Err(failed) => break Some(Err(failed)),
+                }
+            }
+            let hedge = self.hedge_at();
+            tokio::select! {
+                biased;
+                Some((usable, end)) = running.next() => {
+                    if let Some(ended) = self.on_end(&usable, end, running.is_empty()) {
+                        break Some(ended);
+                    }
+                }
+                () = left_by(&mut gone), if !left => {
+                    left = true;
+                    if repeatable {
+                        break None;
+                    }
+                }
+                () = sleep_until(self.sending.limit.into()) => break Some(Err(self.out_of_time())),
+                () = sleep_until(hedge.unwrap_or(self.sending.limit).into()), if hedge.is_some() && running.len() == 1 => {
+                    self.hedge(&mut running).await;
+                }
+            }
+        };
+        // Copies that are still under way lose: their connections are closed.
+        drop(running);
+        self.conclude(ended, left)
+    }
+
+    /// Takes in the end of an attempt. Returns how the call ends, if it does.
+    fn on_end(
+        &mut self,
+        usable: &Usable,
+        end: AttemptEnd,
+        last: bool,
+    ) -> Option<Result<Incoming, Failed>> {
+        self.ends
+            .push(format!("{}:{}", usable.links.id, end.as_str()).into());
+        match end {
+            AttemptEnd::Answered(response) => {
+                if response.head.status < 500 {
+                    return Some(Ok(response));
+                }
+                self.fallback = Some(response);
+                if !self.sending.repeatable {
+                    return self.fallback.take().map(Ok);
+                }
+            }
+            AttemptEnd::NotSent => self.arrivals = self.arrivals.saturating_sub(1),
+            AttemptEnd::NotRun => self.refused = true,
+            AttemptEnd::Unknown => {
+                self.unknown = true;
+                if !self.sending.repeatable {
+                    return Some(Err(Failed::soon(Refusal::Broken)));
+                }
+            }
+        }
+        match last && !self.may_try_again() {
+            true => Some(self.give_up()),
+            false => None,
+        }
+    }
+
+    /// Returns whether another attempt may follow, and takes it from the allowance.
+    fn may_try_again(&self) -> bool {
+        let now = Instant::now();
+        let time = now + self.sending.work / 2 < self.sending.limit;
+        let attempts = self.arrivals < self.route.attempts;
+        let free = self.arrivals == 0;
+        time && attempts && (free || self.gateway.may_repeat(now, &self.service))
+    }
+
+    fn give_up(&mut self) -> Result<Incoming, Failed> {
+        if let Some(response) = self.fallback.take() {
+            return Ok(response);
+        }
+        if self.unknown {
+            return Err(Failed::soon(Refusal::Broken));
+        }
+        Err(Failed {
+            refusal: Refusal::TargetsRefused,
+            retry: Some(self.sending.work / 4),
+        })
+    }
+
+    fn out_of_time(&self) -> Failed {
+        let refusal = match self.arrivals > 0 {
+            true => Refusal::TimedOut,
+            false => Refusal::TooLate,
+        };
+        Failed::soon(refusal)
+    }
+
+    /// Returns until when the request may wait for a target with room.
+    fn wait_end(&self) -> Instant {
+        let wait = self.route.latency / WAIT_DIVISOR;
+        (self.arrived + wait)
+            .max(Instant::now() + wait / 2)
+            .min(self.sending.limit)
+    }
+
+    async fn search(&self, patience: Instant) -> Result<Usable, Failed> {
+        let search = Search {
+            service: &self.service,
+            demand: Demand {
+                work: self.sending.work,
+                bytes: self.sending.body.len() + RESPONSE_BYTES,
+            },
+            patience,
+            limit: self.sending.limit,
+        };
+        match target_search::find(&self.gateway, search, &self.tried).await {
+            Found::Target(usable) => Ok(usable),
+            _ if self.unknown => Err(Failed::soon(Refusal::Broken)),
+            Found::NoTarget if self.refused => Err(Failed::soon(Refusal::TargetsRefused)),
+            Found::NoTarget => Err(Failed::soon(Refusal::NoTarget)),
+            Found::NoRoom(retry) => Err(Failed {
+                refusal: Refusal::NoRoom,
+                retry: Some(retry),
+            }),
+        }
+    }
+
+    fn start(&mut self, running: &mut Running, usable: Usable) {
+        self.arrivals += 1;
+        self.tried.push(Rc::clone(&usable.links));
+        let gateway = Rc::clone(&self.gateway);
+        let sending = Rc::clone(&self.sending);
+        let attempt = attempt::run(gateway, self.service.clone(), usable, sending);
+        running.push(Box::pin(attempt));
+    }
+
+    /// Returns when a second copy may be sent.
+    fn hedge_at(&self) -> Option<Instant> {
+        let allowed = self.sending.repeatable
+            && self.arrivals == 1
+            && self.route.attempts > 1
+            && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
+        let after = self.sending.work.mul_f64(HEDGE_FACTOR).max(HEDGE_LEAST);
+        let at = self.arrived + after;
+        let useful = at + self.sending.work < self.sending.limit;
+        (allowed && useful).then_some(at)
+    }
+
+    async fn hedge(&mut self, running: &mut Running) {
+        let now = Instant::now();
+        let found = self.search(now).await;
+        if let Ok(usable) = found
+            && self.gateway.may_repeat(now, &self.service)
+        {
+            self.ends.push("hedged".into());
+            self.start(running, usable);
+        } else {
+            // No further copy is tried.
+            self.arrivals = self.arrivals.max(2);
+        }
+    }
+
+    fn conclude(mut self, ended: Option<Result<Incoming, Failed>>, left: bool) -> Option<Reply> {
+        let time = self.arrived.elapsed();
+        let id = self.sending.id.clone().unwrap_or_default();
+        let ended = match ended {
+            Some(Err(failed)) if !left => match self.fallback.take() {
+                Some(response) => Some(Ok(response)),
+                None => Some(Err(failed)),
+            },
+            ended => ended,
+        };
+        match ended {
+            None => {
+                self.gateway
+                    .metrics
+                    .request(&self.route.name, "caller-left", time);
+                self.note(&id, 0, "caller-left", time);
+                None
+            }
+            Some(Ok(response)) => {
+                if response.head.status < 500 {
+                    self.gateway.observe_work(&self.route, self.ratio(time));
+                }
+                let outcome = match response.head.status {
+                    200..300 => "served",
+                    _ => "error-of-target",
+                };
+                self.gateway
+                    .metrics
+                    .request(&self.route.name, outcome, time);
+                self.note(&id, response.head.status, outcome, time);
+                (!left).then(|| Reply::of_target(response))
+            }
+            Some(Err(failed)) => {
+                let gateway = &self.gateway;
+                let reply = refuse(
+                    gateway,
+                    &self.route.name,
+                    Some(&id),
+                    self.arrived,
+                    &failed,
+                    &self.ends,
+                );
+                (!left).then_some(reply)
+            }
+        }
+    }
+
+    /// Returns the time relative to the work on an idle, quiet target. Only quick requests pull
+    /// the estimate: what slowed the others down is no part of the work.
+    fn ratio(&self, time: Duration) -> f64 {
+        (time.as_secs_f64() / self.sending.work.as_secs_f64()).min(1.2)
+    }
+
+    fn note(&self, id: &str, status: u16, outcome: &str, time: Duration) {
+        let failed = !(200..300).contains(&status);
+        if let Some(left_out) = self.gateway.take_line(Instant::now(), failed) {
+            let version = self.gateway.routes.borrow().config().version.0;
+            log::info!(
+                id, route = &*self.route.name, service = self.service.as_str(), version, status,
+                outcome, ms = time.as_millis() as u64, attempts = self.ends.join(" "),
+                work_ms = self.sending.work.as_millis() as u64, left_out;
+                "request"
+            );
+        }
+    }
+}
+
+impl Failed {
+    fn soon(refusal: Refusal) -> Self {
+        let retry = (refusal.status() == 503).then_some(RETRY_SOON);
+        Self { refusal, retry }
+    }
+}
+
+/// Logs, counts and builds a response of the gateway's own.
+fn refuse(
+    gateway: &Gateway,
+    route: &str,
+    id: Option<&str>,
+    arrived: Instant,
+    failed: &Failed,
+    ends: &[Box<str>],
+) -> Reply {
+    let outcome = failed.refusal.as_str();
+    let time = arrived.elapsed();
+    gateway.metrics.request(route, outcome, time);
+    if let Some(left_out) = gateway.take_line(Instant::now(), true) {
+        let version = gateway.routes.borrow().config().version.0;
+        log::info!(
+            id = id.unwrap_or_default(), route, version, status = failed.refusal.status(), outcome,
+            ms = time.as_millis() as u64, attempts = ends.join(" "), left_out;
+            "request"
+        );
+    }
+    Reply::refuse(failed.refusal, id, failed.retry)
+}
+
+/// Waits until the caller has left.
+async fn left_by(gone: &mut watch::Receiver<bool>) {
+    // The sender is dropped with the connection.
+    let _ = gone.wait_for(|gone| *gone).await;
+}
--- /dev/null
+++ b/gateway/src/caller_connection.rs
@@ -0,0 +1,362 @@
+//! One connection of a caller.
+//!
+//! Requests that may be repeated are served at the same time when they arrive together; responses
+//! go out in the order of the requests. A request that must not run twice starts only when all
+//! responses before it are out, because a caller sends again what stood behind a response that
+//! closes the connection.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_http::body::BodyReader;
+use carobshore_http::head::RequestHead;
+use carobshore_http::message_error::MessageError;
+use carobshore_http::socket;
+use carobshore_http::socket::Vigilance;
+use carobshore_lib::call_limits::CallLimits;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::call;
+use crate::call::Arrived;
+use crate::gateway::Gateway;
+use crate::in_flight::InFlightGuard;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+
+/// Requests of one connection that are served at the same time.
+const PIPELINED: usize = 32;
+/// How much is read at a time, in bytes.
+const READ_SIZE: usize = 16 << 10;
+/// The most bytes that are read ahead while earlier requests are served.
+const READ_AHEAD: usize = 256 << 10;
+/// Pause after a failed accept, which mostly means that no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a connection is read on after the last response, so that the caller gets it even if
+/// it is still sending.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// A response that will be ready at some time, in the order of the requests.
+struct Pending {
+    /// Nothing comes if the call has ended without a response.
+    reply: oneshot::Receiver<Reply>,
+    /// Whether the caller wants the connection to be closed after the response.
+    last: bool,
+    in_flight: InFlightGuard,
+}
+
+/// What reader and writer of a connection tell each other.
+struct Shared {
+    gateway: Rc<Gateway>,
+    /// Set when the caller has left.
+    gone: watch::Sender<bool>,
+    /// Requests that are not answered.
+    open: Cell<usize>,
+    /// Rings when a response is out, and when the connection ends.
+    answered: Notify,
+    /// Whether no further request is served.
+    ending: Cell<bool>,
+}
+
+/// Accepts connections of callers for as long as the process lives.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                ntex::rt::spawn(serve(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                log::warn!(reason:% = error; "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    if let Err(error) = socket::set(&stream, Vigilance::CLOSE) {
+        log::debug!(reason:% = error; "a caller left at once");
+        return;
+    }
+    let (read, write) = stream.into_split();
+    let (pending, replies) = mpsc::channel(PIPELINED);
+    let (gone, _) = watch::channel(false);
+    let shared = Rc::new(Shared {
+        gateway,
+        gone,
+        open: Cell::new(0),
+        answered: Notify::new(),
+        ending: Cell::new(false),
+    });
+    ntex::rt::spawn(write_replies(Rc::clone(&shared), write, replies));
+    let mut reader = Reader {
+        shared: Rc::clone(&shared),
+        read,
+        buffer: BytesMut::new(),
+        pending,
+    };
+    reader.run().await;
+}
+
+/// Writes the responses in the order of the requests.
+async fn write_replies(
+    shared: Rc<Shared>,
+    mut write: OwnedWriteHalf,
+    mut replies: mpsc::Receiver<Pending>,
+) {
+    while let Some(pending) = replies.recv().await {
+        // A call without a response has lost its caller.
+        let Ok(mut reply) = pending.reply.await else {
+            break;
+        };
+        let stopping = shared.gateway.exit.borrow().is_stopping();
+        reply.close |= pending.last || stopping;
+        let sent = write.write_all(&reply.to_bytes()).await;
+        drop(pending.in_flight);
+        shared.open.set(shared.open.get() - 1);
+        shared.answered.notify_one();
+        if sent.is_err() || reply.close {
+            break;
+        }
+    }
+    shared.ending.set(true);
+    let _ = write.shutdown().await;
+    shared.answered.notify_one();
+}
+
+/// Reads the requests of a connection.
+struct Reader {
+    shared: Rc<Shared>,
+    read: OwnedReadHalf,
+    buffer: BytesMut,
+    pending: mpsc::Sender<Pending>,
+}
+
+/// What a reader does after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Request,
+    Linger,
+    End,
+}
+
+impl Reader {
+    async fn run(&mut self) {
+        let mut next = Next::Request;
+        while next == Next::Request {
+            next = self.request().await;
+        }
+        if next == Next::Linger {
+            self.linger().await;
+        }
+        self.shared.gone.send_replace(true);
+    }
+
+    /// Reads one request and starts to serve it.
+    async fn request(&mut self) -> Next {
+        let limits = self.shared.gateway.routes.borrow().config().limits;
+        if self.buffer.is_empty() && !self.first_bytes(limits.idle_time).await {
+            return self.after_idle();
+        }
+        let at = Instant::now();
+        let in_flight = self.shared.gateway.in_flight.enter();
+        let head = match timeout(limits.header_time, self.head(&limits)).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(error)) => return self.fail(&error, in_flight).await,
+            Err(_) => return self.refuse(Refusal::TooSlow, in_flight).await,
+        };
+        let expects = head.fields.has_token("expect", "100-continue");
+        if expects && self.shared.open.get() == 0 && self.buffer.is_empty() {
+            // Interim responses are not needed: the caller sends the body after a short wait.
+            log::debug!("a caller waits for an interim response");
+        }
+        let reserved = match head.fields.text("content-length").map(str::parse::<u64>) {
+            Some(Ok(length)) => length,
+            _ => 0,
+        };
+        if !self.shared.gateway.reserve_body(reserved) {
+            return self.refuse(Refusal::NoMemory, in_flight).await;
+        }
+        let body = self.body(&head, &limits).await;
+        match body {
+            Ok(body) => {
+                self.start(Arrived { head, body, at }, in_flight, reserved)
+                    .await
+            }
+            Err(error) => {
+                self.shared.gateway.release_body(reserved);
+                self.fail(&error, in_flight).await
+            }
+        }
+    }
+
+    /// Waits for the first bytes of a request. While earlier ones are served there is no limit.
+    async fn first_bytes(&mut self, idle: Duration) -> bool {
+        loop {
+            let busy = self.shared.open.get() > 0;
+            let shared = Rc::clone(&self.shared);
+            tokio::select! {
+                result = read_some(&mut self.read, &mut self.buffer) => return result.is_ok(),
+                () = shared.answered.notified() => if shared.ending.get() {
+                    return false;
+                },
+                () = tokio::time::sleep(idle), if !busy => return false,
+            }
+        }
+    }
+
+    /// Returns what follows when no further request came.
+    fn after_idle(&self) -> Next {
+        match self.shared.ending.get() {
+            true => Next::Linger,
+            false => Next::End,
+        }
+    }
+
+    async fn head(&mut self, limits: &CallLimits) -> Result<RequestHead, MessageError> {
+        loop {
+            let most = limits.header.as_usize();
+            if let Some(head) = RequestHead::take(&mut self.buffer, most)? {
+                return Ok(head);
+            }
+            read_some(&mut self.read, &mut self.buffer).await?;
+        }
+    }
+
+    async fn body(
+        &mut self,
+        head: &RequestHead,
+        limits: &CallLimits,
+    ) -> Result<Vec<u8>, MessageError> {
+        let mut body = BodyReader::new(head.framing()?, limits.body.as_usize())?;
+        while !body.advance(&mut self.buffer)? {
+            let read = read_some(&mut self.read, &mut self.buffer);
+            let pause = timeout(limits.idle_time, read).await;
+            pause.map_err(|_| MessageError::Closed)??;
+        }
+        Ok(body.into_body())
+    }
+
+    /// Starts to serve a request that has arrived whole.
+    async fn start(&mut self, arrived: Arrived, in_flight: InFlightGuard, reserved: u64) -> Next {
+        let last = !arrived.head.keep_alive;
+        let gateway = Rc::clone(&self.shared.gateway);
+        let route = call::route(&gateway, &arrived.head);
+        let repeatable = route.is_ok_and(|route| route.kind.is_repeatable());
+        if !repeatable && !self.answered().await {
+            gateway.release_body(reserved);
+            return self.after_idle();
+        }
+        let (sender, reply) = oneshot::channel();
+        let gone = self.shared.gone.subscribe();
+        let pending = Pending {
+            reply,
+            last,
+            in_flight,
+        };
+        self.shared.open.set(self.shared.open.get() + 1);
+        if self.pending.send(pending).await.is_err() {
+            return Next::Linger;
+        }
+        ntex::rt::spawn(async move {
+            let reply = call::serve(Rc::clone(&gateway), arrived, gone).await;
+            gateway.release_body(reserved);
+            if let Some(reply) = reply {
+                // The connection may have ended meanwhile.
+                let _ = sender.send(reply);
+            }
+        });
+        match last {
+            true => Next::Linger,
+            false => Next::Request,
+        }
+    }
+
+    /// Waits until all requests so far are answered. Returns whether another one may follow.
+    async fn answered(&mut self) -> bool {
+        while self.shared.open.get() > 0 && !self.shared.ending.get() {
+            let shared = Rc::clone(&self.shared);
+            if self.buffer.len() >= READ_AHEAD {
+                shared.answered.notified().await;
+                continue;
+            }
+            tokio::select! {
+                () = shared.answered.notified() => {}
+                result = read_some(&mut self.read, &mut self.buffer) => if result.is_err() {
+                    return false;
+                },
+            }
+        }
+        !self.shared.ending.get()
+    }
+
+    async fn fail(&mut self, error: &MessageError, in_flight: InFlightGuard) -> Next {
+        let refusal = match error {
+            MessageError::Malformed(_) => Refusal::BadRequest,
+            MessageError::HeadTooLarge => Refusal::HeadTooLarge,
+            MessageError::BodyTooLarge => Refusal::BodyTooLarge,
+            MessageError::Closed | MessageError::NoMessage | MessageError::Broken(_) => {
+                return Next::End;
+            }
+        };
+        self.refuse(refusal, in_flight).await
+    }
+
+    /// Answers a request that was not read whole, and ends the connection.
+    async fn refuse(&mut self, refusal: Refusal, in_flight: InFlightGuard) -> Next {
+        let now = Instant::now();
+        if let Some(left_out) = self.shared.gateway.take_line(now, true) {
+            log::info!(outcome = refusal.as_str(), status = refusal.status(), left_out; "request not read");
+        }
+        let (sender, reply) = oneshot::channel();
+        let _ = sender.send(Reply::refuse(refusal, None, None));
+        let pending = Pending {
+            reply,
+            last: true,
+            in_flight,
+        };
+        self.shared.open.set(self.shared.open.get() + 1);
+        let _ = self.pending.send(pending).await;
+        Next::Linger
+    }
+
+    /// Reads and drops what still comes, until the caller closes, or for a while after the last
+    /// response: closing at once would reset the connection and could lose the response.
+    async fn linger(&mut self) {
+        loop {
+            self.buffer.clear();
+            let ending = self.shared.ending.get();
+            let shared = Rc::clone(&self.shared);
+            tokio::select! {
+                result = read_some(&mut self.read, &mut self.buffer) => if result.is_err() {
+                    return;
+                },
+                () = shared.answered.notified() => {}
+                () = tokio::time::sleep(LINGER), if ending => return,
+            }
+        }
+    }
+}
+
+/// Reads what is there. The end of the connection is an error.
+async fn read_some(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<(), MessageError> {
+    buffer.reserve(READ_SIZE);
+    match read.read_buf(buffer).await {
+        Ok(0) => Err(MessageError::Closed),
+        Ok(_) => Ok(()),
+        Err(error) => Err(io::Error::into(error)),
+    }
+}
--- /dev/null
+++ b/gateway/src/daemon.rs
@@ -0,0 +1,167 @@
+//! The daemon: its listeners, its watches, and its planned stop.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use carobshore_platform::boot_settings::BootSettings;
+use carobshore_platform::store_client::Topic;
+use eyre::WrapErr;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::admin_server;
+use crate::caller_connection;
+use crate::gateway::Gateway;
+use crate::store_watch;
+
+/// How often time-driven work is done.
+const TICK: Duration = Duration::from_millis(100);
+/// How often idle connections are looked at and the settings file is compared, in ticks.
+const SWEEP_TICKS: u32 = 10;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Time for the last responses to leave the send buffers before the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// The daemon's settings.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// What the platform says of this VM.
+    pub boot: BootSettings,
+    /// The file in which it says so, to notice changes.
+    pub path: PathBuf,
+    /// Log lines of good requests per second.
+    pub log_rate: u32,
+}
+
+/// Serves until a planned stop has ended. It blocks the calling thread.
+pub fn run(settings: DaemonSettings) -> eyre::Result<()> {
+    System::build()
+        .name("data")
+        .disable_signals()
+        .build(DefaultRuntime)
+        .block_on(async move { Daemon::start(settings)?.run().await })
+}
+
+struct Daemon {
+    gateway: Rc<Gateway>,
+    path: PathBuf,
+    modified: Option<SystemTime>,
+}
+
+impl Daemon {
+    fn start(settings: DaemonSettings) -> eyre::Result<Self> {
+        let boot = settings.boot;
+        log::info!(
+            vm = &*boot.vm_name, domain = boot.domain.as_str(), callers:% = boot.callers,
+            store:% = boot.store; "the gateway starts"
+        );
+        let callers = listen(boot.callers).wrap_err("cannot listen for callers")?;
+        let readiness = listen(boot.readiness).wrap_err("cannot listen for readiness")?;
+        let admin = listen(boot.admin()).wrap_err("cannot listen for metrics")?;
+        let gateway = Gateway::new(boot, settings.log_rate, rand::random())?;
+        spawn(
+            "callers",
+            caller_connection::accept(Rc::clone(&gateway), callers),
+        );
+        spawn(
+            "readiness",
+            admin_server::accept(Rc::clone(&gateway), readiness),
+        );
+        spawn("admin", admin_server::accept(Rc::clone(&gateway), admin));
+        for topic in [Topic::Operators, Topic::Targets] {
+            spawn("store", store_watch::follow(Rc::clone(&gateway), topic));
+        }
+        let modified = modified(&settings.path);
+        Ok(Self {
+            gateway,
+            path: settings.path,
+            modified,
+        })
+    }
+
+    async fn run(mut self) -> eyre::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let mut tick = tokio::time::interval(TICK);
+        let mut ticks = 0_u32;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => self.stop(),
+                _ = interrupt.recv() => self.stop(),
+                _ = hangup.recv() => self.reload("signal"),
+                _ = tick.tick() => {
+                    ticks = ticks.wrapping_add(1);
+                    if self.on_tick(ticks) {
+                        break;
+                    }
+                }
+            }
+        }
+        log::info!("the gateway ends");
+        tokio::time::sleep(FLUSH_TIME).await;
+        Ok(())
+    }
+
+    /// Does time-driven work. Returns whether the process may end.
+    fn on_tick(&mut self, ticks: u32) -> bool {
+        let now = Instant::now();
+        store_watch::expire(&self.gateway, now);
+        if ticks.is_multiple_of(SWEEP_TICKS) {
+            self.gateway.sweep(now);
+            if modified(&self.path) != self.modified {
+                self.reload("change");
+            }
+        }
+        let in_flight = self.gateway.in_flight.count();
+        self.gateway.exit.borrow().may_exit(now, in_flight)
+    }
+
+    fn stop(&self) {
+        let in_flight = self.gateway.in_flight.count();
+        log::info!(in_flight; "planned stop");
+        self.gateway.exit.borrow_mut().signal(Instant::now());
+    }
+
+    /// Reads the settings file again. What is bound to a listener stays until the next start.
+    fn reload(&mut self, cause: &str) {
+        self.modified = modified(&self.path);
+        match BootSettings::read(&self.path) {
+            Ok(boot) => {
+                log::info!(cause, store:% = boot.store; "settings read again");
+                *self.gateway.boot.borrow_mut() = boot;
+            }
+            Err(error) => log::warn!(cause, reason:% = error; "the settings stay as they were"),
+        }
+    }
+}
+
+fn listen(addr: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+fn modified(path: &std::path::Path) -> Option<SystemTime> {
+    std::fs::metadata(path).ok()?.modified().ok()
+}
+
+/// Runs a component until the process ends. A component that ends takes the process with it, so
+/// that the platform starts it again.
+fn spawn(name: &'static str, component: impl Future<Output = eyre::Result<()>> + 'static) {
+    ntex::rt::spawn(async move {
+        if let Err(error) = component.await {
+            log::error!(component = name, reason:% = error; "a component failed");
+            std::process::exit(1);
+        }
+    });
+}
--- /dev/null
+++ b/gateway/src/gateway.rs
@@ -0,0 +1,278 @@
+//! The state that all requests of a process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::announced_target::AnnouncedTarget;
+use carobshore_lib::graceful_exit::GracefulExit;
+use carobshore_lib::line_budget::LineBudget;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::TargetState;
+use carobshore_lib::repeat_allowance::RepeatAllowance;
+use carobshore_lib::repeat_allowance::RepeatLimits;
+use carobshore_lib::route::Route;
+use carobshore_lib::route_table::RouteTable;
+use carobshore_lib::target_choice::TargetChoice;
+use carobshore_lib::target_directory::TargetDirectory;
+use carobshore_lib::work_estimate::WorkEstimate;
+use carobshore_platform::boot_settings::BootSettings;
+
+use crate::in_flight::InFlight;
+use crate::metrics::Metrics;
+use crate::target_links::TargetLinks;
+
+/// Repeats that one VM may make in a window whatever the number of its requests. The extra budget
+/// of all VMs together is 58 or more, on sites of up to 16 VMs, and grows with the VMs.
+const REPEAT_FLOOR: u32 = 1;
+/// Lines of failed requests for each line of good ones.
+const FAILED_LINES: u32 = 4;
+/// Part of the process's memory that bodies of requests may take.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
+/// The state that all requests of a process share.
+#[derive(Debug)]
+pub struct Gateway {
+    /// What the platform says of this VM.
+    pub boot: RefCell<BootSettings>,
+    /// The routes in force.
+    pub routes: RefCell<RouteTable>,
+    /// The targets that have announced themselves.
+    pub directory: RefCell<TargetDirectory>,
+    /// Whether the targets have been read once.
+    pub targets_known: Cell<bool>,
+    /// Chooses targets.
+    pub choice: RefCell<TargetChoice>,
+    /// The planned stop.
+    pub exit: RefCell<GracefulExit>,
+    /// The requests in flight.
+    pub in_flight: InFlight,
+    /// The counters.
+    pub metrics: Metrics,
+    links: RefCell<HashMap<TargetId, Rc<TargetLinks>>>,
+    allowances: RefCell<HashMap<ServiceId, RepeatAllowance>>,
+    work: RefCell<HashMap<Box<str>, WorkEstimate>>,
+    /// Services whose health checks tell no load, so that asking is of no use.
+    silent: RefCell<HashMap<ServiceId, bool>>,
+    good_lines: RefCell<LineBudget>,
+    failed_lines: RefCell<LineBudget>,
+    attempts: Cell<u64>,
+    body_bytes: Cell<u64>,
+}
+
+/// A target that may get a request, with its connections.
+#[derive(Clone, Debug)]
+pub struct Usable {
+    /// The connections.
+    pub links: Rc<TargetLinks>,
+    /// How many requests the target works on at the same time.
+    pub slots: u32,
+    /// Whether the target is in the VM's own failure domain.
+    pub local: bool,
+}
+
+impl Gateway {
+    /// Builds the state of a process that knows nothing yet.
+    pub fn new(boot: BootSettings, log_rate: u32, seed: u64) -> eyre::Result<Rc<Self>> {
+        let now = Instant::now();
+        Ok(Rc::new(Self {
+            routes: RefCell::new(RouteTable::new(seed)),
+            directory: RefCell::default(),
+            targets_known: Cell::new(false),
+            choice: RefCell::new(TargetChoice::new(seed)),
+            exit: RefCell::new(GracefulExit::new(boot.grace)),
+            in_flight: InFlight::default(),
+            metrics: Metrics::new()?,
+            links: RefCell::default(),
+            allowances: RefCell::default(),
+            work: RefCell::default(),
+            silent: RefCell::default(),
+            good_lines: RefCell::new(LineBudget::new(now, log_rate)),
+            failed_lines: RefCell::new(LineBudget::new(now, log_rate * FAILED_LINES)),
+            attempts: Cell::new(0),
+            body_bytes: Cell::new(0),
+            boot: RefCell::new(boot),
+        }))
+    }
+
+    /// Returns whether new connections should come to this VM.
+    pub fn is_ready(&self) -> bool {
+        let loaded = self.routes.borrow().is_loaded() && self.targets_known.get();
+        loaded && !self.exit.borrow().is_stopping()
+    }
+
+    /// Returns the targets of a service that may get new work.
+    pub fn usable(&self, service: &ServiceId) -> Vec<Usable> {
+        let directory = self.directory.borrow();
+        let boot = self.boot.borrow();
+        let serving = |target: &&AnnouncedTarget| {
+            target.service == *service && target.state == TargetState::Serving
+        };
+        let targets = directory.iter().filter(serving);
+        targets
+            .map(|target| Usable {
+                links: self.links(target),
+                slots: target.slots.get(),
+                local: target.domain == boot.domain,
+            })
+            .filter(|usable| !usable.links.displaced.get())
+            .collect()
+    }
+
+    /// Forgets the connections of a target whose lifetime has ended.
+    pub fn forget(&self, target: &TargetId) {
+        if let Some(links) = self.links.borrow_mut().remove(target) {
+            links.close();
+        }
+    }
+
+    /// Closes connections to targets that have been idle for too long.
+    pub fn sweep(&self, now: Instant) {
+        let links = self.links.borrow();
+        links.values().for_each(|links| links.sweep(now));
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, now: Instant, service: &ServiceId) {
+        self.with_allowance(service, |allowance| allowance.request(now));
+    }
+
+    /// Takes a repeat of a request for a service from this VM's allowance.
+    pub fn may_repeat(&self, now: Instant, service: &ServiceId) -> bool {
+        self.with_allowance(service, |allowance| allowance.repeat(now))
+    }
+
+    /// Returns how many repeats for a service are possible at once.
+    pub fn repeats_left(&self, now: Instant, service: &ServiceId) -> usize {
+        self.with_allowance(service, |allowance| allowance.available(now))
+    }
+
+    /// Returns how long a request of the route takes on an idle, quiet target.
+    pub fn work(&self, route: &Route) -> Duration {
+        let work = self.work.borrow();
+        let known = work.get(&route.name).copied();
+        known
+            .unwrap_or_else(|| WorkEstimate::new(route.latency))
+            .get()
+    }
+
+    /// Takes in that a request of the route took `ratio` times what was expected.
+    pub fn observe_work(&self, route: &Route, ratio: f64) {
+        let mut work = self.work.borrow_mut();
+        let estimate = work.entry(route.name.clone());
+        let estimate = estimate.or_insert_with(|| WorkEstimate::new(route.latency));
+        estimate.observe(ratio);
+    }
+
+    /// Notes whether the health checks of a service tell the load.
+    pub fn set_tells_load(&self, service: &ServiceId, tells: bool) {
+        self.silent.borrow_mut().insert(service.clone(), !tells);
+    }
+
+    /// Returns whether the health checks of a service may tell the load.
+    pub fn tells_load(&self, service: &ServiceId) -> bool {
+        !self.silent.borrow().get(service).copied().unwrap_or(false)
+    }
+
+    /// Returns a new name for an attempt.
+    pub fn next_attempt(&self) -> u64 {
+        self.attempts.set(self.attempts.get() + 1);
+        self.attempts.get()
+    }
+
+    /// Takes a line about a request from the budget of the log. Returns how many lines were left
+    /// out since the last one, or nothing if this one is left out.
+    pub fn take_line(&self, now: Instant, failed: bool) -> Option<u64> {
+        let budget = match failed {
+            true => &self.failed_lines,
+            false => &self.good_lines,
+        };
+        budget.borrow_mut().take(now)
+    }
+
+    /// Reserves memory for the body of a request. Returns false if too much is in use.
+    pub fn reserve_body(&self, bytes: u64) -> bool {
+        let most = self.boot.borrow().memory / BODY_MEMORY_DIVISOR;
+        let used = self.body_bytes.get() + bytes;
+        let fits = used <= most;
+        if fits {
+            self.body_bytes.set(used);
+        }
+        fits
+    }
+
+    /// Gives back memory of a request's body.
+    pub fn release_body(&self, bytes: u64) {
+        self.body_bytes
+            .set(self.body_bytes.get().saturating_sub(bytes));
+    }
+
+    /// Returns the state for the dump.
+    pub fn dump(&self, now: Instant) -> serde_json::Value {
+        let routes = self.routes.borrow();
+        let directory = self.directory.borrow();
+        let targets: Vec<_> = directory
+            .iter()
+            .map(|target| {
+                let links = self.links(target);
+                let outlook = links.outlook.borrow();
+                serde_json::json!({
+                    "id": target.id,
+                    "service": target.service,
+                    "addr": target.addr.to_string(),
+                    "state": target.state,
+                    "displaced": links.displaced.get(),
+                    "own_in_flight": outlook.own(),
+                    "held": outlook.held(now),
+                    "failure_share": outlook.failure_share(now),
+                    "report": outlook.last_report().map(|(at, report)| serde_json::json!({
+                        "age_ms": now.saturating_duration_since(at).as_millis() as u64,
+                        "load": report,
+                    })),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "vm": self.boot.borrow().vm_name,
+            "version": routes.config().version,
+            "routes": routes.config().routes.len(),
+            "ready": self.is_ready(),
+            "stopping": self.exit.borrow().is_stopping(),
+            "in_flight": self.in_flight.count(),
+            "body_bytes": self.body_bytes.get(),
+            "targets": targets,
+        })
+    }
+
+    fn links(&self, target: &AnnouncedTarget) -> Rc<TargetLinks> {
+        let mut links = self.links.borrow_mut();
+        let found = links.entry(target.id.clone()).or_insert_with(|| {
+            let links = TargetLinks::new(target.id.clone(), target.addr, target.domain.clone());
+            Rc::new(links)
+        });
+        found.outlook.borrow_mut().warms_until(target.cold_until);
+        Rc::clone(found)
+    }
+
+    fn with_allowance<R>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut RepeatAllowance) -> R,
+    ) -> R {
+        let limits = || {
+            let boot = self.boot.borrow();
+            RepeatLimits {
+                ratio: boot.repeat_ratio,
+                window: boot.repeat_window,
+                floor: REPEAT_FLOOR.min(boot.repeat_extra),
+            }
+        };
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(service.clone());
+        act(allowance.or_insert_with(|| RepeatAllowance::new(limits())))
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The daemon that serves routes in front of targets that announce themselves.
+//!
+//! Each VM works alone: it reads the configuration and the targets from the platform's store, asks
+//! a few targets for their load just before it sends them a request, and exchanges nothing with
+//! other VMs.
+
+pub mod admin_server;
+pub mod attempt;
+pub mod call;
+pub mod caller_connection;
+pub mod daemon;
+pub mod decision_log;
+pub mod flags;
+pub mod gateway;
+pub mod in_flight;
+pub mod metrics;
+pub mod reply;
+pub mod store_watch;
+pub mod target_links;
+pub mod target_search;
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,52 @@
+//! The daemon `carobshore-gateway`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use carobshore_gateway::daemon;
+use carobshore_gateway::daemon::DaemonSettings;
+use carobshore_gateway::decision_log;
+use carobshore_gateway::flags::Flags;
+use carobshore_lib::prelude::Error;
+use carobshore_lib::prelude::ResultCode;
+use carobshore_platform::boot_settings::BootSettings;
+use carobshore_platform::boot_settings::PATH_VARIABLE;
+use clap::Parser;
+
+/// Exit status when the settings are wrong.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = Flags::parse();
+    let settings = match read_settings(&flags) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    let served = decision_log::start(flags.log_level).and_then(|_log| daemon::run(settings));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(flags: &Flags) -> Result<DaemonSettings, Error> {
+    let named = || std::env::var_os(PATH_VARIABLE).map(PathBuf::from);
+    let path = flags.settings.clone().or_else(named).ok_or_else(|| {
+        Error::new(
+            ResultCode::BadSetting,
+            "no settings file is named",
+            format!("use --settings or set `{PATH_VARIABLE}`"),
+        )
+    })?;
+    Ok(DaemonSettings {
+        boot: BootSettings::read(&path)?,
+        path,
+        log_rate: flags.log_rate,
+    })
+}
--- /dev/null
+++ b/gateway/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters and latency histograms, exported as Prometheus text.
+
+use std::time::Duration;
+
+use carobshore_lib::prelude::ServiceId;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the buckets of times, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.001, 0.005, 0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// The instruments of one VM.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Instruments stop recording when their provider is dropped.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    checks: Counter<u64>,
+    connections: Counter<u64>,
+    store_calls: Counter<u64>,
+    request_time: Histogram<f64>,
+    target_time: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    version: Gauge<u64>,
+    targets: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Builds the instruments.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("carobshore-gateway");
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        let times = |name, text| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(text)
+                .with_boundaries(BUCKETS.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: counter(
+                "carobshore.requests",
+                "Requests by route and how they ended",
+            ),
+            attempts: counter("carobshore.attempts", "Attempts at targets by their end"),
+            checks: counter("carobshore.health_checks", "Health checks by their end"),
+            connections: counter("carobshore.connections_opened", "Connections to targets"),
+            store_calls: counter("carobshore.store_calls", "Calls to the store by their end"),
+            request_time: times("carobshore.request", "Time from a request to its response"),
+            target_time: times("carobshore.attempt", "Time of an attempt at a target"),
+            in_flight: gauge("carobshore.in_flight", "Requests in flight"),
+            version: gauge("carobshore.config_version", "Version of the configuration"),
+            targets: gauge("carobshore.targets", "Targets that are announced"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts the end of a request. `route` is empty if none covered it.
+    pub fn request(&self, route: &str, outcome: &'static str, time: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        let labels = [route, KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.request_time.record(time.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt(&self, service: &ServiceId, end: &'static str, time: Duration) {
+        let service = KeyValue::new("service", service.to_string());
+        let labels = [service, KeyValue::new("end", end)];
+        self.attempts.add(1, &labels);
+        self.target_time.record(time.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts a health check.
+    pub fn check(&self, end: &'static str) {
+        self.checks.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a connection that was opened to a target.
+    pub fn connected(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, end: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Returns all metrics as Prometheus text.
+    pub fn text(&self, in_flight: usize, version: u64, targets: usize) -> eyre::Result<String> {
+        self.in_flight.record(in_flight as u64, &[]);
+        self.version.record(version, &[]);
+        self.targets.record(targets as u64, &[]);
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/gateway/src/target_search.rs
@@ -0,0 +1,226 @@
+//! Finds the target of a request by asking targets for their load.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_http::client::Outgoing;
+use carobshore_lib::load_report::LoadReport;
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::target_choice;
+use carobshore_lib::target_choice::ASKED_AT_ONCE;
+use carobshore_lib::target_choice::Candidate;
+use carobshore_lib::target_choice::Demand;
+use carobshore_platform::call_fields;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use crate::gateway::Gateway;
+use crate::gateway::Usable;
+use crate::target_links::TargetLinks;
+
+/// Time for the answers of one round of health checks. A target that takes longer is passed by.
+const ROUND_TIME: Duration = Duration::from_millis(30);
+/// Time for one health check, after which the connection is closed.
+const CHECK_TIME: Duration = Duration::from_millis(400);
+/// A report that is younger is not asked for again.
+const STILL_TRUE: Duration = Duration::from_millis(4);
+/// Pause between two searches while no target has room.
+const SEARCH_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a search is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Search<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// What the request brings along.
+    pub demand: Demand,
+    /// Until when it may wait for a target with room.
+    pub patience: Instant,
+    /// When the response has to be there.
+    pub limit: Instant,
+}
+
+/// What a search found.
+#[derive(Clone, Debug)]
+pub enum Found {
+    /// A target.
+    Target(Usable),
+    /// No target is known that has not had the request.
+    NoTarget,
+    /// No target has room in time; when one may have.
+    NoRoom(Duration),
+}
+
+/// Looks for the best target, but for those in `except`.
+pub async fn find(gateway: &Rc<Gateway>, search: Search<'_>, except: &[Rc<TargetLinks>]) -> Found {
+    loop {
+        let usable: Vec<Usable> = gateway
+            .usable(search.service)
+            .into_iter()
+            .filter(|usable| !except.iter().any(|other| Rc::ptr_eq(other, &usable.links)))
+            .collect();
+        if usable.is_empty() {
+            return Found::NoTarget;
+        }
+        if let Some(ideal) = ask_around(gateway, &search, &usable).await {
+            return Found::Target(ideal);
+        }
+        let now = Instant::now();
+        let Some(best) = best(gateway, now, search.demand, &usable) else {
+            return Found::NoTarget;
+        };
+        let outlook = best.links.outlook.borrow().clone();
+        let room = outlook.held(now) < f64::from(best.slots);
+        let expected = outlook.expected(now, search.demand.work, best.slots);
+        if room {
+            return Found::Target(best);
+        }
+        if now + SEARCH_PAUSE >= search.patience {
+            // Targets queue a little; some never answer what they cannot queue.
+            let queues = outlook.held(now) < f64::from(best.slots * 2);
+            return match queues && now + expected < search.limit {
+                true => Found::Target(best),
+                false => Found::NoRoom(search.demand.work / 2),
+            };
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
+    }
+}
+
+/// Asks targets in rounds, the most promising first, and returns the first ideal one.
+async fn ask_around(
+    gateway: &Rc<Gateway>,
+    search: &Search<'_>,
+    usable: &[Usable],
+) -> Option<Usable> {
+    if !gateway.tells_load(search.service) {
+        return None;
+    }
+    let order = {
+        let outlooks: Vec<_> = usable.iter().map(|u| u.links.outlook.borrow()).collect();
+        let candidates = candidates(usable, &outlooks);
+        let mut choice = gateway.choice.borrow_mut();
+        choice.order(Instant::now(), search.demand, &candidates)
+    };
+    for round in order.chunks(ASKED_AT_ONCE) {
+        let (answers, mut answered) = mpsc::unbounded_channel();
+        for at in round {
+            let links = &usable[*at].links;
+            match is_current(links) {
+                true => drop(answers.send(*at)),
+                false => check(gateway, search.service, links, *at, answers.clone()),
+            }
+        }
+        drop(answers);
+        let end = (Instant::now() + ROUND_TIME).min(search.limit);
+        while let Ok(Some(at)) = timeout_at(end.into(), answered.recv()).await {
+            let outlook = usable[at].links.outlook.borrow();
+            if target_choice::is_ideal(Instant::now(), &outlook) {
+                return Some(usable[at].clone());
+            }
+        }
+        if Instant::now() >= search.patience {
+            break;
+        }
+    }
+    None
+}
+
+fn best(gateway: &Gateway, now: Instant, demand: Demand, usable: &[Usable]) -> Option<Usable> {
+    let outlooks: Vec<_> = usable.iter().map(|u| u.links.outlook.borrow()).collect();
+    let candidates = candidates(usable, &outlooks);
+    let best = gateway.choice.borrow_mut().best(now, demand, &candidates)?;
+    Some(usable[best].clone())
+}
+
+fn candidates<'a>(
+    usable: &[Usable],
+    outlooks: &'a [std::cell::Ref<'_, carobshore_lib::target_outlook::TargetOutlook>],
+) -> Vec<Candidate<'a>> {
+    let pairs = usable.iter().zip(outlooks);
+    pairs
+        .map(|(usable, outlook)| Candidate {
+            outlook,
+            slots: usable.slots,
+            local: usable.local,
+            connected: usable.links.is_connected(),
+        })
+        .collect()
+}
+
+fn is_current(links: &TargetLinks) -> bool {
+    let report = links.outlook.borrow().last_report();
+    report.is_some_and(|(at, _)| at.elapsed() < STILL_TRUE)
+}
+
+/// Starts a health check. It goes on when the search has ended, because closing its connection
+/// would cost more than its answer.
+fn check(
+    gateway: &Rc<Gateway>,
+    service: &ServiceId,
+    links: &Rc<TargetLinks>,
+    at: usize,
+    answers: mpsc::UnboundedSender<usize>,
+) {
+    let path = {
+        let routes = gateway.routes.borrow();
+        let found = routes.config().services.get(service);
+        found.map_or_else(|| Box::from("/health"), |service| service.health.clone())
+    };
+    let gateway = Rc::clone(gateway);
+    let service = service.clone();
+    let links = Rc::clone(links);
+    ntex::rt::spawn(async move {
+        let checked = timeout(CHECK_TIME, ask(&gateway, &links, &path)).await;
+        let now = Instant::now();
+        match checked {
+            Ok(Some(Some(report))) => {
+                gateway.metrics.check("answered");
+                gateway.set_tells_load(&service, true);
+                links.outlook.borrow_mut().report(now, report);
+                let _ = answers.send(at);
+            }
+            Ok(Some(None)) => {
+                gateway.metrics.check("without-load");
+                gateway.set_tells_load(&service, false);
+                let _ = answers.send(at);
+            }
+            Ok(None) | Err(_) => {
+                gateway.metrics.check("failed");
+                links.outlook.borrow_mut().check_failed(now);
+                log::info!(target = links.id.as_str(), service = service.as_str(); "health check failed");
+            }
+        }
+    });
+}
+
+/// Asks a target for its load. Returns nothing if it cannot be asked.
+async fn ask(gateway: &Gateway, links: &TargetLinks, path: &str) -> Option<Option<LoadReport>> {
+    let mut link = links.checkout(false).await.ok()?;
+    if link.new {
+        gateway.metrics.connected();
+    }
+    let fields = call_fields::of_health_check(&links.id, &links.addr.to_string());
+    let request = Outgoing::new("GET", path, &fields, &[]);
+    // A late response to an earlier request carries that request's id.
+    let belongs = |head: &_| call_fields::of_answer(head).request.is_none();
+    let response = link.client.exchange(&request, belongs).await.ok()?;
+    let answer = call_fields::of_answer(&response.head);
+    let other = call_fields::answering_target(&response.head);
+    if answer.misdirected || other.is_some_and(|other| other != links.id.as_str()) {
+        displace(links);
+        return None;
+    }
+    links.checkin(Instant::now(), link.client, answer.keep_alive);
+    Some(answer.load)
+}
+
+/// Notes that another target or lifetime has answered at a target's address.
+pub fn displace(links: &TargetLinks) {
+    if !links.displaced.replace(true) {
+        log::warn!(target = links.id.as_str(), addr:% = links.addr; "another target answers at the address");
+    }
+    links.close();
+}
--- /dev/null
+++ b/http/src/fields.rs
@@ -0,0 +1,101 @@
+//! The header fields of a message, in the order in which they were sent.
+
+/// The fields that concern one connection only (RFC 9110, section 7.6.1).
+const CONNECTION_FIELDS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+/// The fields that frame the body.
+const FRAMING_FIELDS: [&str; 2] = ["content-length", "transfer-encoding"];
+
+/// Header fields with their names and values as they were sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fields(Vec<Field>);
+
+/// One header field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Field {
+    name: Box<str>,
+    value: Box<[u8]>,
+}
+
+impl Fields {
+    /// Appends a field.
+    pub fn add(&mut self, name: &str, value: impl AsRef<[u8]>) {
+        self.0.push(Field {
+            name: name.into(),
+            value: value.as_ref().into(),
+        });
+    }
+
+    /// Replaces all fields with the name by one.
+    pub fn set(&mut self, name: &str, value: impl AsRef<[u8]>) {
+        self.remove(name);
+        self.add(name, value);
+    }
+
+    /// Removes all fields with the name.
+    pub fn remove(&mut self, name: &str) {
+        self.0
+            .retain(|field| !field.name.eq_ignore_ascii_case(name));
+    }
+
+    /// Returns the value of the first field with the name, if it is text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        let named = |field: &&Field| field.name.eq_ignore_ascii_case(name);
+        let value = &self.0.iter().find(named)?.value;
+        std::str::from_utf8(value).ok().map(str::trim)
+    }
+
+    /// Returns the values of all fields with the name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = |field: &&Field| field.name.eq_ignore_ascii_case(name);
+        self.0.iter().filter(named).map(|field| &*field.value)
+    }
+
+    /// Returns the number of fields with the name.
+    pub fn count(&self, name: &str) -> usize {
+        self.all(name).count()
+    }
+
+    /// Returns whether the comma-separated list in the fields with the name has the token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|part| part.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Removes what concerns one connection or frames the body, so that the rest can be passed on.
+    pub fn keep_end_to_end(&mut self) {
+        let named: Vec<Box<str>> = self
+            .all("connection")
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().into())
+            .collect();
+        let of_connection = |name: &str| {
+            let listed = named.iter().any(|other| other.eq_ignore_ascii_case(name));
+            let mut fixed = CONNECTION_FIELDS.iter().chain(&FRAMING_FIELDS);
+            listed || fixed.any(|other| other.eq_ignore_ascii_case(name))
+        };
+        self.0.retain(|field| !of_connection(&field.name));
+    }
+
+    /// Appends the fields in wire format.
+    pub fn write_to(&self, out: &mut Vec<u8>) {
+        for field in &self.0 {
+            out.extend_from_slice(field.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&field.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/http/src/message_error.rs
@@ -0,0 +1,26 @@
+//! Why a message could not be read.
+
+use std::io;
+
+/// Why a message could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum MessageError {
+    /// The bytes are not an HTTP/1.1 message.
+    #[error("malformed message: {0}")]
+    Malformed(&'static str),
+    /// The header section is larger than allowed.
+    #[error("the header section is too large")]
+    HeadTooLarge,
+    /// The body is larger than allowed.
+    #[error("the body is too large")]
+    BodyTooLarge,
+    /// The connection was closed in the middle of the message.
+    #[error("the connection was closed in the middle of a message")]
+    Closed,
+    /// The connection was closed before the first byte of the message.
+    #[error("the connection was closed before a message")]
+    NoMessage,
+    /// The connection broke.
+    #[error("the connection broke: {0}")]
+    Broken(#[from] io::Error),
+}
--- /dev/null
+++ b/http/src/socket.rs
@@ -0,0 +1,59 @@
+//! Options of TCP sockets.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// When a silent connection is given up. The sum of the keep-alive times is the longest time for
+/// which a dead path stays unnoticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vigilance {
+    /// Idle time before the first keep-alive probe.
+    pub idle: Duration,
+    /// Time between keep-alive probes.
+    pub interval: Duration,
+    /// Unanswered probes after which the connection is closed.
+    pub probes: u32,
+    /// Longest time for which written data may stay unacknowledged.
+    pub unacknowledged: Duration,
+}
+
+impl Vigilance {
+    /// For connections whose peer says nothing for long while all is well.
+    pub const CLOSE: Self = Self {
+        idle: Duration::from_secs(1),
+        interval: Duration::from_secs(1),
+        probes: 2,
+        unacknowledged: Duration::from_secs(3),
+    };
+}
+
+/// Sets keep-alive, user timeout and no-delay.
+pub fn set(stream: &TcpStream, vigilance: Vigilance) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(vigilance.idle)
+        .with_interval(vigilance.interval)
+        .with_retries(vigilance.probes);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(vigilance.unacknowledged))?;
+    socket.set_tcp_nodelay(true)
+}
+
+/// Opens a connection within the limit.
+pub async fn connect(
+    addr: SocketAddr,
+    limit: Duration,
+    vigilance: Vigilance,
+) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(addr))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    set(&stream, vigilance)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/lib/src/route_table.rs
@@ -0,0 +1,104 @@
+//! Finds the route of a request.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::route::Route;
+use crate::route::RoutePart;
+use crate::routing_config::RoutingConfig;
+use crate::service_id::ServiceId;
+use crate::version::Version;
+use crate::weighted_split::WeightedSplit;
+
+/// Starts of a split are spread over this many requests.
+const MOST_SKIPPED: u32 = 64;
+
+/// The routes in force, found by host and path. A table never goes back to an older version.
+#[derive(Debug)]
+pub struct RouteTable {
+    config: Rc<RoutingConfig>,
+    /// The routes of each host, those with the longest prefix first.
+    hosts: HashMap<Box<str>, Vec<Rc<Route>>>,
+    splits: HashMap<Box<str>, WeightedSplit>,
+    skip: u32,
+}
+
+/// What became of a configuration that was offered to a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is in force.
+    InForce,
+    /// It is older than the one in force, or the same.
+    NotNewer,
+}
+
+impl RouteTable {
+    /// Makes a table without routes. VMs with different seeds start their splits differently.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            config: Rc::default(),
+            hosts: HashMap::new(),
+            splits: HashMap::new(),
+            skip: u32::try_from(seed % u64::from(MOST_SKIPPED)).unwrap_or(0),
+        }
+    }
+
+    /// Takes over a configuration, unless a newer one is in force.
+    pub fn take(&mut self, config: RoutingConfig) -> Taken {
+        if config.version <= self.config.version {
+            return Taken::NotNewer;
+        }
+        let mut hosts: HashMap<Box<str>, Vec<Rc<Route>>> = HashMap::new();
+        for route in &config.routes {
+            let host = route.host.to_ascii_lowercase().into();
+            hosts.entry(host).or_default().push(Rc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let parts: HashMap<&str, &[RoutePart]> = config
+            .routes
+            .iter()
+            .map(|route| (&*route.name, &*route.parts))
+            .collect();
+        self.splits
+            .retain(|name, split| parts.get(&**name).is_some_and(|parts| split.fits(parts)));
+        self.hosts = hosts;
+        self.config = Rc::new(config);
+        Taken::InForce
+    }
+
+    /// Returns whether any configuration was taken over.
+    pub fn is_loaded(&self) -> bool {
+        self.config.version > Version::default()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &Rc<RoutingConfig> {
+        &self.config
+    }
+
+    /// Returns the route of a request: the one with the longest matching prefix on its host.
+    pub fn find(&self, host: &str, target: &str) -> Option<Rc<Route>> {
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let host = host.to_ascii_lowercase();
+        let name = host.rsplit_once(':').map_or(&*host, |(name, _)| name);
+        let routes = self.hosts.get(&*host).or_else(|| self.hosts.get(name))?;
+        routes
+            .iter()
+            .find(|route| route.covers(path))
+            .map(Rc::clone)
+    }
+
+    /// Returns the service that gets the next request of the route.
+    pub fn assign(&mut self, route: &Route) -> ServiceId {
+        let [part] = &*route.parts else {
+            let skip = self.skip;
+            let split = self.splits.entry(route.name.clone());
+            let split = split.or_insert_with(|| WeightedSplit::new(&route.parts, skip));
+            let at = split.assign().min(route.parts.len() - 1);
+            return route.parts[at].service.clone();
+        };
+        part.service.clone()
+    }
+}
--- /dev/null
+++ b/lib/src/target_choice.rs
@@ -0,0 +1,116 @@
+//! Chooses the target of a request by asking a few targets for their load just before it is sent.
+//!
+//! Load changes within milliseconds, so a report that came with an earlier response says little. A
+//! health check costs the target next to nothing and its answer is only as old as the way back.
+//! The number of checks follows the requests, not the number of VMs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::target_outlook::TargetOutlook;
+
+/// How many targets are asked at the same time.
+pub const ASKED_AT_ONCE: usize = 3;
+/// Extra cost of a target without an idle connection.
+const CONNECT_COST: Duration = Duration::from_millis(40);
+/// Extra cost of a target in another failure domain, per KiB that crosses, and its bound.
+const CROSSING_COST_PER_KIB: Duration = Duration::from_millis(2);
+const MOST_CROSSING_COST: Duration = Duration::from_millis(150);
+/// Differences below this are noise; the choice among equals spreads the load.
+const JITTER: Duration = Duration::from_millis(15);
+/// A target that works this much slower than usual, in percent, is not taken without a look at
+/// others.
+const QUIET_PACE: u32 = 130;
+/// The largest share of failed attempts of a target that is taken without a look at others.
+const SOUND: f64 = 0.15;
+
+/// A target that may get the request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// What is known about it.
+    pub outlook: &'a TargetOutlook,
+    /// How many requests it works on at the same time.
+    pub slots: u32,
+    /// Whether it is in the VM's own failure domain.
+    pub local: bool,
+    /// Whether an idle connection is open.
+    pub connected: bool,
+}
+
+/// What a request brings along.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// The time that it takes on an idle, quiet target.
+    pub work: Duration,
+    /// The bytes of request and response.
+    pub bytes: usize,
+}
+
+/// Chooses targets.
+#[derive(Debug)]
+pub struct TargetChoice {
+    rng: StdRng,
+}
+
+impl TargetChoice {
+    /// Builds a chooser with its own random numbers.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the indices of the candidates in the order in which they should be asked.
+    pub fn order(
+        &mut self,
+        now: Instant,
+        demand: Demand,
+        candidates: &[Candidate<'_>],
+    ) -> Vec<usize> {
+        let mut ranked: Vec<(Duration, usize)> = candidates
+            .iter()
+            .enumerate()
+            .map(|(at, candidate)| {
+                let jitter = JITTER.mul_f64(self.rng.random_range(0.0..1.0));
+                (cost(now, demand, candidate) + jitter, at)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Returns the index of the best candidate among those that were asked.
+    pub fn best(
+        &mut self,
+        now: Instant,
+        demand: Demand,
+        candidates: &[Candidate<'_>],
+    ) -> Option<usize> {
+        self.order(now, demand, candidates).first().copied()
+    }
+}
+
+/// Returns whether a target that was just asked is so good that no other need be looked at.
+pub fn is_ideal(now: Instant, outlook: &TargetOutlook) -> bool {
+    let Some((_, report)) = outlook.last_report() else {
+        return false;
+    };
+    let quiet = report.is_idle() && report.pace <= QUIET_PACE;
+    quiet && outlook.own() == 0 && outlook.failure_share(now) < SOUND
+}
+
+fn cost(now: Instant, demand: Demand, candidate: &Candidate<'_>) -> Duration {
+    let mut cost = candidate.outlook.cost(now, demand.work, candidate.slots);
+    if !candidate.connected && !candidate.outlook.is_untried() {
+        cost += CONNECT_COST;
+    }
+    if !candidate.local {
+        let kib = demand.bytes as f64 / 1024.0;
+        cost += CROSSING_COST_PER_KIB.mul_f64(kib).min(MOST_CROSSING_COST);
+    }
+    cost
+}
--- /dev/null
+++ b/lib/src/target_outlook.rs
@@ -0,0 +1,195 @@
+//! What one VM knows about one target, and how long a request would take there.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fading::Fading;
+use crate::load_report::LoadReport;
+
+/// Time in which the pace of a machine changes: what a report says of it lasts about as long.
+const PACE_LASTS: Duration = Duration::from_millis(150);
+/// Time in which half of the requests that a report counted have ended.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(150);
+/// How much longer work takes on the last free slot: some targets slow down when nearly full.
+const LAST_SLOT: f64 = 1.5;
+/// How much longer work takes on a target that has just started.
+const COLD: f64 = 2.0;
+/// Time in which evidence of failures and of slowness loses half of its weight.
+const EVIDENCE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Weight of a new result among the recent ones.
+const EVIDENCE_WEIGHT: f64 = 0.35;
+/// What a failed attempt costs a caller: the time lost until another target has answered.
+const FAILURE_COST: Duration = Duration::from_millis(1_500);
+/// A request in flight counts as evidence of slowness from this multiple of its expected time.
+const OVERDUE: f64 = 2.0;
+/// The largest slowness that is believed.
+const MOST_SLOWNESS: f64 = 20.0;
+
+/// How an attempt ended, as far as it says something about the target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// A response of the target, after a multiple of the expected time.
+    Answered {
+        /// Measured time divided by the expected time.
+        ratio: f64,
+    },
+    /// The target failed: no connection, no or a broken response, or an error status.
+    Failed,
+    /// The target refused the request before it started.
+    Refused,
+    /// The attempt was given up after a multiple of the expected time.
+    GivenUp {
+        /// Elapsed time divided by the expected time.
+        ratio: f64,
+    },
+}
+
+/// What one VM knows about one target.
+#[derive(Clone, Debug)]
+pub struct TargetOutlook {
+    /// Start and expected duration of each attempt in flight.
+    in_flight: Vec<(u64, Instant, Duration)>,
+    report: Option<(Instant, LoadReport)>,
+    /// Attempts that started after the last report.
+    since_report: u32,
+    failures: Fading,
+    slowness: Fading,
+    cold_until: Option<Instant>,
+    requests: u64,
+}
+
+impl Default for TargetOutlook {
+    fn default() -> Self {
+        Self {
+            in_flight: Vec::new(),
+            report: None,
+            since_report: 0,
+            failures: Fading::new(EVIDENCE_HALF_LIFE, EVIDENCE_WEIGHT),
+            slowness: Fading::new(EVIDENCE_HALF_LIFE, EVIDENCE_WEIGHT),
+            cold_until: None,
+            requests: 0,
+        }
+    }
+}
+
+impl TargetOutlook {
+    /// Notes that the target is slow until the given time, because it has just started.
+    pub fn warms_until(&mut self, until: Option<Instant>) {
+        self.cold_until = until;
+    }
+
+    /// Takes in a load report that has just arrived.
+    pub fn report(&mut self, now: Instant, report: LoadReport) {
+        self.report = Some((now, report));
+        self.since_report = 0;
+    }
+
+    /// Returns the last report and when it arrived.
+    pub fn last_report(&self) -> Option<(Instant, LoadReport)> {
+        self.report
+    }
+
+    /// Notes the start of an attempt that is expected to take `expected`.
+    pub fn started(&mut self, now: Instant, attempt: u64, expected: Duration) {
+        self.in_flight.push((attempt, now, expected));
+        self.since_report += 1;
+        self.requests += 1;
+    }
+
+    /// Notes the end of an attempt.
+    pub fn ended(&mut self, now: Instant, attempt: u64, verdict: Verdict) {
+        self.in_flight.retain(|(id, ..)| *id != attempt);
+        self.since_report = self.since_report.saturating_sub(1);
+        match verdict {
+            Verdict::Answered { ratio } => {
+                self.failures.observe(now, 0.0);
+                self.slowness
+                    .observe(now, (ratio - 1.0).clamp(0.0, MOST_SLOWNESS));
+            }
+            Verdict::Failed => self.failures.observe(now, 1.0),
+            Verdict::Refused => self.failures.observe(now, 0.7),
+            Verdict::GivenUp { ratio } if ratio >= OVERDUE => {
+                self.slowness.observe(now, (ratio - 1.0).min(MOST_SLOWNESS));
+            }
+            Verdict::GivenUp { .. } => {}
+        }
+    }
+
+    /// Notes that a health check got no answer.
+    pub fn check_failed(&mut self, now: Instant) {
+        self.failures.observe(now, 1.0);
+    }
+
+    /// Returns the attempts of this VM in flight at the target.
+    pub fn own(&self) -> u32 {
+        u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether this VM has never sent the target a request.
+    pub fn is_untried(&self) -> bool {
+        self.requests == 0
+    }
+
+    /// Returns the recent share of failed attempts, from 0 to 1.
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        self.failures.get(now)
+    }
+
+    /// Returns how many requests the target is expected to hold at this moment.
+    pub fn held(&self, now: Instant) -> f64 {
+        let own = f64::from(self.own());
+        let Some((at, report)) = self.report else {
+            return own;
+        };
+        let age = now.saturating_duration_since(at);
+        let faded = (-age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64()).exp2();
+        let reported = f64::from(report.running + report.waiting) * faded;
+        (reported + f64::from(self.since_report)).max(own)
+    }
+
+    /// Returns how long a request with `work` on an idle, quiet target would take here.
+    pub fn expected(&self, now: Instant, work: Duration, slots: u32) -> Duration {
+        let slots = f64::from(slots.max(1));
+        let held = self.held(now);
+        let mut factor = 1.0 + self.slowness(now);
+        if self.cold_until.is_some_and(|until| now < until) {
+            factor *= COLD;
+        }
+        let service = work.mul_f64(factor);
+        let crowded = (held - (slots - 2.0)).clamp(0.0, 1.0) * (LAST_SLOT - 1.0);
+        let queued = (held - (slots - 1.0)).max(0.0) / slots;
+        service.mul_f64(1.0 + crowded + queued) + self.noise(now, service)
+    }
+
+    /// Returns [`Self::expected`] with what the risk of a failure adds.
+    pub fn cost(&self, now: Instant, work: Duration, slots: u32) -> Duration {
+        self.expected(now, work, slots) + FAILURE_COST.mul_f64(self.failure_share(now))
+    }
+
+    /// Returns the delay through the present pace of the machine, which lasts for a moment only.
+    fn noise(&self, now: Instant, service: Duration) -> Duration {
+        let Some((at, report)) = self.report else {
+            return Duration::ZERO;
+        };
+        let pace = f64::from(report.pace.max(1)) / 100.0;
+        if pace <= 1.0 {
+            return Duration::ZERO;
+        }
+        let age = now.saturating_duration_since(at);
+        let left = (-age.as_secs_f64() / PACE_LASTS.as_secs_f64()).exp();
+        let through = service.mul_f64(pace - 1.0);
+        let while_noisy = PACE_LASTS.mul_f64(1.0 - 1.0 / pace);
+        through.min(while_noisy).mul_f64(left)
+    }
+
+    /// Returns by how much the target is slower than expected, from ended attempts and from the
+    /// ages of those in flight. 0 is normal.
+    fn slowness(&self, now: Instant) -> f64 {
+        let overdue = self.in_flight.iter().map(|(_, started, expected)| {
+            let age = now.saturating_duration_since(*started).as_secs_f64();
+            age / expected.as_secs_f64().max(0.001) - OVERDUE
+        });
+        let overdue = overdue.fold(0.0, f64::max).min(MOST_SLOWNESS);
+        self.slowness.get(now).max(overdue)
+    }
+}
