--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -115,20 +115,13 @@
     let patience = fields.patience.unwrap_or(DEFAULT_PATIENCE);
     let limit = arrived.at + patience.min(route.timeout);
     let work = gateway.work(&route);
-    let left = gateway.exit.borrow().time_left(Instant::now());
-    if left.is_some_and(|left| left < work * 2) {
+    if !has_time(&gateway, work) {
         let failed = Failed {
             refusal: Refusal::Stopping,
             retry: Some(Duration::ZERO),
         };
-        return Some(refuse(
-            &gateway,
-            &route.name,
-            id.as_deref(),
-            arrived.at,
-            &failed,
-            &[],
-        ));
+        let id = id.as_deref();
+        return Some(refuse(&gateway, &route.name, id, arrived.at, &failed, &[]));
     }
     let service = gateway.routes.borrow_mut().assign(&route);
     gateway.count_request(Instant::now(), &service);
@@ -160,6 +153,13 @@
     call.run(gone).await
 }
 
+/// Returns whether the process lives long enough for a request that takes `work`.
+fn has_time(gateway: &Gateway, work: Duration) -> bool {
+    let now = Instant::now();
+    let exit = gateway.exit.borrow();
+    exit.takes_work(now) && exit.time_left(now).is_none_or(|left| left > work * 2)
+}
+
 impl Call {
     async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
         let repeatable = self.sending.repeatable;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -27,9 +27,6 @@
 const SWEEP_TICKS: u32 = 10;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// Time for the last responses to leave the send buffers before the process ends.
-const FLUSH_TIME: Duration = Duration::from_millis(50);
-
 /// The daemon's settings.
 #[derive(Clone, Debug)]
 pub struct DaemonSettings {
@@ -106,8 +103,9 @@
                 }
             }
         }
+        // Nothing may come between the look at the requests in flight and the end: a request that is
+        // read meanwhile would be lost.
         log::info!("the gateway ends");
-        tokio::time::sleep(FLUSH_TIME).await;
         Ok(())
     }
 
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -8,6 +8,7 @@
 use carobshore_lib::backoff::Backoff;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
+use carobshore_lib::read_wait::ReadWait;
 use carobshore_lib::route_table::Taken;
 use carobshore_lib::target_directory::Announced;
 use carobshore_platform::config_document;
@@ -71,13 +72,16 @@
 
     /// Follows the records from an offset on until they are gone from the store.
     async fn tail(&mut self, mut from: u64) {
+        let mut wait = ReadWait::default();
         loop {
-            let answer = self.client.read(from).await;
+            let started = Instant::now();
+            let answer = self.client.read(from, wait.get()).await;
             if answer == Err(StoreFailure::Expired) {
                 log::info!(topic:? = self.topic, offset = from; "records have expired; reading all");
                 return;
             }
             let Some(page) = self.checked(answer).await else {
+                wait.was_eventful();
                 continue;
             };
             if page.malformed > 0 {
@@ -85,8 +89,10 @@
             }
             from = page.next;
             if page.records.is_empty() {
+                wait.was_empty(started.elapsed());
                 continue;
             }
+            wait.was_eventful();
             self.take_some(page.records);
             tokio::time::sleep(self.pause()).await;
         }
--- a/lib/src/graceful_exit.rs
+++ b/lib/src/graceful_exit.rs
@@ -36,19 +36,25 @@
         self.signalled.is_some()
     }
 
-    /// Returns how long new work would have, if the process is to end. A request that arrives
-    /// when less is left than it needs should go to another VM.
+    /// Returns whether new work is still taken: until the platform's load balancer has noticed.
+    /// Later requests go to another VM, so that this one comes to its end.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.signalled.is_none_or(|at| now < at + self.notice())
+    }
+
+    /// Returns how long work that starts now would have, if the process is to end.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
         let end = self.signalled? + self.grace.saturating_sub(LAST_MOMENT);
         Some(end.saturating_duration_since(now))
     }
 
-    /// Returns whether the process may end.
+    /// Returns whether the process may end at this very moment.
     pub fn may_exit(&self, now: Instant, in_flight: usize) -> bool {
-        let Some(signalled) = self.signalled else {
-            return false;
-        };
+        self.signalled.is_some() && !self.takes_work(now) && in_flight == 0
+    }
+
+    fn notice(&self) -> Duration {
         let noticed = READINESS_INTERVAL * (READINESS_MISSES + 1);
-        in_flight == 0 && now >= signalled + noticed.min(self.grace / 2)
+        noticed.min(self.grace / 2)
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod probe_limits;
 pub mod ramp;
 pub mod read_lease;
+pub mod read_wait;
 pub mod recent_ids;
 mod recent_records;
 pub mod record;
