gateway: second copies only to idle targets, fewer connections

Change: a second copy goes to an ideal target only; targets whose connections carry this VM's own requests are not asked; 60 ms for the target's own 504.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -38,6 +38,9 @@
 const HEDGE_FACTOR: f64 = 2.5;
 /// Least time after which a second copy is sent.
 const HEDGE_LEAST: Duration = Duration::from_millis(100);
+/// How long after the end of its time a request waits for the target's own word, which arrives at
+/// about the same moment and leaves the connection usable.
+const LATE_ANSWER: Duration = Duration::from_millis(60);
 /// When a caller may come back if no target is known.
 const RETRY_SOON: Duration = Duration::from_millis(250);
 
@@ -194,7 +197,7 @@
                         break None;
                     }
                 }
-                () = sleep_until(self.sending.limit.into()) => break Some(Err(self.out_of_time())),
+                () = sleep_until((self.sending.limit + LATE_ANSWER).into()) => break Some(Err(self.out_of_time())),
                 () = sleep_until(hedge.unwrap_or(self.sending.limit).into()), if hedge.is_some() && running.len() == 1 => {
                     self.hedge(&mut running).await;
                 }
@@ -277,8 +280,8 @@
             .min(self.sending.limit)
     }
 
-    async fn search(&self, patience: Instant) -> Result<Usable, Failed> {
-        let search = Search {
+    fn search_for(&self, patience: Instant) -> Search<'_> {
+        Search {
             service: &self.service,
             demand: Demand {
                 work: self.sending.work,
@@ -286,7 +289,11 @@
             },
             patience,
             limit: self.sending.limit,
-        };
+        }
+    }
+
+    async fn search(&self, patience: Instant) -> Result<Usable, Failed> {
+        let search = self.search_for(patience);
         match target_search::find(&self.gateway, search, &self.tried).await {
             Found::Target(usable) => Ok(usable),
             _ if self.unknown => Err(Failed::soon(Refusal::Broken)),
@@ -320,10 +327,12 @@
         (allowed && useful).then_some(at)
     }
 
+    /// Sends a second copy if a target is idle: anywhere else it would take the place of a request
+    /// that has had none.
     async fn hedge(&mut self, running: &mut Running) {
         let now = Instant::now();
-        let found = self.search(now).await;
-        if let Ok(usable) = found
+        let found = target_search::find_ideal(&self.gateway, self.search_for(now), &self.tried);
+        if let Some(usable) = found.await
             && self.gateway.may_repeat(now, &self.service)
         {
             self.ends.push("hedged".into());
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -56,11 +56,7 @@
 /// Looks for the best target, but for those in `except`.
 pub async fn find(gateway: &Rc<Gateway>, search: Search<'_>, except: &[Rc<TargetLinks>]) -> Found {
     loop {
-        let usable: Vec<Usable> = gateway
-            .usable(search.service)
-            .into_iter()
-            .filter(|usable| !except.iter().any(|other| Rc::ptr_eq(other, &usable.links)))
-            .collect();
+        let usable = untried(gateway, search.service, except);
         if usable.is_empty() {
             return Found::NoTarget;
         }
@@ -89,6 +85,22 @@
     }
 }
 
+/// Looks once for an idle, quiet target, but for those in `except`.
+pub async fn find_ideal(
+    gateway: &Rc<Gateway>,
+    search: Search<'_>,
+    except: &[Rc<TargetLinks>],
+) -> Option<Usable> {
+    let usable = untried(gateway, search.service, except);
+    ask_around(gateway, &search, &usable).await
+}
+
+fn untried(gateway: &Gateway, service: &ServiceId, except: &[Rc<TargetLinks>]) -> Vec<Usable> {
+    let usable = gateway.usable(service).into_iter();
+    let tried = |usable: &Usable| except.iter().any(|other| Rc::ptr_eq(other, &usable.links));
+    usable.filter(|usable| !tried(usable)).collect()
+}
+
 /// Asks targets in rounds, the most promising first, and returns the first ideal one.
 async fn ask_around(
     gateway: &Rc<Gateway>,
@@ -102,7 +114,9 @@
         let outlooks: Vec<_> = usable.iter().map(|u| u.links.outlook.borrow()).collect();
         let candidates = candidates(usable, &outlooks);
         let mut choice = gateway.choice.borrow_mut();
-        choice.order(Instant::now(), search.demand, &candidates)
+        let mut order = choice.order(Instant::now(), search.demand, &candidates);
+        order.retain(|at| is_worth_asking(&usable[*at].links));
+        order
     };
     for round in order.chunks(ASKED_AT_ONCE) {
         let (answers, mut answered) = mpsc::unbounded_channel();
@@ -150,6 +164,12 @@
         .collect()
 }
 
+/// Returns whether a target is asked. One whose connections are all in use by this VM's own
+/// requests is known to be busy, and asking it would open one more.
+fn is_worth_asking(links: &TargetLinks) -> bool {
+    links.is_connected() || links.outlook.borrow().own() == 0
+}
+
 fn is_current(links: &TargetLinks) -> bool {
     let report = links.outlook.borrow().last_report();
     report.is_some_and(|(at, _)| at.elapsed() < STILL_TRUE)
