target_outlook: take a fresh report at its word, wait for room by the time left

Cause: a report of 20 ms ago that said full counted as half empty, because reports fade from the first moment; requests then queued inside targets.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -30,8 +30,11 @@
 
 /// How long a caller waits that does not say so.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
-/// Part of the time for full worth for which a request may wait for a target with room.
+/// Part of the time for full worth for which a request may wait for a target with room in any case.
 const WAIT_DIVISOR: u32 = 8;
+/// How much longer than on an idle, quiet target a request takes while all are busy. One that has
+/// waited until only this much of the time for full worth is left starts or is refused.
+const BUSY_FACTOR: f64 = 1.8;
 /// Bytes of a typical response, for the cost of crossing failure domains.
 const RESPONSE_BYTES: usize = 2 << 10;
 /// A second copy is sent when the first one has taken this many times what was expected.
@@ -274,7 +277,9 @@
 
     /// Returns until when the request may wait for a target with room.
     fn wait_end(&self) -> Instant {
-        let wait = self.route.latency / WAIT_DIVISOR;
+        let latency = self.route.latency;
+        let service = self.sending.work.mul_f64(BUSY_FACTOR);
+        let wait = latency.saturating_sub(service).max(latency / WAIT_DIVISOR);
         (self.arrived + wait)
             .max(Instant::now() + wait / 2)
             .min(self.sending.limit)
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -29,6 +29,9 @@
 /// Pause between two searches while no target has room.
 const SEARCH_PAUSE: Duration = Duration::from_millis(20);
 
+/// Requests that may wait inside a target when a request has waited for room in vain.
+const MOST_AHEAD: f64 = 1.0;
+
 /// What a search is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Search<'a> {
@@ -68,15 +71,14 @@
             return Found::NoTarget;
         };
         let outlook = best.links.outlook.borrow().clone();
-        let room = outlook.held(now) < f64::from(best.slots);
+        let ahead = outlook.queue_ahead(now, best.slots);
         let expected = outlook.expected(now, search.demand.work, best.slots);
-        if room {
+        if ahead <= 0.0 {
             return Found::Target(best);
         }
         if now + SEARCH_PAUSE >= search.patience {
             // Targets queue a little; some never answer what they cannot queue.
-            let queues = outlook.held(now) < f64::from(best.slots * 2);
-            return match queues && now + expected < search.limit {
+            return match ahead <= MOST_AHEAD && now + expected < search.limit {
                 true => Found::Target(best),
                 false => Found::NoRoom(search.demand.work / 2),
             };
--- a/lib/src/target_outlook.rs
+++ b/lib/src/target_outlook.rs
@@ -10,6 +10,8 @@
 const PACE_LASTS: Duration = Duration::from_millis(150);
 /// Time in which half of the requests that a report counted have ended.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(150);
+/// Age up to which a report is taken at its word.
+const TAKEN_AT_ITS_WORD: Duration = Duration::from_millis(60);
 /// How much longer work takes on the last free slot: some targets slow down when nearly full.
 const LAST_SLOT: f64 = 1.5;
 /// How much longer work takes on a target that has just started.
@@ -147,6 +149,18 @@
         (reported + f64::from(self.since_report)).max(own)
     }
 
+    /// Returns how many requests would be ahead of a new one beyond the slots but one: 0 or less if
+    /// it would start at once. A report that has just arrived is taken at its word.
+    pub fn queue_ahead(&self, now: Instant, slots: u32) -> f64 {
+        let held = match self.report {
+            Some((at, report)) if now.saturating_duration_since(at) <= TAKEN_AT_ITS_WORD => {
+                f64::from(report.running + report.waiting + self.since_report)
+            }
+            _ => self.held(now),
+        };
+        held + 1.0 - f64::from(slots)
+    }
+
     /// Returns how long a request with `work` on an idle, quiet target would take here.
     pub fn expected(&self, now: Instant, work: Duration, slots: u32) -> Duration {
         let slots = f64::from(slots.max(1));
