gateway: take changes from a VM near by, prefer a few targets, share out budgets

Change: VMs enter themselves in the store; within a failure domain they take changes from one another in a fixed order, and read the store themselves as soon as the other one fails. Each VM prefers a few targets (rendezvous hashing). Health checks and repeats are shared out by the number of VMs.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::feed;
 use crate::gateway::Gateway;
 use crate::reply::Reply;
 
@@ -31,7 +32,7 @@
             Ok((stream, _)) => {
                 let gateway = Rc::clone(&gateway);
                 ntex::rt::spawn(async move {
-                    if let Ok(Err(error)) = timeout(IDLE, serve(&gateway, stream)).await {
+                    if let Err(error) = serve(&gateway, stream).await {
                         log::debug!(reason:% = error; "an admin connection ended");
                     }
                 });
@@ -48,12 +49,14 @@
     let mut buffer = BytesMut::new();
     loop {
         let Some(head) = RequestHead::take(&mut buffer, MAX_REQUEST)? else {
-            if stream.read_buf(&mut buffer).await? == 0 {
-                return Ok(());
-            }
+            let read = timeout(IDLE, stream.read_buf(&mut buffer)).await;
+            match read {
+                Ok(Ok(0)) | Err(_) => return Ok(()),
+                Ok(read) => read?,
+            };
             continue;
         };
-        let mut reply = answer(gateway, &head);
+        let mut reply = answer(gateway, &head).await;
         reply.close |= !head.keep_alive;
         stream.write_all(&reply.to_bytes()).await?;
         if reply.close {
@@ -62,7 +65,10 @@
     }
 }
 
-fn answer(gateway: &Gateway, head: &RequestHead) -> Reply {
+async fn answer(gateway: &Gateway, head: &RequestHead) -> Reply {
+    if let Some((topic, from)) = feed::parse(&head.target) {
+        return gateway.feed(topic).answer(from).await;
+    }
     match (&*head.method, &*head.target) {
         ("GET", READINESS_PATH | "/ready") => match gateway.is_ready() {
             true => Reply::text(200, "ready\n"),
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -19,7 +19,9 @@
 use crate::admin_server;
 use crate::caller_connection;
 use crate::gateway::Gateway;
+use crate::roster_entry;
 use crate::store_watch;
+use crate::take_over;
 
 /// How often time-driven work is done.
 const TICK: Duration = Duration::from_millis(100);
@@ -73,9 +75,7 @@
             admin_server::accept(Rc::clone(&gateway), readiness),
         );
         spawn("admin", admin_server::accept(Rc::clone(&gateway), admin));
-        for topic in [Topic::Operators, Topic::Targets] {
-            spawn("store", store_watch::follow(Rc::clone(&gateway), topic));
-        }
+        spawn("store", follow_store(Rc::clone(&gateway)));
         let modified = modified(&settings.path);
         Ok(Self {
             gateway,
@@ -112,7 +112,7 @@
     /// Does time-driven work. Returns whether the process may end.
     fn on_tick(&mut self, ticks: u32) -> bool {
         let now = Instant::now();
-        store_watch::expire(&self.gateway, now);
+        take_over::expire(&self.gateway, now);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             self.gateway.sweep(now);
             if modified(&self.path) != self.modified {
@@ -142,6 +142,15 @@
     }
 }
 
+/// Learns of the other VMs, then follows the store.
+async fn follow_store(gateway: Rc<Gateway>) -> eyre::Result<()> {
+    roster_entry::enter(&gateway).await;
+    for topic in [Topic::Operators, Topic::Targets] {
+        spawn("store", store_watch::follow(Rc::clone(&gateway), topic));
+    }
+    Ok(())
+}
+
 fn listen(addr: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -3,12 +3,16 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use carobshore_lib::announced_target::AnnouncedTarget;
+use carobshore_lib::check_budget::CheckBudget;
 use carobshore_lib::graceful_exit::GracefulExit;
+use carobshore_lib::home_set;
+use carobshore_lib::home_set::Placed;
 use carobshore_lib::line_budget::LineBudget;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
@@ -19,16 +23,21 @@
 use carobshore_lib::route_table::RouteTable;
 use carobshore_lib::target_choice::TargetChoice;
 use carobshore_lib::target_directory::TargetDirectory;
+use carobshore_lib::vm_roster::VmRoster;
 use carobshore_lib::work_estimate::WorkEstimate;
 use carobshore_platform::boot_settings::BootSettings;
+use carobshore_platform::store_client::Topic;
 
+use crate::feed::Feed;
 use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
 use crate::target_links::TargetLinks;
 
-/// Repeats that one VM may make in a window whatever the number of its requests. The extra budget
-/// of all VMs together is 58 or more, on sites of up to 16 VMs, and grows with the VMs.
-const REPEAT_FLOOR: u32 = 1;
+/// Part of the common extra budget of repeats that is shared out; the rest is for VMs that are not
+/// known yet.
+const EXTRA_SHARED_OUT: f64 = 0.8;
+/// The number of VMs that is assumed while none is known.
+const ASSUMED_VMS: usize = 64;
 /// Lines of failed requests for each line of good ones.
 const FAILED_LINES: u32 = 4;
 /// Part of the process's memory that bodies of requests may take.
@@ -53,6 +62,10 @@
     pub in_flight: InFlight,
     /// The counters.
     pub metrics: Metrics,
+    roster: RefCell<VmRoster>,
+    operators: Feed,
+    announcements: Feed,
+    checks: RefCell<CheckBudget>,
     links: RefCell<HashMap<TargetId, Rc<TargetLinks>>>,
     allowances: RefCell<HashMap<ServiceId, RepeatAllowance>>,
     work: RefCell<HashMap<Box<str>, WorkEstimate>>,
@@ -73,6 +86,19 @@
     pub slots: u32,
     /// Whether the target is in the VM's own failure domain.
     pub local: bool,
+    /// Whether the VM prefers the target, so that it keeps a connection.
+    pub preferred: bool,
+    /// Whether the target's announcement is missing.
+    pub missing: bool,
+}
+
+impl Usable {
+    fn placed(&self) -> Placed {
+        Placed {
+            rank: self.links.rank,
+            local: self.local,
+        }
+    }
 }
 
 impl Gateway {
@@ -87,6 +113,10 @@
             exit: RefCell::new(GracefulExit::new(boot.grace)),
             in_flight: InFlight::default(),
             metrics: Metrics::new()?,
+            roster: RefCell::default(),
+            operators: Feed::default(),
+            announcements: Feed::default(),
+            checks: RefCell::new(CheckBudget::new(now, boot.checks)),
             links: RefCell::default(),
             allowances: RefCell::default(),
             work: RefCell::default(),
@@ -113,14 +143,57 @@
             target.service == *service && target.state == TargetState::Serving
         };
         let targets = directory.iter().filter(serving);
-        targets
+        let mut usable: Vec<Usable> = targets
             .map(|target| Usable {
                 links: self.links(target),
                 slots: target.slots.get(),
                 local: target.domain == boot.domain,
+                preferred: false,
+                missing: directory.is_missing(&target.id),
             })
             .filter(|usable| !usable.links.displaced.get())
-            .collect()
+            .collect();
+        let placed: Vec<Placed> = usable.iter().map(Usable::placed).collect();
+        let preferred = home_set::preferred(&placed, self.vms());
+        for (usable, preferred) in usable.iter_mut().zip(preferred) {
+            usable.preferred = preferred;
+        }
+        usable
+    }
+
+    /// Takes over which VMs there are.
+    pub fn set_roster(&self, roster: VmRoster) {
+        *self.roster.borrow_mut() = roster;
+    }
+
+    /// Returns the number of VMs.
+    pub fn vms(&self) -> usize {
+        self.roster.borrow().len().unwrap_or(ASSUMED_VMS)
+    }
+
+    /// Returns the addresses of the VMs from which this one may take changes.
+    pub fn sources(&self) -> Vec<SocketAddr> {
+        let boot = self.boot.borrow();
+        let roster = self.roster.borrow();
+        let sources = roster.sources(&boot.vm_name, &boot.domain);
+        sources.into_iter().map(|vm| vm.feed).collect()
+    }
+
+    /// Returns what other VMs take from this one.
+    pub fn feed(&self, topic: Topic) -> &Feed {
+        match topic {
+            Topic::Operators => &self.operators,
+            Topic::Targets | Topic::Vms => &self.announcements,
+        }
+    }
+
+    /// Takes a health check from this VM's share of the budget.
+    pub fn may_check(&self, now: Instant) -> bool {
+        let targets = self.directory.borrow().len();
+        let share = CheckBudget::share(self.boot.borrow().checks, targets, self.vms());
+        let mut checks = self.checks.borrow_mut();
+        checks.set_rate(share);
+        checks.take(now)
     }
 
     /// Forgets the connections of a target whose lifetime has ended.
@@ -251,8 +324,8 @@
     fn links(&self, target: &AnnouncedTarget) -> Rc<TargetLinks> {
         let mut links = self.links.borrow_mut();
         let found = links.entry(target.id.clone()).or_insert_with(|| {
-            let links = TargetLinks::new(target.id.clone(), target.addr, target.domain.clone());
-            Rc::new(links)
+            let rank = home_set::rank(&self.boot.borrow().vm_name, target.id.as_str());
+            Rc::new(TargetLinks::new(target.id.clone(), target.addr, rank))
         });
         found.outlook.borrow_mut().warms_until(target.cold_until);
         Rc::clone(found)
@@ -268,7 +341,7 @@
             RepeatLimits {
                 ratio: boot.repeat_ratio,
                 window: boot.repeat_window,
-                floor: REPEAT_FLOOR.min(boot.repeat_extra),
+                floor: (f64::from(boot.repeat_extra) * EXTRA_SHARED_OUT / self.vms() as f64) as u32,
             }
         };
         let mut allowances = self.allowances.borrow_mut();
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -1,232 +1,223 @@
-//! Follows the configuration and the targets in the platform's store.
+//! Follows the configuration and the targets: through another VM of the failure domain if one can
+//! be reached, otherwise in the platform's store.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use carobshore_lib::backoff::Backoff;
-use carobshore_lib::prelude::TargetId;
-use carobshore_lib::prelude::TargetState;
+use carobshore_lib::keyed_record::KeyedRecord;
 use carobshore_lib::read_wait::ReadWait;
-use carobshore_lib::route_table::Taken;
-use carobshore_lib::target_directory::Announced;
-use carobshore_platform::config_document;
-use carobshore_platform::store_client::CONFIG_KEY;
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
 use carobshore_platform::store_client::Topic;
-use carobshore_platform::store_records::KeyedRecord;
-use carobshore_platform::target_entry;
 
+use crate::feed::FeedClient;
 use crate::gateway::Gateway;
+use crate::take_over;
 
 /// Pause after a page of records. Changes that come meanwhile are read in one call; the bound for
 /// them to be in force is 2 s.
-const TARGETS_PAUSE: Duration = Duration::from_millis(500);
-const CONFIG_PAUSE: Duration = Duration::from_millis(250);
+const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+const CONFIG_PAUSE: Duration = Duration::from_millis(200);
 /// Pauses between calls while the store fails. Refused calls cost as much as others.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-
-/// Takes over what was read.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long another VM that failed is not asked again.
+const AVOIDED: Duration = Duration::from_secs(5);
+/// How long the store is read directly after another VM failed, before the next one is asked.
+const DIRECT: Duration = Duration::from_secs(4);
+/// How often a VM that has just started is asked while the other one starts too.
+const START_TRIES: u32 = 4;
+const START_PAUSE: Duration = Duration::from_millis(150);
+
+/// An offset behind every record: who asks from there gets everything.
+const EVERYTHING: u64 = u64::MAX;
+
+/// Follows one topic.
 struct Watch {
     gateway: Rc<Gateway>,
     topic: Topic,
-    client: StoreClient,
+    store: StoreClient,
+    /// The other VM that is asked.
+    peer: Option<FeedClient>,
+    /// Other VMs that failed, and until when they are not asked.
+    avoided: Vec<(SocketAddr, Instant)>,
+    /// Until when no other VM is asked.
+    direct_until: Option<Instant>,
     backoff: Backoff,
-    /// Since when the store has not answered.
+    wait: ReadWait,
+    /// The offset behind what is known; nothing before the first answer.
+    next: Option<u64>,
+    /// Since when nothing has answered.
     lost: Option<Instant>,
+    start_tries: u32,
 }
 
 /// Follows a topic until the process ends.
 pub async fn follow(gateway: Rc<Gateway>, topic: Topic) -> eyre::Result<()> {
-    let store = gateway.boot.borrow().store;
+    let addr = gateway.boot.borrow().store;
     let mut watch = Watch {
         gateway,
         topic,
-        client: StoreClient::new(store, topic),
+        store: StoreClient::new(addr, topic),
+        peer: None,
+        avoided: Vec::new(),
+        direct_until: None,
         backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
+        wait: ReadWait::default(),
+        next: None,
         lost: None,
+        start_tries: START_TRIES,
     };
     loop {
-        let from = watch.load().await;
-        watch.tail(from).await;
+        watch.choose_peer();
+        match watch.peer.take() {
+            Some(peer) => watch.poll(peer).await,
+            None => watch.read().await,
+        }
     }
 }
 
 impl Watch {
-    /// Reads everything, and returns the offset behind it.
-    async fn load(&mut self) -> u64 {
-        loop {
-            let answer = self.client.newest().await;
-            match self.checked(answer).await {
-                Some(newest) => {
-                    self.take_all(newest.records);
-                    return newest.end;
-                }
-                None => continue,
-            }
+    /// Turns to the preferred one of the VMs that may be asked.
+    fn choose_peer(&mut self) {
+        let now = Instant::now();
+        if self.peer.is_some() || self.direct_until.is_some_and(|until| now < until) {
+            return;
+        }
+        self.avoided.retain(|(_, until)| *until > now);
+        let sources = self.gateway.sources();
+        let usable = |addr: &SocketAddr| !self.avoided.iter().any(|(other, _)| other == addr);
+        if let Some(addr) = sources.into_iter().find(usable) {
+            log::info!(topic:? = self.topic, from:% = addr; "changes come from another VM");
+            self.peer = Some(FeedClient::new(addr));
         }
     }
 
-    /// Follows the records from an offset on until they are gone from the store.
-    async fn tail(&mut self, mut from: u64) {
-        let mut wait = ReadWait::default();
-        loop {
-            let started = Instant::now();
-            let answer = self.client.read(from, wait.get()).await;
-            if answer == Err(StoreFailure::Expired) {
-                log::info!(topic:? = self.topic, offset = from; "records have expired; reading all");
-                return;
+    /// Polls another VM once.
+    async fn poll(&mut self, mut peer: FeedClient) {
+        let from = self.next.unwrap_or(EVERYTHING);
+        match peer.poll(self.topic, from).await {
+            Ok(changes) => {
+                self.start_tries = 0;
+                self.answered();
+                if changes.whole {
+                    self.take_all(changes.records, changes.next);
+                } else if changes.next != from {
+                    self.take_some(changes.records, changes.next);
+                }
+                self.peer = Some(peer);
             }
-            let Some(page) = self.checked(answer).await else {
-                wait.was_eventful();
-                continue;
-            };
-            if page.malformed > 0 {
-                log::warn!(topic:? = self.topic, count = page.malformed; "malformed records");
+            Err(reason) if self.start_tries > 0 => {
+                log::debug!(topic:? = self.topic, reason = &*reason; "another VM is not ready yet");
+                self.start_tries -= 1;
+                tokio::time::sleep(START_PAUSE).await;
+                self.peer = Some(peer);
             }
-            from = page.next;
-            if page.records.is_empty() {
-                wait.was_empty(started.elapsed());
-                continue;
+            Err(reason) => {
+                log::info!(topic:? = self.topic, from:% = peer.addr(), reason = &*reason; "another VM does not hand changes on");
+                // VMs that follow this one must not wait for it meanwhile.
+                self.gateway.feed(self.topic).set_healthy(false);
+                let now = Instant::now();
+                self.avoided.push((peer.addr(), now + AVOIDED));
+                self.direct_until = Some(now + DIRECT);
             }
-            wait.was_eventful();
-            self.take_some(page.records);
-            tokio::time::sleep(self.pause()).await;
         }
     }
 
-    fn pause(&self) -> Duration {
-        match self.topic {
-            Topic::Operators => CONFIG_PAUSE,
-            Topic::Targets => TARGETS_PAUSE,
-        }
-    }
-
-    /// Notes whether the store answered, and pauses if it did not.
-    async fn checked<T>(&mut self, answer: Result<T, StoreFailure>) -> Option<T> {
-        let now = Instant::now();
-        match answer {
-            Ok(answer) => {
-                self.gateway.metrics.store_call("answered");
-                self.backoff.succeeded();
-                if let Some(since) = self.lost.take() {
-                    let ms = now.saturating_duration_since(since).as_millis() as u64;
-                    log::info!(topic:? = self.topic, ms; "the store answers again");
-                    self.gateway.directory.borrow_mut().store_returned(now);
-                }
-                Some(answer)
+    /// Reads the store once.
+    async fn read(&mut self) {
+        let started = Instant::now();
+        let Some(from) = self.next else {
+            return self.load().await;
+        };
+        match self.store.read(from, self.wait.get()).await {
+            Ok(page) if page.records.is_empty() && page.malformed == 0 => {
+                self.store_answered();
+                self.wait.was_empty(started.elapsed());
             }
-            Err(failure) => {
-                self.gateway.metrics.store_call("failed");
-                if self.lost.is_none() {
-                    self.lost = Some(now);
-                    log::warn!(topic:? = self.topic, reason:% = failure; "the store does not answer");
+            Ok(page) => {
+                self.store_answered();
+                self.wait.was_eventful();
+                if page.malformed > 0 {
+                    log::warn!(topic:? = self.topic, count = page.malformed; "malformed records");
                 }
-                self.client.set_addr(self.gateway.boot.borrow().store);
-                tokio::time::sleep(self.backoff.failed()).await;
-                None
+                self.take_some(page.records, page.next);
+                tokio::time::sleep(self.pause()).await;
+            }
+            Err(StoreFailure::Expired) => {
+                log::info!(topic:? = self.topic, offset = from; "records have expired; reading all");
+                self.next = None;
             }
+            Err(failure) => self.failed(&failure).await,
         }
     }
 
-    /// Takes over the newest record of each key.
-    fn take_all(&mut self, records: Vec<KeyedRecord>) {
-        if self.topic == Topic::Targets {
-            let listed: BTreeSet<TargetId> = records
-                .iter()
-                .filter_map(|record| record.key.parse().ok())
-                .collect();
-            let now = Instant::now();
-            let gone = self.gateway.directory.borrow_mut().retain(now, &listed);
-            gone.iter().for_each(|id| forget(&self.gateway, id));
-        }
-        self.take_some(records);
-        if self.topic == Topic::Targets && !self.gateway.targets_known.replace(true) {
-            let targets = self.gateway.directory.borrow().iter().count();
-            log::info!(targets; "the targets are known");
+    /// Reads everything from the store.
+    async fn load(&mut self) {
+        match self.store.newest().await {
+            Ok(newest) => {
+                self.store_answered();
+                self.wait.was_eventful();
+                self.take_all(newest.records, newest.end);
+            }
+            Err(failure) => self.failed(&failure).await,
         }
     }
 
-    /// Takes over records in their order.
-    fn take_some(&mut self, records: Vec<KeyedRecord>) {
-        for record in records {
-            match self.topic {
-                Topic::Operators => take_config(&self.gateway, &record),
-                Topic::Targets => take_target(&self.gateway, &record),
-            }
+    fn pause(&self) -> Duration {
+        match self.topic {
+            Topic::Targets => TARGETS_PAUSE,
+            Topic::Operators | Topic::Vms => CONFIG_PAUSE,
         }
     }
-}
 
-fn take_config(gateway: &Gateway, record: &KeyedRecord) {
-    let (CONFIG_KEY, Some(value)) = (&*record.key, &record.value) else {
-        return;
-    };
-    let config = match config_document::decode(value) {
-        Ok(config) => config,
-        Err(error) => {
-            log::warn!(reason:% = error; "the configuration is ignored");
-            return;
-        }
-    };
-    let (version, routes) = (config.version.0, config.routes.len());
-    match gateway.routes.borrow_mut().take(config) {
-        Taken::InForce => log::info!(version, routes; "the configuration is in force"),
-        Taken::NotNewer => log::info!(version; "the configuration is not newer and is ignored"),
+    fn store_answered(&mut self) {
+        self.gateway.metrics.store_call("answered");
+        self.answered();
     }
-}
 
-fn take_target(gateway: &Gateway, record: &KeyedRecord) {
-    let now = Instant::now();
-    let Some(value) = &record.value else {
-        return withdraw(gateway, now, &record.key, "its entry is gone");
-    };
-    match target_entry::decode(&record.key, value, now) {
-        Ok(target) => {
-            let id = target.id.clone();
-            let (service, state) = (target.service.clone(), target.state);
-            let announced = gateway.directory.borrow_mut().announce(target);
-            match announced {
-                Announced::Joined => forget(gateway, &id),
-                Announced::Changed if state == TargetState::Leaving => {}
-                Announced::Changed | Announced::Same => return,
-                Announced::Stale => {
-                    log::info!(target = id.as_str(); "an older announcement is ignored");
-                    return;
-                }
-            }
-            log::info!(target = id.as_str(), service = service.as_str(), state:? = state; "target announced");
-        }
-        Err(reason) => {
-            log::warn!(key = &*record.key, reason = &*reason; "the entry names no target");
-            withdraw(gateway, now, &record.key, "its entry is malformed");
+    /// Notes that a source answered.
+    fn answered(&mut self) {
+        self.backoff.succeeded();
+        self.gateway.feed(self.topic).set_healthy(true);
+        if let Some(since) = self.lost.take() {
+            let ms = since.elapsed().as_millis() as u64;
+            log::info!(topic:? = self.topic, ms; "changes arrive again");
+            let mut directory = self.gateway.directory.borrow_mut();
+            directory.store_returned(Instant::now());
         }
     }
-}
 
-fn withdraw(gateway: &Gateway, now: Instant, key: &str, reason: &str) {
-    let Ok(id) = key.parse::<TargetId>() else {
-        return;
-    };
-    if gateway.directory.borrow_mut().withdraw(now, &id) {
-        log::info!(target = id.as_str(), reason; "target gone");
-        forget(gateway, &id);
+    /// Notes that the store did not answer, and pauses.
+    async fn failed(&mut self, failure: &StoreFailure) {
+        self.gateway.metrics.store_call("failed");
+        self.gateway.feed(self.topic).set_healthy(false);
+        self.wait.was_eventful();
+        if self.lost.is_none() {
+            self.lost = Some(Instant::now());
+            log::warn!(topic:? = self.topic, reason:% = failure; "the store does not answer");
+        }
+        let addr = self.gateway.boot.borrow().store;
+        self.store.set_addr(addr);
+        // Another VM may still reach the store.
+        self.direct_until = None;
+        tokio::time::sleep(self.backoff.failed()).await;
     }
-}
 
-/// Drops what is known about a target's last lifetime.
-fn forget(gateway: &Gateway, id: &TargetId) {
-    gateway.forget(id);
-}
+    fn take_all(&mut self, records: Vec<KeyedRecord>, next: u64) {
+        self.next = Some(next);
+        take_over::all(&self.gateway, self.topic, &records);
+        let feed = self.gateway.feed(self.topic);
+        feed.update(|mirror| mirror.load(records, next));
+    }
 
-/// Takes targets out of use that have not come back after the store did.
-pub fn expire(gateway: &Gateway, now: Instant) {
-    let gone = gateway.directory.borrow_mut().expire(now);
-    for id in gone {
-        log::info!(target = id.as_str(); "target gone: it has not come back after the store did");
-        forget(gateway, &id);
+    fn take_some(&mut self, records: Vec<KeyedRecord>, next: u64) {
+        self.next = Some(next);
+        take_over::some(&self.gateway, self.topic, &records);
+        let feed = self.gateway.feed(self.topic);
+        feed.update(|mirror| mirror.extend(records, next));
     }
 }
--- /dev/null
+++ b/gateway/src/take_over.rs
@@ -0,0 +1,113 @@
+//! Takes records of the store over into what this VM knows.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::TargetState;
+use carobshore_lib::route_table::Taken;
+use carobshore_lib::target_directory::Announced;
+use carobshore_platform::config_document;
+use carobshore_platform::store_client::CONFIG_KEY;
+use carobshore_platform::store_client::Topic;
+use carobshore_platform::target_entry;
+
+use crate::gateway::Gateway;
+
+/// Takes over all records of a topic: what is not among them is gone.
+pub fn all(gateway: &Gateway, topic: Topic, records: &[KeyedRecord]) {
+    if topic == Topic::Targets {
+        let listed: BTreeSet<TargetId> = records
+            .iter()
+            .filter_map(|record| record.key.parse().ok())
+            .collect();
+        let now = Instant::now();
+        let gone = gateway.directory.borrow_mut().retain(now, &listed);
+        for id in &gone {
+            log::info!(target = id.as_str(), reason = "it is not listed"; "target gone");
+            gateway.forget(id);
+        }
+    }
+    some(gateway, topic, records);
+    if topic == Topic::Targets && !gateway.targets_known.replace(true) {
+        let targets = gateway.directory.borrow().iter().count();
+        log::info!(targets; "the targets are known");
+    }
+}
+
+/// Takes over records in their order.
+pub fn some(gateway: &Gateway, topic: Topic, records: &[KeyedRecord]) {
+    for record in records {
+        match topic {
+            Topic::Operators => take_config(gateway, record),
+            Topic::Targets => take_target(gateway, record),
+            Topic::Vms => {}
+        }
+    }
+}
+
+fn take_config(gateway: &Gateway, record: &KeyedRecord) {
+    let (CONFIG_KEY, Some(value)) = (&*record.key, &record.value) else {
+        return;
+    };
+    let config = match config_document::decode(value) {
+        Ok(config) => config,
+        Err(error) => {
+            log::warn!(reason:% = error; "the configuration is ignored");
+            return;
+        }
+    };
+    let (version, routes) = (config.version.0, config.routes.len());
+    match gateway.routes.borrow_mut().take(config) {
+        Taken::InForce => log::info!(version, routes; "the configuration is in force"),
+        Taken::NotNewer => log::info!(version; "the configuration is not newer and is ignored"),
+    }
+}
+
+fn take_target(gateway: &Gateway, record: &KeyedRecord) {
+    let now = Instant::now();
+    let Some(value) = &record.value else {
+        return withdraw(gateway, now, &record.key, "its entry is gone");
+    };
+    match target_entry::decode(&record.key, value, now) {
+        Ok(target) => {
+            let id = target.id.clone();
+            let (service, state) = (target.service.clone(), target.state);
+            let announced = gateway.directory.borrow_mut().announce(target);
+            match announced {
+                Announced::Joined => gateway.forget(&id),
+                Announced::Changed if state == TargetState::Leaving => {}
+                Announced::Changed | Announced::Same => return,
+                Announced::Stale => {
+                    log::info!(target = id.as_str(); "an older announcement is ignored");
+                    return;
+                }
+            }
+            log::info!(target = id.as_str(), service = service.as_str(), state:? = state; "target announced");
+        }
+        Err(reason) => {
+            log::warn!(key = &*record.key, reason = &*reason; "the entry names no target");
+            withdraw(gateway, now, &record.key, "its entry is malformed");
+        }
+    }
+}
+
+fn withdraw(gateway: &Gateway, now: Instant, key: &str, reason: &str) {
+    let Ok(id) = key.parse::<TargetId>() else {
+        return;
+    };
+    if gateway.directory.borrow_mut().withdraw(now, &id) {
+        log::info!(target = id.as_str(), reason; "target gone");
+        gateway.forget(&id);
+    }
+}
+
+/// Takes targets out of use that have not come back after the store did.
+pub fn expire(gateway: &Gateway, now: Instant) {
+    let gone = gateway.directory.borrow_mut().expire(now);
+    for id in gone {
+        log::info!(target = id.as_str(); "target gone: it has not come back after the store did");
+        gateway.forget(&id);
+    }
+}
--- a/gateway/src/target_links.rs
+++ b/gateway/src/target_links.rs
@@ -9,7 +9,6 @@
 
 use carobshore_http::client::Client;
 use carobshore_http::socket::Vigilance;
-use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_outlook::TargetOutlook;
 
@@ -49,8 +48,8 @@
     pub id: TargetId,
     /// Where it accepts connections.
     pub addr: SocketAddr,
-    /// The failure domain in which it runs.
-    pub domain: DomainId,
+    /// Its rank among the targets that this VM prefers.
+    pub rank: u64,
     /// What is known about it.
     pub outlook: RefCell<TargetOutlook>,
     /// Whether another target or lifetime has answered at the address.
@@ -61,11 +60,11 @@
 
 impl TargetLinks {
     /// Starts without connections.
-    pub fn new(id: TargetId, addr: SocketAddr, domain: DomainId) -> Self {
+    pub fn new(id: TargetId, addr: SocketAddr, rank: u64) -> Self {
         Self {
             id,
             addr,
-            domain,
+            rank,
             outlook: RefCell::default(),
             displaced: Cell::new(false),
             idle: RefCell::default(),
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -1,5 +1,6 @@
 //! Finds the target of a request by asking targets for their load.
 
+use std::cell::Ref;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +12,7 @@
 use carobshore_lib::target_choice::ASKED_AT_ONCE;
 use carobshore_lib::target_choice::Candidate;
 use carobshore_lib::target_choice::Demand;
+use carobshore_lib::target_outlook::TargetOutlook;
 use carobshore_platform::call_fields;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -117,16 +119,24 @@
         let candidates = candidates(usable, &outlooks);
         let mut choice = gateway.choice.borrow_mut();
         let mut order = choice.order(Instant::now(), search.demand, &candidates);
-        order.retain(|at| is_worth_asking(&usable[*at].links));
+        order.retain(|(_, at)| is_worth_asking(&usable[*at].links));
         order
     };
+    let mut asked: Vec<usize> = Vec::new();
     for round in order.chunks(ASKED_AT_ONCE) {
+        // A target that was asked may be better than what the others promise.
+        let known = asked.iter().map(|at| cost(&usable[*at], search.demand));
+        if known.min().is_some_and(|best| best <= round[0].0) {
+            break;
+        }
         let (answers, mut answered) = mpsc::unbounded_channel();
-        for at in round {
+        for (_, at) in round {
+            asked.push(*at);
             let links = &usable[*at].links;
-            match is_current(links) {
-                true => drop(answers.send(*at)),
-                false => check(gateway, search.service, links, *at, answers.clone()),
+            if is_current(links) {
+                let _ = answers.send(*at);
+            } else if gateway.may_check(Instant::now()) {
+                check(gateway, search.service, links, *at, answers.clone());
             }
         }
         drop(answers);
@@ -144,6 +154,11 @@
     None
 }
 
+fn cost(usable: &Usable, demand: Demand) -> Duration {
+    let outlook = usable.links.outlook.borrow();
+    target_choice::cost(Instant::now(), demand, &candidate(usable, &outlook))
+}
+
 fn best(gateway: &Gateway, now: Instant, demand: Demand, usable: &[Usable]) -> Option<Usable> {
     let outlooks: Vec<_> = usable.iter().map(|u| u.links.outlook.borrow()).collect();
     let candidates = candidates(usable, &outlooks);
@@ -151,21 +166,24 @@
     Some(usable[best].clone())
 }
 
-fn candidates<'a>(
-    usable: &[Usable],
-    outlooks: &'a [std::cell::Ref<'_, carobshore_lib::target_outlook::TargetOutlook>],
-) -> Vec<Candidate<'a>> {
+fn candidates<'a>(usable: &[Usable], outlooks: &'a [Ref<'_, TargetOutlook>]) -> Vec<Candidate<'a>> {
     let pairs = usable.iter().zip(outlooks);
     pairs
-        .map(|(usable, outlook)| Candidate {
-            outlook,
-            slots: usable.slots,
-            local: usable.local,
-            connected: usable.links.is_connected(),
-        })
+        .map(|(usable, outlook)| candidate(usable, outlook))
         .collect()
 }
 
+fn candidate<'a>(usable: &Usable, outlook: &'a TargetOutlook) -> Candidate<'a> {
+    Candidate {
+        outlook,
+        slots: usable.slots,
+        local: usable.local,
+        connected: usable.links.is_connected(),
+        preferred: usable.preferred,
+        missing: usable.missing,
+    }
+}
+
 /// Returns whether a target is asked. One whose connections are all in use by this VM's own
 /// requests is known to be busy, and asking it would open one more.
 fn is_worth_asking(links: &TargetLinks) -> bool {
--- a/lib/src/target_choice.rs
+++ b/lib/src/target_choice.rs
@@ -15,8 +15,10 @@
 
 /// How many targets are asked at the same time.
 pub const ASKED_AT_ONCE: usize = 3;
-/// Extra cost of a target without an idle connection.
-const CONNECT_COST: Duration = Duration::from_millis(40);
+/// Extra cost of a target without an idle connection that the VM does not prefer.
+const CONNECT_COST: Duration = Duration::from_millis(150);
+/// Extra cost of a target whose announcement is missing.
+const MISSING_COST: Duration = Duration::from_secs(10);
 /// Extra cost of a target in another failure domain, per KiB that crosses, and its bound.
 const CROSSING_COST_PER_KIB: Duration = Duration::from_millis(2);
 const MOST_CROSSING_COST: Duration = Duration::from_millis(150);
@@ -39,6 +41,10 @@
     pub local: bool,
     /// Whether an idle connection is open.
     pub connected: bool,
+    /// Whether the VM prefers the target and keeps a connection to it.
+    pub preferred: bool,
+    /// Whether its announcement is missing, so that it is the last choice.
+    pub missing: bool,
 }
 
 /// What a request brings along.
@@ -64,13 +70,14 @@
         }
     }
 
-    /// Returns the indices of the candidates in the order in which they should be asked.
+    /// Returns what the candidates are expected to cost and their indices, in the order in which
+    /// they should be asked.
     pub fn order(
         &mut self,
         now: Instant,
         demand: Demand,
         candidates: &[Candidate<'_>],
-    ) -> Vec<usize> {
+    ) -> Vec<(Duration, usize)> {
         let mut ranked: Vec<(Duration, usize)> = candidates
             .iter()
             .enumerate()
@@ -80,7 +87,7 @@
             })
             .collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, at)| at).collect()
+        ranked
     }
 
     /// Returns the index of the best candidate among those that were asked.
@@ -90,7 +97,8 @@
         demand: Demand,
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
-        self.order(now, demand, candidates).first().copied()
+        let order = self.order(now, demand, candidates);
+        order.first().map(|(_, at)| *at)
     }
 }
 
@@ -103,11 +111,15 @@
     quiet && outlook.own() == 0 && outlook.failure_share(now) < SOUND
 }
 
-fn cost(now: Instant, demand: Demand, candidate: &Candidate<'_>) -> Duration {
+/// Returns how long a request is expected to take at a target, with what it costs beside time.
+pub fn cost(now: Instant, demand: Demand, candidate: &Candidate<'_>) -> Duration {
     let mut cost = candidate.outlook.cost(now, demand.work, candidate.slots);
-    if !candidate.connected && !candidate.outlook.is_untried() {
+    if !candidate.connected && !candidate.preferred {
         cost += CONNECT_COST;
     }
+    if candidate.missing {
+        cost += MISSING_COST;
+    }
     if !candidate.local {
         let kib = demand.bytes as f64 / 1024.0;
         cost += CROSSING_COST_PER_KIB.mul_f64(kib).min(MOST_CROSSING_COST);
--- a/lib/src/target_directory.rs
+++ b/lib/src/target_directory.rs
@@ -107,6 +107,21 @@
         self.targets.get(id)
     }
 
+    /// Returns whether a target is in use only because its announcement may come back.
+    pub fn is_missing(&self, id: &TargetId) -> bool {
+        self.missing.contains(id)
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = &AnnouncedTarget> {
         self.targets.values()
--- a/lib/src/target_outlook.rs
+++ b/lib/src/target_outlook.rs
@@ -57,7 +57,6 @@
     failures: Fading,
     slowness: Fading,
     cold_until: Option<Instant>,
-    requests: u64,
 }
 
 impl Default for TargetOutlook {
@@ -69,7 +68,6 @@
             failures: Fading::new(EVIDENCE_HALF_LIFE, EVIDENCE_WEIGHT),
             slowness: Fading::new(EVIDENCE_HALF_LIFE, EVIDENCE_WEIGHT),
             cold_until: None,
-            requests: 0,
         }
     }
 }
@@ -95,7 +93,6 @@
     pub fn started(&mut self, now: Instant, attempt: u64, expected: Duration) {
         self.in_flight.push((attempt, now, expected));
         self.since_report += 1;
-        self.requests += 1;
     }
 
     /// Notes the end of an attempt.
@@ -127,11 +124,6 @@
         u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether this VM has never sent the target a request.
-    pub fn is_untried(&self) -> bool {
-        self.requests == 0
-    }
-
     /// Returns the recent share of failed attempts, from 0 to 1.
     pub fn failure_share(&self, now: Instant) -> f64 {
         self.failures.get(now)
