--- /dev/null
+++ b/lib/tests/test_shares.rs
@@ -0,0 +1,154 @@
+//! Guards against VMs that together spend more than a common budget, or that wait for each other.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::check_budget::CheckBudget;
+use carobshore_lib::home_set;
+use carobshore_lib::home_set::Placed;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::repeat_allowance::RepeatAllowance;
+use carobshore_lib::repeat_allowance::RepeatLimits;
+use carobshore_lib::vm_roster::VmRecord;
+use carobshore_lib::vm_roster::VmRoster;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// The budget: 0.2 of the requests and 60 in any window, over all 16 VMs. A window's requests
+    /// may also be those of the window before it.
+    #[test]
+    fn repeats_of_all_vms_stay_within_the_common_budget(
+        arrivals in proptest::collection::vec((0_u64..40_000, 0_usize..16, any::<bool>()), 1..600),
+    ) {
+        let limits = RepeatLimits { ratio: 0.2, window: WINDOW, floor: 3 };
+        let mut vms: Vec<_> = (0..16).map(|_| RepeatAllowance::new(limits)).collect();
+        let start = Instant::now();
+        let mut arrivals = arrivals;
+        arrivals.sort_unstable();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (millis, vm, fails) in arrivals {
+            let now = start + Duration::from_millis(millis);
+            vms[vm].request(now);
+            requests.push(now);
+            if fails && vms[vm].repeat(now) {
+                repeats.push(now);
+            }
+        }
+        for from in &repeats {
+            let inside = |at: &&Instant| **at >= *from && **at < *from + WINDOW;
+            let before = |at: &&Instant| **at + WINDOW >= *from && **at < *from + WINDOW;
+            let repeated = repeats.iter().filter(inside).count() as f64;
+            let asked = requests.iter().filter(before).count() as f64;
+            prop_assert!(repeated <= 0.2 * asked + 60.0, "{repeated} repeats for {asked} requests");
+        }
+    }
+}
+
+#[test]
+fn health_checks_of_all_vms_stay_within_the_common_budget() {
+    let (targets, vms, per_target) = (38, 16, 60.0);
+    let start = Instant::now();
+    let share = CheckBudget::share(per_target, targets, vms);
+    let mut budgets: Vec<_> = (0..vms).map(|_| CheckBudget::new(start, share)).collect();
+    let seconds = 30;
+    let mut sent = 0_u32;
+    for millis in 0..seconds * 1_000 {
+        let now = start + Duration::from_millis(millis);
+        sent += budgets
+            .iter_mut()
+            .map(|budget| u32::from(budget.take(now)))
+            .sum::<u32>();
+    }
+    let rate = f64::from(sent) / targets as f64 / seconds as f64;
+    assert!(rate <= per_target, "{rate} checks a target and second");
+    assert!(
+        rate >= per_target / 2.0,
+        "{rate} checks a target and second"
+    );
+}
+
+fn vm(name: &str, domain: &str) -> VmRecord {
+    VmRecord {
+        name: name.into(),
+        domain: domain.parse().expect("a domain"),
+        feed: "127.0.0.1:7000".parse().expect("an address"),
+    }
+}
+
+#[test]
+fn no_two_vms_take_changes_from_each_other() {
+    let names: Vec<String> = (0..30).map(|index| format!("edge-a-{index}")).collect();
+    let domain: DomainId = "a".parse().expect("a domain");
+    let all: Vec<_> = names.iter().map(|name| vm(name, "a")).collect();
+    let mut without_source = 0;
+    for name in &names {
+        // Each VM knows another part of the others.
+        let known = all
+            .iter()
+            .filter(|vm| (vm.name.len() + name.len()) % 3 != 1)
+            .cloned();
+        let roster = VmRoster::new(known.collect());
+        let sources = roster.sources(name, &domain);
+        for source in &sources {
+            let back = VmRoster::new(all.clone());
+            let back = back
+                .sources(&source.name, &domain)
+                .into_iter()
+                .map(|vm| vm.name.clone());
+            assert!(back.into_iter().all(|other| *other != **name));
+        }
+        without_source += u32::from(VmRoster::new(all.clone()).sources(name, &domain).is_empty());
+    }
+    assert_eq!(
+        without_source, 1,
+        "one VM of a failure domain reads the store"
+    );
+}
+
+#[test]
+fn changes_come_only_from_the_own_failure_domain() {
+    let roster = VmRoster::new((0..10).map(|index| vm(&format!("v{index}"), "b")).collect());
+    assert!(
+        roster
+            .sources("me", &"a".parse().expect("a domain"))
+            .is_empty()
+    );
+}
+
+#[test]
+fn preferred_targets_spread_over_all_targets() {
+    let targets: Vec<String> = (0..200).map(|index| format!("i-{index}")).collect();
+    let mut used = vec![0_u32; targets.len()];
+    let vms = 116;
+    for vm in 0..vms {
+        let name = format!("edge-{vm}");
+        let placed: Vec<_> = targets
+            .iter()
+            .enumerate()
+            .map(|(at, target)| Placed {
+                rank: home_set::rank(&name, target),
+                local: at % 4 == vm % 4,
+            })
+            .collect();
+        let preferred = home_set::preferred(&placed, vms);
+        assert_eq!(preferred.iter().filter(|preferred| **preferred).count(), 7);
+        for (count, preferred) in used.iter_mut().zip(preferred) {
+            *count += u32::from(preferred);
+        }
+    }
+    let idle = used.iter().filter(|count| **count == 0).count();
+    assert!(idle <= 10, "{idle} of 200 targets are preferred by no VM");
+}
+
+#[test]
+fn a_domain_without_targets_prefers_those_of_others() {
+    let placed: Vec<_> = (0..5).map(|rank| Placed { rank, local: false }).collect();
+    assert_eq!(home_set::preferred(&placed, 16), vec![true; 5]);
+}
--- /dev/null
+++ b/lib/tests/test_store_following.rs
@@ -0,0 +1,86 @@
+//! Guards against VMs that miss a change: of a record that was dropped, while the store is slow, or
+//! because the changes since an offset are no longer complete.
+
+use std::time::Duration;
+
+use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::read_wait::ReadWait;
+use carobshore_lib::store_mirror::StoreMirror;
+
+fn record(offset: u64, key: &str, value: Option<&str>) -> KeyedRecord {
+    KeyedRecord {
+        offset,
+        key: key.into(),
+        value: value.map(Box::from),
+    }
+}
+
+#[test]
+fn a_dropped_key_reaches_who_knew_it() {
+    let mut mirror = StoreMirror::default();
+    mirror.load(
+        vec![record(3, "a", Some("1")), record(4, "b", Some("1"))],
+        5,
+    );
+    mirror.extend([record(5, "a", None)], 6);
+    let changes = mirror.since(5);
+    assert!(!changes.whole);
+    assert_eq!(changes.records, vec![record(5, "a", None)]);
+    assert_eq!(changes.next, 6);
+}
+
+#[test]
+fn who_knows_nothing_gets_everything_and_is_told_so() {
+    let mut mirror = StoreMirror::default();
+    mirror.load(vec![record(3, "a", Some("1"))], 5);
+    for from in [0, 4, u64::MAX] {
+        let changes = mirror.since(from);
+        assert!(changes.whole, "from {from}");
+        assert_eq!(changes.records.len(), 1);
+    }
+    assert!(!mirror.since(5).whole);
+}
+
+#[test]
+fn an_empty_topic_is_handed_on_as_known() {
+    // Without this a VM that starts before the first target never becomes ready.
+    let mut mirror = StoreMirror::default();
+    assert_eq!(mirror.next(), None);
+    mirror.load(Vec::new(), 0);
+    assert_eq!(mirror.next(), Some(0));
+    assert!(mirror.since(u64::MAX).whole);
+}
+
+#[test]
+fn when_dropped_keys_are_forgotten_everything_is_given() {
+    let mut mirror = StoreMirror::default();
+    mirror.load(Vec::new(), 0);
+    for offset in 0..2_000 {
+        let key = offset.to_string();
+        mirror.extend([record(offset, &key, None)], offset + 1);
+    }
+    assert!(mirror.since(10).whole);
+    let recent = mirror.since(1_995);
+    assert!(!recent.whole);
+    assert_eq!(recent.records.len(), 5);
+}
+
+#[test]
+fn the_read_after_a_change_is_short() {
+    // A slow store may miss what comes between its look at the records and the wait.
+    let mut wait = ReadWait::default();
+    assert_eq!(wait.get(), Duration::from_secs(1));
+    wait.was_empty(Duration::from_millis(1_005));
+    assert_eq!(wait.get(), Duration::from_secs(20));
+    wait.was_eventful();
+    assert_eq!(wait.get(), Duration::from_secs(1));
+}
+
+#[test]
+fn reads_stay_short_while_the_store_is_slow() {
+    let mut wait = ReadWait::default();
+    for _ in 0..5 {
+        wait.was_empty(Duration::from_millis(1_240));
+        assert_eq!(wait.get(), Duration::from_secs(1));
+    }
+}
--- /dev/null
+++ b/lib/tests/test_target_choice.rs
@@ -0,0 +1,219 @@
+//! The load pattern of noisy neighbours: a quarter of the targets works five times slower for a
+//! moment, and other VMs fill slots that this VM does not see. Guards against requests that go to a
+//! slow, full, failing or far target although a better one has just reported.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::load_report::LoadReport;
+use carobshore_lib::target_choice;
+use carobshore_lib::target_choice::Candidate;
+use carobshore_lib::target_choice::Demand;
+use carobshore_lib::target_choice::TargetChoice;
+use carobshore_lib::target_outlook::TargetOutlook;
+use carobshore_lib::target_outlook::Verdict;
+
+const WORK: Duration = Duration::from_millis(220);
+const SLOTS: u32 = 2;
+
+fn report(running: u32, waiting: u32, pace: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: SLOTS,
+        pace,
+    }
+}
+
+fn reported(now: Instant, load: LoadReport) -> TargetOutlook {
+    let mut outlook = TargetOutlook::default();
+    outlook.report(now, load);
+    outlook
+}
+
+fn candidate(outlook: &TargetOutlook) -> Candidate<'_> {
+    Candidate {
+        outlook,
+        slots: SLOTS,
+        local: true,
+        connected: true,
+        preferred: true,
+        missing: false,
+    }
+}
+
+fn demand(bytes: usize) -> Demand {
+    Demand { work: WORK, bytes }
+}
+
+/// Returns the index that is chosen among the outlooks, in twenty draws that have to agree.
+fn chosen(now: Instant, outlooks: &[TargetOutlook]) -> usize {
+    let candidates: Vec<_> = outlooks.iter().map(candidate).collect();
+    let draws = (0..20).map(|seed| TargetChoice::new(seed).best(now, demand(0), &candidates));
+    let mut draws: Vec<_> = draws.collect();
+    draws.dedup();
+    assert_eq!(draws.len(), 1, "the draws differ: {draws:?}");
+    draws[0].expect("a choice")
+}
+
+#[test]
+fn a_quiet_idle_target_is_taken_before_noisy_and_busy_ones() {
+    let now = Instant::now();
+    let outlooks = [
+        reported(now, report(0, 0, 500)),
+        reported(now, report(1, 0, 100)),
+        reported(now, report(0, 0, 100)),
+        reported(now, report(2, 3, 100)),
+    ];
+    assert_eq!(chosen(now, &outlooks), 2);
+    assert!(target_choice::is_ideal(now, &outlooks[2]));
+    for other in [0, 1, 3] {
+        assert!(!target_choice::is_ideal(now, &outlooks[other]));
+    }
+}
+
+#[test]
+fn noise_of_a_moment_ago_says_nothing_any_more() {
+    let then = Instant::now();
+    let now = then + Duration::from_secs(2);
+    let noisy = reported(then, report(0, 0, 500));
+    let quiet = reported(then, report(0, 0, 100));
+    let differ = noisy
+        .expected(now, WORK, SLOTS)
+        .abs_diff(quiet.expected(now, WORK, SLOTS));
+    assert!(differ < Duration::from_millis(1), "{differ:?}");
+}
+
+#[test]
+fn a_short_request_is_delayed_by_noise_no_longer_than_the_noise_lasts() {
+    let now = Instant::now();
+    let noisy = reported(now, report(0, 0, 500));
+    let long = noisy.expected(now, Duration::from_secs(2), SLOTS);
+    assert!(long < Duration::from_millis(2_150), "{long:?}");
+    let short = noisy.expected(now, Duration::from_millis(10), SLOTS);
+    assert_eq!(short, Duration::from_millis(50));
+}
+
+#[test]
+fn own_requests_since_a_report_count() {
+    let now = Instant::now();
+    let mut used = reported(now, report(0, 0, 100));
+    used.started(now, 1, WORK);
+    let other = reported(now, report(1, 0, 100));
+    assert_eq!(used.queue_ahead(now, SLOTS), 0.0);
+    used.started(now, 2, WORK);
+    assert_eq!(used.queue_ahead(now, SLOTS), 1.0);
+    assert_eq!(chosen(now, &[used, other]), 1);
+}
+
+#[test]
+fn a_full_report_is_taken_at_its_word_while_it_is_young() {
+    let now = Instant::now();
+    let full = reported(now, report(2, 0, 100));
+    assert_eq!(
+        full.queue_ahead(now + Duration::from_millis(50), SLOTS),
+        1.0
+    );
+    assert!(full.queue_ahead(now + Duration::from_millis(600), SLOTS) < 0.0);
+}
+
+#[test]
+fn a_target_that_fails_fast_does_not_draw_requests() {
+    let now = Instant::now();
+    let mut failing = reported(now, report(0, 0, 100));
+    for attempt in 0..2 {
+        failing.started(now, attempt, WORK);
+        failing.ended(now, attempt, Verdict::Failed);
+    }
+    failing.report(now, report(0, 0, 100));
+    let busy = reported(now, report(1, 0, 100));
+    assert!(!target_choice::is_ideal(now, &failing));
+    assert_eq!(chosen(now, &[failing, busy]), 1);
+}
+
+#[test]
+fn a_failing_target_is_tried_again_after_some_seconds() {
+    let now = Instant::now();
+    let mut failing = TargetOutlook::default();
+    failing.started(now, 1, WORK);
+    failing.ended(now, 1, Verdict::Failed);
+    let later = now + Duration::from_secs(12);
+    assert!(failing.failure_share(later) < 0.05);
+}
+
+#[test]
+fn a_target_that_stopped_is_found_by_the_age_of_its_requests() {
+    let now = Instant::now();
+    let mut stopped = TargetOutlook::default();
+    stopped.started(now, 1, WORK);
+    let later = now + WORK * 4;
+    stopped.report(later, report(1, 0, 100));
+    let crowded = reported(later, report(1, 0, 100));
+    assert_eq!(chosen(later, &[stopped, crowded]), 1);
+}
+
+#[test]
+fn a_large_body_stays_in_the_failure_domain_and_a_small_one_need_not() {
+    let now = Instant::now();
+    let idle = reported(now, report(0, 0, 100));
+    let mut busy = reported(now, report(1, 0, 100));
+    busy.started(now, 1, WORK / 4);
+    let far = Candidate {
+        local: false,
+        ..candidate(&idle)
+    };
+    let near = candidate(&busy);
+    let small = target_choice::cost(now, demand(2 << 10), &far);
+    assert!(small < target_choice::cost(now, demand(2 << 10), &near));
+    let large = target_choice::cost(now, demand(60 << 10), &far);
+    assert!(large >= small + Duration::from_millis(100));
+}
+
+#[test]
+fn a_target_whose_announcement_is_missing_is_the_last_choice() {
+    let now = Instant::now();
+    let idle = reported(now, report(0, 0, 100));
+    let full = reported(now, report(2, 4, 500));
+    let missing = Candidate {
+        missing: true,
+        ..candidate(&idle)
+    };
+    let candidates = [missing, candidate(&full)];
+    let best = TargetChoice::new(1).best(now, demand(0), &candidates);
+    assert_eq!(best, Some(1));
+}
+
+/// Plays 16 VMs in front of 16 targets with noisy neighbours, and returns the share of requests
+/// that start on an idle, quiet target.
+fn share_of_ideal(asked: usize) -> f64 {
+    use rand::RngExt;
+    use rand::SeedableRng;
+    let mut rng = rand::rngs::StdRng::seed_from_u64(7);
+    let now = Instant::now();
+    let mut ideal = 0;
+    for seed in 0..500 {
+        let outlooks: Vec<_> = (0..16)
+            .map(|_| {
+                let running = u32::from(rng.random_bool(0.4));
+                let pace = if rng.random_bool(0.25) { 500 } else { 100 };
+                reported(now, report(running, 0, pace))
+            })
+            .collect();
+        let order = {
+            let blank = TargetOutlook::default();
+            let candidates: Vec<_> = outlooks.iter().map(|_| candidate(&blank)).collect();
+            TargetChoice::new(seed).order(now, demand(0), &candidates)
+        };
+        let found = order[..asked]
+            .iter()
+            .any(|(_, at)| target_choice::is_ideal(now, &outlooks[*at]));
+        ideal += u32::from(found);
+    }
+    f64::from(ideal) / 500.0
+}
+
+#[test]
+fn asking_six_targets_finds_a_quiet_one_for_nearly_every_request() {
+    assert!(share_of_ideal(1) < 0.6);
+    assert!(share_of_ideal(6) > 0.95);
+}
