store_watch: take changes from another VM only in large failure domains, with proof

Change: only domains of 8 VMs or more share changes, and a VM on which others rely reads with a wait of 0.8 s and a slack of 0.3 s; smaller domains read by themselves as before.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -19,7 +19,7 @@
 
 /// Pause after a page of records. Changes that come meanwhile are read in one call; the bound for
 /// them to be in force is 2 s.
-const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+const TARGETS_PAUSE: Duration = Duration::from_millis(300);
 const CONFIG_PAUSE: Duration = Duration::from_millis(200);
 /// Pauses between calls while the store fails. Refused calls cost as much as others.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -58,6 +58,7 @@
 /// Follows a topic until the process ends.
 pub async fn follow(gateway: Rc<Gateway>, topic: Topic) -> eyre::Result<()> {
     let addr = gateway.boot.borrow().store;
+    let wait = ReadWait::new(gateway.is_relied_on());
     let mut watch = Watch {
         gateway,
         topic,
@@ -66,7 +67,7 @@
         avoided: Vec::new(),
         direct_until: None,
         backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
-        wait: ReadWait::default(),
+        wait,
         next: None,
         lost: None,
         start_tries: START_TRIES,
@@ -133,7 +134,11 @@
         let Some(from) = self.next else {
             return self.load().await;
         };
-        match self.store.read(from, self.wait.get()).await {
+        match self
+            .store
+            .read(from, self.wait.get(), self.wait.slack())
+            .await
+        {
             Ok(page) if page.records.is_empty() && page.malformed == 0 => {
                 self.store_answered();
                 self.wait.was_empty(started.elapsed());
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -112,6 +112,16 @@
     );
 }
 
+#[test]
+fn the_vms_of_a_small_failure_domain_read_the_store_themselves() {
+    let roster = VmRoster::new((0..7).map(|index| vm(&format!("v{index}"), "a")).collect());
+    assert!(
+        roster
+            .sources("me", &"a".parse().expect("a domain"))
+            .is_empty()
+    );
+}
+
 #[test]
 fn changes_come_only_from_the_own_failure_domain() {
     let roster = VmRoster::new((0..10).map(|index| vm(&format!("v{index}"), "b")).collect());
