--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -195,11 +195,12 @@
 
     /// Takes a health check from this VM's share of the budget.
     pub fn may_check(&self, now: Instant) -> bool {
-        let targets = self.directory.borrow().len();
-        let share = CheckBudget::share(self.boot.borrow().checks, targets, self.vms());
-        let mut checks = self.checks.borrow_mut();
-        checks.set_rate(share);
-        checks.take(now)
+        self.with_checks(|checks| checks.take(now))
+    }
+
+    /// Returns whether this VM's share of the health checks runs short.
+    pub fn checks_are_short(&self, now: Instant) -> bool {
+        self.with_checks(|checks| checks.is_short(now))
     }
 
     /// Forgets the connections of a target whose lifetime has ended.
@@ -327,6 +328,14 @@
         })
     }
 
+    fn with_checks<R>(&self, act: impl FnOnce(&mut CheckBudget) -> R) -> R {
+        let targets = self.directory.borrow().len();
+        let share = CheckBudget::share(self.boot.borrow().checks, targets, self.vms());
+        let mut checks = self.checks.borrow_mut();
+        checks.set_rate(share);
+        act(&mut checks)
+    }
+
     fn links(&self, target: &AnnouncedTarget) -> Rc<TargetLinks> {
         let mut links = self.links.borrow_mut();
         let found = links.entry(target.id.clone()).or_insert_with(|| {
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -34,6 +34,11 @@
 /// Requests that may wait inside a target when a request has waited for room in vain.
 const MOST_AHEAD: f64 = 1.0;
 
+/// How many targets one look around asks, and how many while this VM's share of the health checks
+/// runs short.
+const ASKED: usize = 16;
+const ASKED_WHEN_SHORT: usize = 4;
+
 /// What a search is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Search<'a> {
@@ -120,18 +125,15 @@
         let mut choice = gateway.choice.borrow_mut();
         let mut order = choice.order(Instant::now(), search.demand, &candidates);
         order.retain(|(_, at)| is_worth_asking(&usable[*at].links));
+        order.truncate(match gateway.checks_are_short(Instant::now()) {
+            true => ASKED_WHEN_SHORT,
+            false => ASKED,
+        });
         order
     };
-    let mut asked: Vec<usize> = Vec::new();
     for round in order.chunks(ASKED_AT_ONCE) {
-        // A target that was asked may be better than what the others promise.
-        let known = asked.iter().map(|at| cost(&usable[*at], search.demand));
-        if known.min().is_some_and(|best| best <= round[0].0) {
-            break;
-        }
         let (answers, mut answered) = mpsc::unbounded_channel();
         for (_, at) in round {
-            asked.push(*at);
             let links = &usable[*at].links;
             if is_current(links) {
                 let _ = answers.send(*at);
@@ -154,11 +156,6 @@
     None
 }
 
-fn cost(usable: &Usable, demand: Demand) -> Duration {
-    let outlook = usable.links.outlook.borrow();
-    target_choice::cost(Instant::now(), demand, &candidate(usable, &outlook))
-}
-
 fn best(gateway: &Gateway, now: Instant, demand: Demand, usable: &[Usable]) -> Option<Usable> {
     let outlooks: Vec<_> = usable.iter().map(|u| u.links.outlook.borrow()).collect();
     let candidates = candidates(usable, &outlooks);
--- a/lib/src/check_budget.rs
+++ b/lib/src/check_budget.rs
@@ -37,16 +37,26 @@
         self.per_second = per_second;
     }
 
+    /// Returns whether less than half of a full bucket is left.
+    pub fn is_short(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.tokens < self.per_second * SAVED / 2.0
+    }
+
     /// Takes a check from the budget. Returns false when it is spent.
     pub fn take(&mut self, now: Instant) -> bool {
-        let passed: Duration = now.saturating_duration_since(self.at);
-        self.at = now;
-        let most = self.per_second * SAVED;
-        self.tokens = (self.tokens + passed.as_secs_f64() * self.per_second).min(most);
+        self.refill(now);
         let allowed = self.tokens >= 1.0;
         if allowed {
             self.tokens -= 1.0;
         }
         allowed
     }
+
+    fn refill(&mut self, now: Instant) {
+        let passed: Duration = now.saturating_duration_since(self.at);
+        self.at = now;
+        let most = self.per_second * SAVED;
+        self.tokens = (self.tokens + passed.as_secs_f64() * self.per_second).min(most);
+    }
 }
