store_watch: go on at once when the store cuts a connection

Change: a cut connection is followed by another try before anything else; a VM reads with short waits only while others poll it; others go back after 1.5 s.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -179,12 +179,6 @@
         sources.into_iter().map(|vm| vm.feed).collect()
     }
 
-    /// Returns whether other VMs may take changes from this one.
-    pub fn is_relied_on(&self) -> bool {
-        let domain = &self.boot.borrow().domain;
-        self.roster.borrow().shares_changes(domain)
-    }
-
     /// Returns what other VMs take from this one.
     pub fn feed(&self, topic: Topic) -> &Feed {
         match topic {
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -25,9 +25,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 /// How long another VM that failed is not asked again.
-const AVOIDED: Duration = Duration::from_secs(5);
+const AVOIDED: Duration = Duration::from_secs(3);
 /// How long the store is read directly after another VM failed, before the next one is asked.
-const DIRECT: Duration = Duration::from_secs(4);
+const DIRECT: Duration = Duration::from_millis(1_500);
 /// How often a VM that has just started is asked while the other one starts too.
 const START_TRIES: u32 = 4;
 const START_PAUSE: Duration = Duration::from_millis(150);
@@ -52,13 +52,14 @@
     next: Option<u64>,
     /// Since when nothing has answered.
     lost: Option<Instant>,
+    /// Whether the store cut the connection and has not answered since.
+    cut: bool,
     start_tries: u32,
 }
 
 /// Follows a topic until the process ends.
 pub async fn follow(gateway: Rc<Gateway>, topic: Topic) -> eyre::Result<()> {
     let addr = gateway.boot.borrow().store;
-    let wait = ReadWait::new(gateway.is_relied_on());
     let mut watch = Watch {
         gateway,
         topic,
@@ -67,9 +68,10 @@
         avoided: Vec::new(),
         direct_until: None,
         backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
-        wait,
+        wait: ReadWait::new(),
         next: None,
         lost: None,
+        cut: false,
         start_tries: START_TRIES,
     };
     loop {
@@ -134,6 +136,8 @@
         let Some(from) = self.next else {
             return self.load().await;
         };
+        let relied_on = self.gateway.feed(self.topic).is_relied_on(started);
+        self.wait.set_relied_on(relied_on);
         match self
             .store
             .read(from, self.wait.get(), self.wait.slack())
@@ -186,6 +190,7 @@
 
     /// Notes that a source answered.
     fn answered(&mut self) {
+        self.cut = false;
         self.backoff.succeeded();
         self.gateway.feed(self.topic).set_healthy(true);
         if let Some(since) = self.lost.take() {
@@ -199,6 +204,11 @@
     /// Notes that the store did not answer, and pauses.
     async fn failed(&mut self, failure: &StoreFailure) {
         self.gateway.metrics.store_call("failed");
+        if *failure == StoreFailure::Cut && !std::mem::replace(&mut self.cut, true) {
+            // The store cuts connections when it drops records; it may well answer at once.
+            log::info!(topic:? = self.topic; "the store cut the connection");
+            return;
+        }
         self.gateway.feed(self.topic).set_healthy(false);
         self.wait.was_eventful();
         if self.lost.is_none() {
--- a/lib/src/read_wait.rs
+++ b/lib/src/read_wait.rs
@@ -23,15 +23,26 @@
     relied_on: bool,
 }
 
+impl Default for ReadWait {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ReadWait {
-    /// Starts with a short wait. `relied_on` tells whether other VMs take changes from this one.
-    pub fn new(relied_on: bool) -> Self {
+    /// Starts with a short wait.
+    pub fn new() -> Self {
         Self {
             wait: SHORT,
-            relied_on,
+            relied_on: false,
         }
     }
 
+    /// Notes whether other VMs take changes from this one.
+    pub fn set_relied_on(&mut self, relied_on: bool) {
+        self.relied_on = relied_on;
+    }
+
     /// Returns the wait of the next read.
     pub fn get(self) -> Duration {
         match self.relied_on {
--- a/lib/tests/test_store_following.rs
+++ b/lib/tests/test_store_following.rs
@@ -68,7 +68,7 @@
 #[test]
 fn the_read_after_a_change_is_short() {
     // A slow store may miss what comes between its look at the records and the wait.
-    let mut wait = ReadWait::new(false);
+    let mut wait = ReadWait::new();
     assert_eq!(wait.get(), Duration::from_secs(1));
     wait.was_empty(Duration::from_millis(1_005));
     assert_eq!(wait.get(), Duration::from_secs(20));
@@ -78,7 +78,7 @@
 
 #[test]
 fn reads_stay_short_while_the_store_is_slow() {
-    let mut wait = ReadWait::new(false);
+    let mut wait = ReadWait::new();
     for _ in 0..5 {
         wait.was_empty(Duration::from_millis(1_240));
         assert_eq!(wait.get(), Duration::from_secs(1));
@@ -89,7 +89,8 @@
 fn a_vm_on_which_others_rely_always_waits_shortly() {
     // A store that turns one VM away silently must not hold up the VMs that follow it: a wait, its
     // slack and the pause after a change have to end before a change has to be in force.
-    let mut wait = ReadWait::new(true);
+    let mut wait = ReadWait::new();
+    wait.set_relied_on(true);
     wait.was_empty(Duration::from_millis(805));
     let pause = Duration::from_millis(300);
     assert!(pause + wait.get() + wait.slack() < Duration::from_millis(1_600));
