--- a/gateway/src/roster_entry.rs
+++ b/gateway/src/roster_entry.rs
@@ -49,9 +49,10 @@
         tokio::time::sleep(GATHERING).await;
         return read(&mut client).await;
     }
-    let roster = read(&mut client).await?;
+    let mut roster = read(&mut client).await?;
     if !roster.has(&record) {
         append(&mut client, &record).await?;
+        roster.add(record);
     }
     Ok(roster)
 }
--- /dev/null
+++ b/gateway/tests/common/mod.rs
@@ -0,0 +1,292 @@
+//! A site on loopback: a store, targets, and gateways as processes of their own.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_http::body::BodyReader;
+use carobshore_http::head::ResponseHead;
+use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_store::SiteStore;
+use carobshore_standin::site_target::SiteTarget;
+use serde_json::Value;
+use serde_json::json;
+
+/// How long a test waits for something that has to happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A store with targets.
+pub(crate) struct Site {
+    pub(crate) store: SiteStore,
+    pub(crate) targets: Vec<SiteTarget>,
+    dir: PathBuf,
+}
+
+/// A gateway process. It is killed when it is dropped.
+pub(crate) struct Gateway {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) settings: PathBuf,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+/// A whole response.
+#[derive(Debug)]
+pub(crate) struct Response {
+    pub(crate) head: ResponseHead,
+    pub(crate) body: String,
+}
+
+/// Starts a store and `count` targets of the service `status`, with a configuration whose routes
+/// `/safe/`, `/unsafe/` and `/upload/` on `site.example` lead to it.
+pub(crate) fn site(name: &str, count: usize) -> Site {
+    let store = SiteStore::start(ANY_PORT).expect("a store");
+    let targets: Vec<_> = (0..count)
+        .map(|index| {
+            let id = format!("i-{index}");
+            SiteTarget::start(ANY_PORT, &id, "status", "a").expect("a target")
+        })
+        .collect();
+    targets
+        .iter()
+        .for_each(|target| target.announce(&store, "ready"));
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let site = Site {
+        store,
+        targets,
+        dir,
+    };
+    site.configure(1, &routes(1_500, "status"));
+    site
+}
+
+/// Returns the routes of [`site`].
+pub(crate) fn routes(timeout_ms: u64, service: &str) -> Vec<Value> {
+    ["safe", "unsafe", "upload"]
+        .iter()
+        .map(|kind| {
+            json!({"Type": "Routes", "Metadata": {"Name": format!("r-{kind}")}, "Spec": {
+                "Host": "site.example", "PathPrefix": format!("/{kind}/"), "Kind": kind,
+                "Timeout": format!("{timeout_ms}ms"), "TargetLatency": "600ms", "Priority": 1,
+                "Service": service, "MaxAttempts": 3}})
+        })
+        .collect()
+}
+
+impl Site {
+    /// Writes a configuration.
+    pub(crate) fn configure(&self, version: u64, routes: &[Value]) {
+        let mut resources = routes.to_vec();
+        resources.push(json!({"Type": "Services", "Metadata": {"Name": "status"},
+            "Spec": {"HealthPath": "/health", "MaxConns": 240, "Protocol": "h1", "Tls": false}}));
+        resources.push(json!({"Type": "Limits", "Metadata": {}, "Spec": {
+            "MaxHeaderBytes": 16384, "MaxBodyBytes": 1_000_000,
+            "HeaderTimeout": "1000ms", "IdleTimeout": "15000ms"}}));
+        let document = json!({"Version": format!("r{version}"), "Resources": resources});
+        self.store
+            .put(OPERATORS, "config", Some(document.to_string().as_bytes()));
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub(crate) fn gateway(&self, name: &str) -> Gateway {
+        let gateway = self.start_gateway(name);
+        wait("the gateway is ready", || gateway.is_ready());
+        gateway
+    }
+
+    /// Starts a gateway.
+    pub(crate) fn start_gateway(&self, name: &str) -> Gateway {
+        let [callers, readiness, admin] = [free_port(), free_port(), free_port()];
+        let settings = self.dir.join(format!("{name}.json"));
+        let text = self.settings(name, callers, readiness, admin).to_string();
+        std::fs::write(&settings, text).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("a process");
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let out = child.stdout.take().expect("its output");
+        let sink = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                sink.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
+            }
+        });
+        Gateway {
+            child,
+            callers,
+            readiness,
+            admin,
+            settings,
+            lines,
+        }
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        callers: SocketAddr,
+        readiness: SocketAddr,
+        admin: SocketAddr,
+    ) -> Value {
+        json!({
+            "NodeName": name, "Role": "gateway", "MachineClass": "edge", "Serves": ["edge"],
+            "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r"},
+            "Listen": {"Frontend": callers.to_string(), "Readiness": readiness.to_string()},
+            "InternalPorts": [admin.port(), admin.port()], "Seeds": [], "Bootstrap": false,
+            "Limits": {"CpuShare": 0.2, "MemoryMb": 260, "MaxFds": 4100},
+            "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
+                "RetryBudgetExtra": 60, "ProbesPerS": 60},
+            "Platform": {"Address": self.store.addr().to_string(), "form": "log"},
+        })
+    }
+
+    /// Returns how often the targets ran the request with the id.
+    pub(crate) fn runs_of(&self, id: &str) -> usize {
+        let runs = self.targets.iter().flat_map(SiteTarget::runs);
+        runs.filter(|run| &*run.id == id).count()
+    }
+}
+
+impl Gateway {
+    /// Returns whether readiness is answered with 200.
+    pub(crate) fn is_ready(&self) -> bool {
+        let response = try_call(self.readiness, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        response.is_some_and(|response| response.head.status == 200)
+    }
+
+    /// Sends a request on a connection of its own.
+    pub(crate) fn call(&self, kind: &str, id: &str, body: &str) -> Response {
+        call(self.callers, &request(kind, id, 1_500, body))
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &id]).status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits until the process has ended, and returns whether it ended well.
+    pub(crate) fn ended(&mut self) -> bool {
+        let mut status = None;
+        wait("the gateway ends", || {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        });
+        status.is_some_and(|status| status.success())
+    }
+
+    /// Returns whether the log has a line with all of the texts.
+    pub(crate) fn has_line(&self, texts: &[&str]) -> bool {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines
+            .iter()
+            .any(|line| texts.iter().all(|text| line.contains(text)))
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a request in wire format.
+pub(crate) fn request(kind: &str, id: &str, deadline_ms: u64, body: &str) -> String {
+    let method = if kind == "safe" { "GET" } else { "POST" };
+    let length = match body.is_empty() {
+        true => String::new(),
+        false => format!("Content-Length: {}\r\n", body.len()),
+    };
+    format!(
+        "{method} /{kind}/%2e/x?y=%zz HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: {id}\r\nRequest-Deadline: {deadline_ms}\r\n{length}\r\n{body}"
+    )
+}
+
+/// Sends bytes on a new connection and reads one response.
+pub(crate) fn call(addr: SocketAddr, text: &str) -> Response {
+    try_call(addr, text).expect("a response")
+}
+
+/// The same, or nothing if the connection ends before.
+pub(crate) fn try_call(addr: SocketAddr, text: &str) -> Option<Response> {
+    let mut stream = connect(addr)?;
+    stream.write_all(text.as_bytes()).ok()?;
+    read_response(&mut stream, &mut BytesMut::new())
+}
+
+/// Opens a connection.
+pub(crate) fn connect(addr: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&addr, PATIENCE).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    Some(stream)
+}
+
+/// Reads the next response of a connection.
+pub(crate) fn read_response(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<Response> {
+    let head = loop {
+        if let Some(head) = ResponseHead::take(buffer, 64 << 10).ok()? {
+            break head;
+        }
+        fill(stream, buffer)?;
+    };
+    let mut body = BodyReader::new(head.framing("GET").ok()?, 16 << 20).ok()?;
+    while !body.advance(buffer).ok()? {
+        fill(stream, buffer)?;
+    }
+    let body = String::from_utf8_lossy(&body.into_body()).into_owned();
+    Some(Response { head, body })
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<()> {
+    let mut bytes = [0; 4_096];
+    let count = stream.read(&mut bytes).ok().filter(|count| *count > 0)?;
+    buffer.extend_from_slice(&bytes[..count]);
+    Some(())
+}
+
+/// Waits until something has happened.
+pub(crate) fn wait(what: &str, mut happened: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !happened() {
+        assert!(Instant::now() < until, "{what}: not within {PATIENCE:?}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(ANY_PORT).expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+/// Returns whether something listens at the address.
+pub(crate) fn connect_now(addr: SocketAddr) -> bool {
+    TcpStream::connect_timeout(&addr, Duration::from_millis(100)).is_ok()
+}
--- /dev/null
+++ b/gateway/tests/test_calls.rs
@@ -0,0 +1,270 @@
+//! Guards against responses that are not the target's, requests that run twice, and statuses that
+//! promise what is not true, with a gateway process and simulated targets.
+
+mod common;
+
+use std::io::Write;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_standin::site_target::Behaviour;
+
+use crate::common::call;
+use crate::common::connect;
+use crate::common::read_response;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::wait;
+
+#[test]
+fn a_request_reaches_the_target_unchanged_and_its_response_the_caller() {
+    let site = site("unchanged", 1);
+    let gateway = site.gateway("edge-1");
+    let response = gateway.call("upload", "id-1", "some bytes");
+    assert_eq!(response.head.status, 200);
+    assert_eq!(response.body, "body of id-1");
+    assert_eq!(response.head.fields.text("Response-Signature"), Some("s"));
+    let run = &site.targets[0].runs()[0];
+    assert_eq!(&*run.request, "POST /upload/%2e/x?y=%zz");
+    assert_eq!(run.body, 10);
+    let deadline = run.deadline.expect("a deadline");
+    assert!((1_000..=1_500).contains(&deadline), "{deadline} ms");
+}
+
+#[test]
+fn without_a_configuration_nothing_is_denied() {
+    let site = site("without", 1);
+    site.store
+        .set_fault(carobshore_standin::site_store::StoreFault::Status(503));
+    let gateway = site.start_gateway("edge-1");
+    wait("the gateway listens", || {
+        common::connect_now(gateway.callers)
+    });
+    let response = gateway.call("safe", "id-1", "");
+    assert_eq!(response.head.status, 503);
+    assert!(response.head.fields.text("Retry-After").is_some());
+    assert!(!gateway.is_ready());
+}
+
+#[test]
+fn a_path_without_a_route_is_not_found() {
+    let site = site("no-route", 1);
+    let gateway = site.gateway("edge-1");
+    for text in [
+        "GET /none/ HTTP/1.1\r\nHost: site.example\r\n\r\n",
+        "GET /safe/ HTTP/1.1\r\nHost: other.example\r\n\r\n",
+    ] {
+        assert_eq!(call(gateway.callers, text).head.status, 404);
+    }
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again() {
+    for behaviour in [Behaviour::Truncate, Behaviour::Lose, Behaviour::Unsigned] {
+        let site = site(&format!("once-{behaviour:?}"), 3);
+        let gateway = site.gateway("edge-1");
+        site.targets.iter().for_each(|target| target.set(behaviour));
+        let response = gateway.call("unsafe", "id-1", "x");
+        assert_eq!(response.head.status, 502, "{behaviour:?}");
+        assert_eq!(site.runs_of("id-1"), 1, "{behaviour:?}");
+    }
+}
+
+#[test]
+fn a_request_that_was_refused_goes_to_another_target() {
+    let site = site("refused", 2);
+    let gateway = site.gateway("edge-1");
+    for refusing in 0..2 {
+        site.targets[refusing].set(Behaviour::Refuse);
+        site.targets[1 - refusing].set(Behaviour::Serve);
+        for index in 0..5 {
+            let id = format!("id-{refusing}-{index}");
+            let response = gateway.call("unsafe", &id, "x");
+            assert_eq!(response.head.status, 200);
+            assert_eq!(site.runs_of(&id), 1);
+        }
+    }
+}
+
+#[test]
+fn a_refusal_by_all_targets_says_not_run_and_when_to_come_back() {
+    let site = site("all-refuse", 2);
+    let gateway = site.gateway("edge-1");
+    site.targets
+        .iter()
+        .for_each(|target| target.set(Behaviour::Refuse));
+    let response = gateway.call("unsafe", "id-1", "x");
+    assert_eq!(response.head.status, 503);
+    let after = response
+        .head
+        .fields
+        .text("Retry-After")
+        .and_then(|text| text.parse::<f64>().ok());
+    assert!(after.is_some_and(|after| after > 0.0 && after < 1.0));
+    assert_eq!(site.runs_of("id-1"), 0);
+}
+
+#[test]
+fn a_repeatable_request_whose_response_broke_is_sent_again() {
+    for behaviour in [Behaviour::Truncate, Behaviour::Lose, Behaviour::Unsigned] {
+        let site = site(&format!("again-{behaviour:?}"), 2);
+        let gateway = site.gateway("edge-1");
+        site.targets[0].set(behaviour);
+        for index in 0..6 {
+            let id = format!("id-{index}");
+            let response = gateway.call("safe", &id, "");
+            assert_eq!(response.head.status, 200, "{behaviour:?}");
+            assert_eq!(response.body, format!("body of {id}"));
+        }
+    }
+}
+
+#[test]
+fn a_response_without_a_length_arrives_whole() {
+    let site = site("unframed", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::Unframed);
+    for kind in ["safe", "unsafe"] {
+        let response = gateway.call(kind, "id-1", "");
+        assert_eq!(response.body, "body of id-1");
+    }
+}
+
+#[test]
+fn an_extra_response_reaches_nobody() {
+    let site = site("extra", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::AnswerTwice);
+    for index in 0..8 {
+        let id = format!("id-{index}");
+        let response = gateway.call("safe", &id, "");
+        assert_eq!(response.body, format!("body of {id}"));
+        assert_eq!(response.head.fields.text("Attempt-Id"), Some(&*id));
+    }
+}
+
+#[test]
+fn a_target_at_whose_address_another_one_answers_is_not_used() {
+    let site = site("displaced", 2);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::Misdirect);
+    for index in 0..6 {
+        let response = gateway.call("unsafe", &format!("id-{index}"), "x");
+        assert_eq!(response.head.status, 200);
+    }
+    assert!(site.targets[0].runs().is_empty());
+}
+
+#[test]
+fn an_early_rejection_reaches_the_caller() {
+    let site = site("early", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::RejectEarly);
+    let body = "x".repeat(500_000);
+    let response = gateway.call("upload", "id-1", &body);
+    assert_eq!(response.head.status, 413);
+    assert_eq!(response.body, "early");
+}
+
+#[test]
+fn the_time_of_the_route_ends_with_a_final_answer() {
+    let site = site("timeout", 1);
+    site.configure(2, &routes(400, "status"));
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::Hang);
+    let started = Instant::now();
+    let response = gateway.call("unsafe", "id-1", "x");
+    assert_eq!(response.head.status, 504);
+    let took = started.elapsed();
+    assert!(took >= Duration::from_millis(390), "{took:?}");
+    assert!(took < Duration::from_millis(650), "{took:?}");
+}
+
+#[test]
+fn pipelined_requests_are_served_together_and_answered_in_order() {
+    let site = site("pipelined", 3);
+    let gateway = site.gateway("edge-1");
+    site.targets
+        .iter()
+        .for_each(|target| target.set_work(Duration::from_millis(300)));
+    let mut stream = connect(gateway.callers).expect("a connection");
+    let started = Instant::now();
+    let text: String = (0..3)
+        .map(|index| request("safe", &format!("id-{index}"), 3_000, ""))
+        .collect();
+    stream.write_all(text.as_bytes()).expect("a write");
+    let mut buffer = BytesMut::new();
+    for index in 0..3 {
+        let response = read_response(&mut stream, &mut buffer).expect("a response");
+        assert_eq!(response.body, format!("body of id-{index}"));
+    }
+    let took = started.elapsed();
+    assert!(
+        took < Duration::from_millis(750),
+        "one after the other: {took:?}"
+    );
+}
+
+#[test]
+fn what_stands_behind_a_closing_response_is_not_run_unless_it_may_be_repeated() {
+    let site = site("behind", 1);
+    let gateway = site.gateway("edge-1");
+    let first = request("safe", "id-1", 1_500, "").replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    let both = first + &request("unsafe", "id-2", 1_500, "x");
+    let response = call(gateway.callers, &both);
+    assert!(!response.head.keep_alive);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(site.runs_of("id-2"), 0);
+}
+
+#[test]
+fn when_a_caller_leaves_its_repeatable_request_stops_and_the_other_one_runs_on() {
+    let site = site("leaves", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set_work(Duration::from_millis(800));
+    for kind in ["safe", "unsafe"] {
+        let id = format!("id-{kind}");
+        let mut stream = connect(gateway.callers).expect("a connection");
+        stream
+            .write_all(request(kind, &id, 3_000, "").as_bytes())
+            .expect("a write");
+        wait("the request runs", || site.runs_of(&id) == 1);
+        drop(stream);
+        thread::sleep(Duration::from_millis(500));
+        let runs = site.targets[0].runs();
+        let run = runs.iter().find(|run| *run.id == *id).expect("the run");
+        assert_eq!(run.left, kind == "safe", "{kind}");
+        thread::sleep(Duration::from_millis(500));
+    }
+}
+
+#[test]
+fn malformed_and_oversized_requests_get_a_clear_answer() {
+    let site = site("malformed", 1);
+    let gateway = site.gateway("edge-1");
+    let long = "x".repeat(20_000);
+    for (text, status) in [
+        ("GET  / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        (
+            "POST /safe/ HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                .to_owned(),
+            400,
+        ),
+        (format!("GET /safe/ HTTP/1.1\r\nX: {long}\r\n\r\n"), 431),
+        (
+            "POST /upload/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 2000000\r\n\r\n"
+                .to_owned(),
+            413,
+        ),
+    ] {
+        let response = call(gateway.callers, &text);
+        assert_eq!(response.head.status, status, "{}", &text[..30]);
+        assert!(!response.head.keep_alive);
+    }
+    let slow = call(gateway.callers, "GET /safe/ HTTP/1.1\r\nHost:");
+    assert_eq!(slow.head.status, 408);
+    assert!(site.targets[0].runs().is_empty());
+}
--- /dev/null
+++ b/gateway/tests/test_site.rs
@@ -0,0 +1,279 @@
+//! Guards against requests that go by an older configuration or to targets that leave, against a
+//! planned stop that cuts requests off, and against a store whose outage stops the gateway.
+
+mod common;
+
+use std::io::Write;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_store::StoreFault;
+use carobshore_standin::site_store::TARGETS;
+use carobshore_standin::site_target::SiteTarget;
+
+use crate::common::call;
+use crate::common::connect;
+use crate::common::read_response;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::wait;
+
+/// The bound for a change of configuration and for a target that leaves.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_change_of_configuration_is_in_force_in_time_and_is_never_undone() {
+    let site = site("change", 1);
+    let gateway = site.gateway("edge-1");
+    assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
+    site.configure(5, &routes(1_500, "status")[1..]);
+    let sent = Instant::now();
+    wait("the route is gone", || {
+        gateway.call("safe", "id-2", "").head.status == 404
+    });
+    assert!(sent.elapsed() < IN_FORCE);
+    for older in ["r4", "r5", "r0", "x7", "7"] {
+        let document = format!("{{\"Version\":\"{older}\",\"Resources\":[]}}");
+        site.store
+            .put(OPERATORS, "config", Some(document.as_bytes()));
+    }
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(gateway.call("unsafe", "id-3", "").head.status, 200);
+    assert!(gateway.has_line(&["\"version\":5", "the configuration is in force"]));
+    assert!(gateway.has_line(&["the configuration is ignored"]));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_decoded_leaves_the_last_one_in_force() {
+    let site = site("undecodable", 1);
+    let gateway = site.gateway("edge-1");
+    site.store
+        .put(OPERATORS, "config", Some(b"{\"Version\":\"r9\",\"Resour"));
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
+}
+
+#[test]
+fn a_target_that_leaves_gets_nothing_more() {
+    let site = site("leaving", 3);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].announce(&site.store, "draining");
+    site.targets[1].withdraw(&site.store);
+    thread::sleep(IN_FORCE);
+    let before = [site.targets[0].runs().len(), site.targets[1].runs().len()];
+    for index in 0..10 {
+        assert_eq!(
+            gateway
+                .call("unsafe", &format!("id-{index}"), "x")
+                .head
+                .status,
+            200
+        );
+    }
+    let after = [site.targets[0].runs().len(), site.targets[1].runs().len()];
+    assert_eq!(before, after);
+}
+
+#[test]
+fn a_malformed_entry_names_no_target_and_the_others_hold() {
+    let site = site("forged", 1);
+    let gateway = site.gateway("edge-1");
+    for (key, value) in [
+        ("i-forged", &b"{\"Address\":5}"[..]),
+        ("i-bytes", &[0xff, 0xfe, 0x00][..]),
+        ("UPPER CASE", &b"{}"[..]),
+        ("i-state", &b"{\"Address\":\"127.0.0.1:1\",\"Info\":{\"Service\":\"status\",\"Zone\":\"a\",\"Slots\":2},\"Status\":{\"State\":\"odd\",\"SeqNo\":1}}"[..]),
+    ] {
+        site.store.put(TARGETS, key, Some(value));
+    }
+    thread::sleep(Duration::from_millis(800));
+    for index in 0..5 {
+        assert_eq!(
+            gateway.call("safe", &format!("id-{index}"), "").head.status,
+            200
+        );
+    }
+}
+
+#[test]
+fn a_new_target_gets_requests() {
+    let mut site = site("joins", 1);
+    let gateway = site.gateway("edge-1");
+    let joined = SiteTarget::start(ANY_PORT, "i-new", "status", "a").expect("a target");
+    joined.announce(&site.store, "ready");
+    site.targets.push(joined);
+    let mut index = 0;
+    wait("the new target has a request", || {
+        index += 1;
+        gateway.call("safe", &format!("id-{index}"), "");
+        !site.targets[1].runs().is_empty()
+    });
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_away_and_changes_arrive_after_it() {
+    for fault in [
+        StoreFault::Status(503),
+        StoreFault::Status(429),
+        StoreFault::Silent,
+        StoreFault::Reset,
+    ] {
+        let site = site(&format!("away-{fault:?}").replace(['(', ')'], ""), 2);
+        let gateway = site.gateway("edge-1");
+        site.store.set_fault(fault);
+        thread::sleep(Duration::from_millis(600));
+        assert_eq!(
+            gateway.call("unsafe", "id-1", "x").head.status,
+            200,
+            "{fault:?}"
+        );
+        assert!(gateway.is_ready(), "{fault:?}");
+        site.store.set_fault(StoreFault::None);
+        site.configure(3, &routes(1_500, "status")[1..]);
+        wait("the change arrives", || {
+            gateway.call("safe", "id-2", "").head.status == 404
+        });
+    }
+}
+
+#[test]
+fn a_change_among_records_that_were_dropped_arrives() {
+    let site = site("dropped", 1);
+    let gateway = site.gateway("edge-1");
+    site.store.drop_history(OPERATORS);
+    site.configure(3, &routes(1_500, "status")[1..]);
+    wait("the change arrives", || {
+        gateway.call("safe", "id-1", "").head.status == 404
+    });
+}
+
+#[test]
+fn a_restarted_gateway_is_ready_soon_and_knows_the_configuration() {
+    let site = site("restart", 1);
+    drop(site.gateway("edge-1"));
+    let started = Instant::now();
+    let gateway = site.gateway("edge-1");
+    assert!(started.elapsed() < IN_FORCE);
+    assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
+}
+
+#[test]
+fn a_planned_stop_fails_readiness_at_once_and_answers_what_it_has_taken() {
+    let site = site("stop", 2);
+    let mut gateway = site.gateway("edge-1");
+    site.targets
+        .iter()
+        .for_each(|target| target.set_work(Duration::from_millis(900)));
+    let mut kept = connect(gateway.callers).expect("a connection");
+    kept.write_all(request("unsafe", "id-1", 3_000, "x").as_bytes())
+        .expect("a write");
+    wait("the request runs", || site.runs_of("id-1") == 1);
+    gateway.signal("-TERM");
+    wait("readiness fails", || !gateway.is_ready());
+    let response = read_response(&mut kept, &mut BytesMut::new()).expect("a response");
+    assert_eq!(response.body, "body of id-1");
+    assert!(
+        !response.head.keep_alive,
+        "a kept connection is asked to close"
+    );
+    let late = call(gateway.callers, &request("unsafe", "id-2", 3_000, "x"));
+    assert_eq!(
+        late.head.status, 200,
+        "new work is taken until the platform has noticed"
+    );
+    assert!(gateway.ended());
+    assert!(gateway.has_line(&["planned stop"]));
+    assert!(gateway.has_line(&["the gateway ends"]));
+}
+
+#[test]
+fn a_caller_that_sends_on_and_on_does_not_hold_up_the_stop() {
+    let site = site("busy-stop", 2);
+    let mut gateway = site.gateway("edge-1");
+    gateway.signal("-TERM");
+    let stopped = Instant::now();
+    let mut index = 0;
+    // A request without a response was not read by the process that has ended.
+    while common::try_call(
+        gateway.callers,
+        &request("safe", &format!("id-{index}"), 1_500, ""),
+    )
+    .is_some()
+    {
+        index += 1;
+        assert!(
+            stopped.elapsed() < Duration::from_secs(6),
+            "still there at the end of the grace time"
+        );
+    }
+    assert!(gateway.ended());
+    for sent in 0..index {
+        assert!(site.runs_of(&format!("id-{sent}")) <= 1);
+    }
+}
+
+#[test]
+fn settings_are_read_again_on_a_signal_and_on_a_change() {
+    let site = site("reload", 1);
+    let gateway = site.gateway("edge-1");
+    gateway.signal("-HUP");
+    wait("the signal is followed", || {
+        gateway.has_line(&["settings read again", "signal"])
+    });
+    let text = std::fs::read_to_string(&gateway.settings).expect("the settings");
+    std::fs::write(&gateway.settings, text + "\n").expect("a write");
+    wait("the change is seen", || {
+        gateway.has_line(&["settings read again", "\"cause\":\"change\""])
+    });
+    std::fs::write(&gateway.settings, "{").expect("a write");
+    wait("bad settings are refused", || {
+        gateway.has_line(&["the settings stay as they were"])
+    });
+    assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
+}
+
+#[test]
+fn metrics_and_the_state_are_shown() {
+    let site = site("metrics", 1);
+    let gateway = site.gateway("edge-1");
+    gateway.call("safe", "id-1", "");
+    let metrics = call(gateway.admin, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(
+        metrics
+            .body
+            .contains("carobshore_requests_total{outcome=\"served\""),
+        "{}",
+        metrics.body
+    );
+    let dump = call(gateway.admin, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
+    let dump: serde_json::Value = serde_json::from_str(&dump.body).expect("a dump");
+    assert_eq!(dump["version"], 1);
+    assert_eq!(dump["targets"][0]["id"], "i-0");
+}
+
+#[test]
+fn each_request_has_its_line_in_the_log() {
+    let site = site("lines", 1);
+    let gateway = site.gateway("edge-1");
+    gateway.call("safe", "id-served", "");
+    call(
+        gateway.callers,
+        "GET /none/ HTTP/1.1\r\nHost: x\r\nAttempt-Id: id-denied\r\n\r\n",
+    );
+    wait("the served request is logged", || {
+        gateway.has_line(&[
+            "id-served",
+            "\"outcome\":\"served\"",
+            "i-0:answered",
+            "\"version\":1",
+        ])
+    });
+    wait("the denied request is logged", || {
+        gateway.has_line(&["id-denied", "\"outcome\":\"no-route\"", "\"status\":404"])
+    });
+}
--- a/lib/src/vm_roster.rs
+++ b/lib/src/vm_roster.rs
@@ -35,6 +35,12 @@
         Self { vms }
     }
 
+    /// Adds a VM, in place of an earlier record of it.
+    pub fn add(&mut self, vm: VmRecord) {
+        self.vms.retain(|other| other.name != vm.name);
+        self.vms.push(vm);
+    }
+
     /// Returns the number of VMs, or nothing while none is known.
     pub fn len(&self) -> Option<usize> {
         Some(self.vms.len()).filter(|count| *count > 0)
--- /dev/null
+++ b/standin/src/raw_server.rs
@@ -0,0 +1,184 @@
+//! A server whose handler decides about every byte and about the end of each connection.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use carobshore_http::body::BodyReader;
+use carobshore_http::head::RequestHead;
+use socket2::SockRef;
+
+/// The largest header section and body, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+const MAX_BODY: usize = 16 << 20;
+
+/// What a server does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Write these bytes and go on.
+    Bytes(Vec<u8>),
+    /// Write these bytes and close in order.
+    Last(Vec<u8>),
+    /// Write these bytes and reset the connection.
+    Reset(Vec<u8>),
+    /// Never answer on this connection again.
+    Silence,
+}
+
+/// A request as a handler sees it.
+#[derive(Debug)]
+pub struct Received {
+    /// The head.
+    pub head: RequestHead,
+    /// The body; empty if the handler answers before it.
+    pub body: Vec<u8>,
+    /// The connection, to find out whether the other side has left.
+    pub stream: TcpStream,
+}
+
+/// A running server. It ends all connections when it is dropped.
+#[derive(Debug)]
+pub struct RawServer {
+    addr: SocketAddr,
+    stopped: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl RawServer {
+    /// Starts a server on an address of loopback. `early` tells which requests are handled before
+    /// their body is read.
+    pub fn start(
+        addr: SocketAddr,
+        early: impl Fn(&RequestHead) -> bool + Send + Sync + 'static,
+        handler: impl Fn(Received) -> Answer + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr)?;
+        let server = Self {
+            addr: listener.local_addr()?,
+            stopped: Arc::default(),
+            connections: Arc::default(),
+        };
+        let stopped = Arc::clone(&server.stopped);
+        let connections = Arc::clone(&server.connections);
+        let handler = Arc::new(handler);
+        let early = Arc::new(early);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                if stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                if let Ok(copy) = stream.try_clone() {
+                    lock(&connections).push(copy);
+                }
+                let (handler, early) = (Arc::clone(&handler), Arc::clone(&early));
+                thread::spawn(move || serve(stream, &*early, &*handler));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Resets all connections.
+    pub fn reset_connections(&self) {
+        for stream in lock(&self.connections).drain(..) {
+            reset(&stream);
+        }
+    }
+}
+
+impl Drop for RawServer {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread.
+        drop(TcpStream::connect_timeout(
+            &self.addr,
+            Duration::from_secs(1),
+        ));
+        self.reset_connections();
+    }
+}
+
+/// Locks, whatever a thread that panicked has left.
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn serve(
+    mut stream: TcpStream,
+    early: &dyn Fn(&RequestHead) -> bool,
+    handler: &dyn Fn(Received) -> Answer,
+) {
+    let mut buffer = BytesMut::new();
+    while let Some(received) = receive(&mut stream, &mut buffer, early) {
+        let sent = match handler(received) {
+            Answer::Bytes(bytes) => stream.write_all(&bytes),
+            Answer::Last(bytes) => {
+                let _ = stream.write_all(&bytes);
+                let _ = stream.shutdown(std::net::Shutdown::Write);
+                return;
+            }
+            Answer::Reset(bytes) => {
+                let _ = stream.write_all(&bytes);
+                thread::sleep(Duration::from_millis(20));
+                return reset(&stream);
+            }
+            Answer::Silence => {
+                let _ = io::copy(&mut stream, &mut io::sink());
+                return;
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+fn receive(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    early: &dyn Fn(&RequestHead) -> bool,
+) -> Option<Received> {
+    let head = loop {
+        if let Some(head) = RequestHead::take(buffer, MAX_HEAD).ok()? {
+            break head;
+        }
+        read(stream, buffer)?;
+    };
+    let mut body = BodyReader::new(head.framing().ok()?, MAX_BODY).ok()?;
+    while !early(&head) && !body.advance(buffer).ok()? {
+        read(stream, buffer)?;
+    }
+    Some(Received {
+        head,
+        body: body.into_body(),
+        stream: stream.try_clone().ok()?,
+    })
+}
+
+fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<()> {
+    let mut bytes = [0; 16 << 10];
+    let count = stream.read(&mut bytes).ok().filter(|count| *count > 0)?;
+    buffer.extend_from_slice(&bytes[..count]);
+    Some(())
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
--- /dev/null
+++ b/standin/src/site_store.rs
@@ -0,0 +1,270 @@
+//! A simulator of the store of the users' platform: topics that keep the newest record of each key,
+//! reads that wait, and outages.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+
+use crate::raw_server::Answer;
+use crate::raw_server::RawServer;
+use crate::raw_server::Received;
+use crate::raw_server::lock;
+
+/// The topic in which the targets announce themselves.
+pub const TARGETS: &str = "keyed.servers";
+/// The topic of the operators.
+pub const OPERATORS: &str = "keyed.op";
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers every call with this status.
+    Status(u16),
+    /// It accepts calls and never answers them; reads that wait are not answered either.
+    Silent,
+    /// It resets connections.
+    Reset,
+}
+
+type Record = (u64, String, Option<Vec<u8>>);
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<Record>,
+    first: u64,
+    end: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    topics: HashMap<String, Topic>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct SiteStore {
+    server: RawServer,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl SiteStore {
+    /// Starts an empty store on loopback.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let state: Arc<(Mutex<State>, Condvar)> = Arc::default();
+        let shared = Arc::clone(&state);
+        let server = RawServer::start(addr, |_| false, move |call| handle(&shared, &call))?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Writes a value, or drops the key without one.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&[u8]>) {
+        let (state, changed) = &*self.state;
+        append(&mut lock(state), topic, key, value);
+        changed.notify_all();
+    }
+
+    /// Drops the records of a topic but for the newest of each key, so that reads from an earlier
+    /// offset fail.
+    pub fn drop_history(&self, topic: &str) {
+        let (state, changed) = &*self.state;
+        let mut state = lock(state);
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.end + 1;
+        topic.end += 1;
+        changed.notify_all();
+    }
+
+    /// Changes how the store fails, and cuts the calls that wait if it does.
+    pub fn set_fault(&self, fault: StoreFault) {
+        let (state, changed) = &*self.state;
+        lock(state).fault = fault;
+        changed.notify_all();
+        if fault == StoreFault::Reset {
+            self.server.reset_connections();
+        }
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state.0).calls
+    }
+}
+
+fn append(state: &mut State, topic: &str, key: &str, value: Option<&[u8]>) -> u64 {
+    let topic = state.topics.entry(topic.to_owned()).or_default();
+    let offset = topic.end;
+    let value = value.map(<[u8]>::to_vec);
+    topic.records.push((offset, key.to_owned(), value));
+    topic.end += 1;
+    offset
+}
+
+fn handle(shared: &(Mutex<State>, Condvar), call: &Received) -> Answer {
+    let (state, changed) = shared;
+    let fault = {
+        let mut state = lock(state);
+        state.calls += 1;
+        state.fault
+    };
+    match fault {
+        StoreFault::None => {}
+        StoreFault::Status(status) => return reply(status, b"{}"),
+        StoreFault::Silent => return Answer::Silence,
+        StoreFault::Reset => return Answer::Reset(Vec::new()),
+    }
+    let target = &*call.head.target;
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let query: HashMap<&str, &str> = query
+        .split('&')
+        .filter_map(|part| part.split_once('='))
+        .collect();
+    let topic = *query.get("Topic").unwrap_or(&"");
+    let number = |name| {
+        query
+            .get(name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    match path {
+        "/-/log-append" => {
+            let answer = append_body(&mut lock(state), topic, &call.body);
+            changed.notify_all();
+            answer
+        }
+        "/-/log-newest" => newest(&lock(state), topic),
+        "/-/log-read" => {
+            let wait = Duration::from_millis(number("WaitMs"));
+            read(shared, topic, number("From"), wait)
+        }
+        _ => reply(404, b"{}"),
+    }
+}
+
+fn append_body(state: &mut State, topic: &str, body: &[u8]) -> Answer {
+    let mut rest = body;
+    let mut first = None;
+    while let Some((length, tail)) = rest.split_first_chunk::<4>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let Some((record, tail)) = tail.split_at_checked(length) else {
+            return reply(400, b"{}");
+        };
+        rest = tail;
+        let Some((key, value)) = split_record(record) else {
+            return reply(400, b"{}");
+        };
+        let value = (!value.is_empty()).then_some(value);
+        first.get_or_insert(append(state, topic, &key, value));
+    }
+    let end = state.topics.get(topic).map_or(0, |topic| topic.end);
+    let offset = first.unwrap_or(end);
+    reply(
+        200,
+        format!("{{\"Offset\":{offset},\"End\":{end}}}").as_bytes(),
+    )
+}
+
+fn split_record(record: &[u8]) -> Option<(String, &[u8])> {
+    let (length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some((String::from_utf8_lossy(key).into_owned(), value))
+}
+
+fn newest(state: &State, topic: &str) -> Answer {
+    let Some(topic) = state.topics.get(topic) else {
+        return reply(200, b"{\"items\":[],\"HasMore\":false,\"End\":0}");
+    };
+    let mut newest = BTreeMap::new();
+    for (offset, key, value) in &topic.records {
+        newest.insert(key, (offset, value));
+    }
+    let items: Vec<_> = newest
+        .into_iter()
+        .filter_map(|(key, (offset, value))| {
+            let value = BASE64_STANDARD.encode(value.as_ref()?);
+            Some(serde_json::json!({"Key": key, "Value": value, "Offset": offset}))
+        })
+        .collect();
+    let body = serde_json::json!({"items": items, "HasMore": false, "End": topic.end});
+    reply(200, body.to_string().as_bytes())
+}
+
+fn read(shared: &(Mutex<State>, Condvar), topic: &str, from: u64, wait: Duration) -> Answer {
+    let (state, changed) = shared;
+    let until = Instant::now() + wait;
+    let mut state = lock(state);
+    loop {
+        match state.fault {
+            StoreFault::None => {}
+            StoreFault::Silent => {
+                drop(state);
+                thread::sleep(Duration::from_secs(60));
+                return Answer::Silence;
+            }
+            StoreFault::Status(status) => return reply(status, b"{}"),
+            StoreFault::Reset => return Answer::Reset(Vec::new()),
+        }
+        let (first, end) = state
+            .topics
+            .get(topic)
+            .map_or((0, 0), |topic| (topic.first, topic.end));
+        if from < first {
+            return reply(410, format!("{{\"First\":{first}}}").as_bytes());
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if from < end || left.is_zero() {
+            return reply(200, &page(&state, topic, from, first, end));
+        }
+        let waited = changed.wait_timeout(state, left);
+        state = waited.unwrap_or_else(PoisonError::into_inner).0;
+    }
+}
+
+fn page(state: &State, topic: &str, from: u64, first: u64, end: u64) -> Vec<u8> {
+    let mut page = Vec::new();
+    page.extend_from_slice(&end.to_be_bytes());
+    page.extend_from_slice(&first.to_be_bytes());
+    let records = state
+        .topics
+        .get(topic)
+        .map_or(&[][..], |topic| &topic.records);
+    for (_, key, value) in records.iter().filter(|(offset, ..)| *offset >= from) {
+        let value = value.as_deref().unwrap_or_default();
+        let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(0);
+        page.extend_from_slice(&length.to_be_bytes());
+        page.push(u8::try_from(key.len()).unwrap_or(0));
+        page.extend_from_slice(key.as_bytes());
+        page.extend_from_slice(value);
+    }
+    page
+}
+
+fn reply(status: u16, body: &[u8]) -> Answer {
+    let mut bytes = format!(
+        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    Answer::Bytes(bytes)
+}
--- /dev/null
+++ b/standin/src/site_target.rs
@@ -0,0 +1,256 @@
+//! A simulator of a target of the users' platform, which announces itself in the store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::raw_server::Answer;
+use crate::raw_server::RawServer;
+use crate::raw_server::Received;
+use crate::raw_server::lock;
+use crate::site_store::SiteStore;
+use crate::site_store::TARGETS;
+
+/// How often a target that works looks whether its caller has left.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What a target does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It answers.
+    #[default]
+    Serve,
+    /// It says that it did not run the request.
+    Refuse,
+    /// It runs the request and closes the connection in the middle of the response.
+    Truncate,
+    /// It runs the request and resets the connection.
+    Lose,
+    /// It never answers, on this connection.
+    Hang,
+    /// It answers twice; the second answer comes with the next response.
+    AnswerTwice,
+    /// It answers without a length and closes.
+    Unframed,
+    /// It answers with an error before it has read the body.
+    RejectEarly,
+    /// It answers without its signature.
+    Unsigned,
+    /// Another target has its address.
+    Misdirect,
+}
+
+/// A request that a target ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The id of the request.
+    pub id: Box<str>,
+    /// The first line's method and target.
+    pub request: Box<str>,
+    /// The time that the request had, in milliseconds.
+    pub deadline: Option<u64>,
+    /// The length of the body.
+    pub body: usize,
+    /// Whether the caller left before the end.
+    pub left: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    id: Box<str>,
+    work: Mutex<Duration>,
+    behaviour: Mutex<Behaviour>,
+    runs: Mutex<Vec<Run>>,
+    running: AtomicU32,
+    /// A second answer that is sent before the next one.
+    extra: Mutex<Vec<u8>>,
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct SiteTarget {
+    server: RawServer,
+    state: Arc<State>,
+    service: Box<str>,
+    domain: Box<str>,
+    sequence: AtomicU64,
+}
+
+impl SiteTarget {
+    /// Starts a target that has not announced itself.
+    pub fn start(addr: SocketAddr, id: &str, service: &str, domain: &str) -> io::Result<Self> {
+        let state = Arc::new(State {
+            id: id.into(),
+            work: Mutex::new(Duration::from_millis(5)),
+            behaviour: Mutex::default(),
+            runs: Mutex::default(),
+            running: AtomicU32::new(0),
+            extra: Mutex::default(),
+        });
+        let (shared, early) = (Arc::clone(&state), Arc::clone(&state));
+        let server = RawServer::start(
+            addr,
+            move |_| *lock(&early.behaviour) == Behaviour::RejectEarly,
+            move |call| handle(&shared, call),
+        )?;
+        Ok(Self {
+            server,
+            state,
+            service: service.into(),
+            domain: domain.into(),
+            sequence: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &str {
+        &self.state.id
+    }
+
+    /// Writes the target's entry.
+    pub fn announce(&self, store: &SiteStore, state: &str) {
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
+        let entry = serde_json::json!({
+            "Address": self.server.addr().to_string(),
+            "Info": {"Service": self.service, "Version": "v1", "Zone": self.domain, "Slots": 2},
+            "Status": {"State": state, "SeqNo": sequence, "WarmupLeft": "0ms"},
+            "born": 1_800_000_000_000_u64,
+        });
+        store.put(TARGETS, self.id(), Some(entry.to_string().as_bytes()));
+    }
+
+    /// Removes the target's entry.
+    pub fn withdraw(&self, store: &SiteStore) {
+        store.put(TARGETS, self.id(), None);
+    }
+
+    /// Changes what the target does.
+    pub fn set(&self, behaviour: Behaviour) {
+        *lock(&self.state.behaviour) = behaviour;
+    }
+
+    /// Changes how long a request takes.
+    pub fn set_work(&self, work: Duration) {
+        *lock(&self.state.work) = work;
+    }
+
+    /// Returns the requests that the target ran.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.state.runs).clone()
+    }
+
+    /// Resets all connections, as a network device does that has lost track of them.
+    pub fn reset_connections(&self) {
+        self.server.reset_connections();
+    }
+}
+
+fn handle(state: &State, call: Received) -> Answer {
+    let fields = &call.head.fields;
+    let id: Box<str> = fields.text("Attempt-Id").unwrap_or_default().into();
+    let expected = fields.text("Expect-Instance");
+    let behaviour = *lock(&state.behaviour);
+    let mine = expected.is_none_or(|expected| *expected == *state.id);
+    if !mine || behaviour == Behaviour::Misdirect {
+        return Answer::Bytes(response("421 Misdirected", "Instance-Id: i-other\r\n", b""));
+    }
+    if &*call.head.target == "/health" {
+        let running = state.running.load(Ordering::SeqCst);
+        let fields = format!(
+            "Instance-Id: {}\r\nBackend-Load: {running},0,2,100\r\n",
+            state.id
+        );
+        return Answer::Bytes(response("200 OK", &fields, b""));
+    }
+    match behaviour {
+        Behaviour::Refuse => {
+            let fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
+            return Answer::Bytes(response("503 Full", &fields, b""));
+        }
+        Behaviour::Hang => return Answer::Silence,
+        Behaviour::RejectEarly => {
+            let fields = format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\n");
+            return Answer::Bytes(response("413 Too Large", &fields, b"early"));
+        }
+        _ => {}
+    }
+    let left = run(state, &call, &id);
+    if left {
+        return Answer::Silence;
+    }
+    let signature =
+        format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\nKeep-Alive: timeout=10\r\n");
+    let whole = response("200 OK", &signature, format!("body of {id}").as_bytes());
+    match behaviour {
+        Behaviour::Truncate => Answer::Last(whole[..whole.len() - 5].to_vec()),
+        Behaviour::Lose => Answer::Reset(Vec::new()),
+        Behaviour::Unsigned => {
+            let fields = format!("Attempt-Id: {id}\r\n");
+            Answer::Bytes(response("200 OK", &fields, b"unsigned"))
+        }
+        Behaviour::Unframed => {
+            let head = format!("HTTP/1.1 200 OK\r\n{signature}\r\nbody of {id}");
+            Answer::Last(head.into_bytes())
+        }
+        Behaviour::AnswerTwice => {
+            let mut bytes = std::mem::replace(&mut *lock(&state.extra), whole.clone());
+            bytes.extend_from_slice(&whole);
+            Answer::Bytes(bytes)
+        }
+        _ => Answer::Bytes(whole),
+    }
+}
+
+/// Works on a request. Returns whether the caller left meanwhile.
+fn run(state: &State, call: &Received, id: &str) -> bool {
+    let fields = &call.head.fields;
+    let run = Run {
+        id: id.into(),
+        request: format!("{} {}", call.head.method, call.head.target).into(),
+        deadline: fields
+            .text("Request-Deadline")
+            .and_then(|text| text.parse().ok()),
+        body: call.body.len(),
+        left: false,
+    };
+    let at = {
+        let mut runs = lock(&state.runs);
+        runs.push(run);
+        runs.len() - 1
+    };
+    state.running.fetch_add(1, Ordering::SeqCst);
+    let until = Instant::now() + *lock(&state.work);
+    let mut left = false;
+    while !left && Instant::now() < until {
+        thread::sleep(LOOK.min(until.saturating_duration_since(Instant::now())));
+        left = has_left(&call.stream);
+    }
+    state.running.fetch_sub(1, Ordering::SeqCst);
+    lock(&state.runs)[at].left = left;
+    left
+}
+
+fn has_left(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut byte);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+fn response(status: &str, fields: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {length}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
