--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -175,3 +175,38 @@
     let answer = read_until_quiet(&mut upload, PATIENCE);
     assert!(answer.closed && answer.text.is_empty(), "{}", answer.text);
 }
+
+/// Guards against a request that counts as in flight for good, so that the planned stop never ends:
+/// its target sent a part of the response and then fell silent, and the response was given up.
+#[test]
+fn a_response_that_was_given_up_does_not_hold_up_the_stop() {
+    for method in ["GET", "POST"] {
+        let silent = raw_server(|mut stream| {
+            thread::spawn(move || {
+                read_head(&mut stream);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n");
+                let _ = stream.write_all(&[b'x'; 600]);
+                thread::sleep(PATIENCE);
+            });
+        });
+        let mut vm = Vm::alone(&[silent], &[NOTICE_FLAG]);
+        let request = format!(
+            "{method} / HTTP/1.1\r\nhost: status\r\ncarobshore-deadline-ms: 300\r\ncontent-length: 0\r\n\r\n"
+        );
+        let mut caller = TcpStream::connect(vm.listen).unwrap();
+        caller.write_all(request.as_bytes()).unwrap();
+        thread::sleep(Duration::from_millis(800));
+        let load = vm.dump();
+        assert_eq!(load["in_flight_other"], 0, "{method}");
+        vm.stop.request();
+        leave_when_asked(&mut vm);
+        wait_for_end(&vm);
+        let answer = read_until_quiet(&mut caller, PATIENCE);
+        assert!(answer.closed, "{method}: {}", answer.text);
+        assert!(
+            answer.text.matches('x').count() <= 600,
+            "{method}: {}",
+            answer.text
+        );
+    }
+}
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -99,7 +99,7 @@
         let server = RawServer::start(
             addr,
             move |_| *lock(&early.behaviour) == Behaviour::RejectEarly,
-            move |call| handle(&shared, call),
+            move |call| handle(&shared, &call),
         )?;
         Ok(Self {
             server,
@@ -153,7 +153,7 @@
     }
 }
 
-fn handle(state: &State, call: Received) -> Answer {
+fn handle(state: &State, call: &Received) -> Answer {
     let fields = &call.head.fields;
     let id: Box<str> = fields.text("Attempt-Id").unwrap_or_default().into();
     let expected = fields.text("Expect-Instance");
@@ -182,7 +182,7 @@
         }
         _ => {}
     }
-    let left = run(state, &call, &id);
+    let left = run(state, call, &id);
     if left {
         return Answer::Silence;
     }
