gateway, cli: a line for each attempt, explain, and work measured undisturbed

Cause: the time of every request pulled the estimate of its work, so that it grew from 220 to 333 ms under load and requests waited too shortly for room. Decisions had one line a request without the inputs. Change: only requests that found an idle, quiet target by a young report are measured; each attempt logs what was known; carobshore explain tells the story of a request from the logs.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod completions;
 mod confirm;
 mod dump;
+mod explain;
 mod history;
 mod intent;
 mod plan;
@@ -24,6 +25,7 @@
     History(history::HistoryArgs),
     Status(status::StatusArgs),
     Dump(dump::DumpArgs),
+    Explain(explain::ExplainArgs),
     Completions(completions::CompletionsArgs),
 }
 
@@ -52,6 +54,7 @@
         Command::History(args) => history::run(&context, &args).await,
         Command::Status(args) => status::run(&context, &args).await,
         Command::Dump(args) => dump::run(&context, &args).await,
+        Command::Explain(args) => explain::run(&context, &args),
         Command::Completions(args) => completions::run(&args),
     }
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod exit;
 mod log_append;
 mod log_follow;
+mod log_line;
 mod output;
 mod table;
 mod vm_client;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -8,7 +8,10 @@
 use carobshore_http::client::Incoming;
 use carobshore_http::client::Outgoing;
 use carobshore_http::fields::Fields;
+use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::route::Route;
+use carobshore_lib::target_choice;
 use carobshore_lib::target_outlook::Verdict;
 use carobshore_platform::call_fields;
 use carobshore_platform::call_fields::AnswerFields;
@@ -30,14 +33,21 @@
     pub body: Rc<Vec<u8>>,
     /// The request's id.
     pub id: Option<Box<str>>,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
+    /// Its route.
+    pub route: Rc<Route>,
     /// The time that it takes on an idle, quiet target.
     pub work: Duration,
     /// When the response has to be there.
     pub limit: Instant,
 }
 
+impl Sending {
+    /// Returns whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.route.kind.is_repeatable()
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -52,6 +62,11 @@
 }
 
 impl AttemptEnd {
+    /// Returns whether the target did what was asked.
+    pub fn is_success(&self) -> bool {
+        matches!(self, Self::Answered(response) if response.head.status < 500)
+    }
+
     /// Returns the name for logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -114,8 +129,14 @@
     outlook
         .borrow_mut()
         .started(started, counted.attempt, expected);
+    let report = usable.links.outlook.borrow().last_report();
+    let undisturbed = target_choice::was_ideal(started, report);
     let end = exchange(&gateway, &usable, &sending).await;
     let ratio = counted.ratio();
+    if undisturbed && end.is_success() {
+        let took = started.elapsed().as_secs_f64();
+        gateway.observe_work(&sending.route, took / sending.work.as_secs_f64());
+    }
     counted.verdict = Some(match &end {
         AttemptEnd::Answered(response) if response.head.status >= 500 => Verdict::Failed,
         AttemptEnd::Answered(_) => Verdict::Answered { ratio },
@@ -125,13 +146,46 @@
     gateway
         .metrics
         .attempt(&service, end.as_str(), started.elapsed());
+    note(&gateway, &usable, &sending, &counted, report, &end);
     drop(counted);
     (usable, end)
 }
 
+/// Logs an attempt: what was known when the target was chosen, and how it ended.
+fn note(
+    gateway: &Gateway,
+    usable: &Usable,
+    sending: &Sending,
+    counted: &Counted,
+    report: Option<(Instant, LoadReport)>,
+    end: &AttemptEnd,
+) {
+    let Some(left_out) = gateway.take_line(Instant::now(), !end.is_success()) else {
+        return;
+    };
+    let report = report.map(|(at, load)| {
+        let age = counted.started.saturating_duration_since(at).as_millis();
+        let LoadReport {
+            running,
+            waiting,
+            slots,
+            pace,
+        } = load;
+        format!("{running} running, {waiting} waiting, {slots} slots, pace {pace}, {age} ms old")
+    });
+    log::info!(
+        id = sending.id.as_deref().unwrap_or_default(), target = usable.links.id.as_str(),
+        local = usable.local, preferred = usable.preferred, missing = usable.missing,
+        report = report.as_deref().unwrap_or("none"),
+        expected_ms = counted.expected.as_millis() as u64,
+        ms = counted.started.elapsed().as_millis() as u64, end = end.as_str(), left_out;
+        "attempt"
+    );
+}
+
 async fn exchange(gateway: &Gateway, usable: &Usable, sending: &Sending) -> AttemptEnd {
     let links = &usable.links;
-    let Ok(mut link) = links.checkout(!sending.repeatable).await else {
+    let Ok(mut link) = links.checkout(!sending.is_repeatable()).await else {
         return AttemptEnd::NotSent;
     };
     if link.new {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -84,6 +84,8 @@
 struct Failed {
     refusal: Refusal,
     retry: Option<Duration>,
+    /// What the decision is based on, for the log.
+    why: Option<Box<str>>,
 }
 
 /// Returns the route of a request, or why there is none.
@@ -125,6 +127,7 @@
         let failed = Failed {
             refusal: Refusal::Stopping,
             retry: Some(Duration::ZERO),
+            why: None,
         };
         let id = id.as_deref();
         return Some(refuse(&gateway, &route.name, id, arrived.at, &failed, &[]));
@@ -139,7 +142,7 @@
         fields: passed,
         body: Rc::new(arrived.body),
         id,
-        repeatable: route.kind.is_repeatable(),
+        route: Rc::clone(&route),
         work,
         limit,
     };
@@ -168,7 +171,7 @@
 
 impl Call {
     async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
-        let repeatable = self.sending.repeatable;
+        let repeatable = self.sending.is_repeatable();
         let mut left = false;
         let mut running = Running::new();
         let ended = loop {
@@ -226,7 +229,7 @@
                     return Some(Ok(response));
                 }
                 self.fallback = Some(response);
-                if !self.sending.repeatable {
+                if !self.sending.is_repeatable() {
                     return self.fallback.take().map(Ok);
                 }
             }
@@ -234,7 +237,7 @@
             AttemptEnd::NotRun => self.refused = true,
             AttemptEnd::Unknown => {
                 self.unknown = true;
-                if !self.sending.repeatable {
+                if !self.sending.is_repeatable() {
                     return Some(Err(Failed::soon(Refusal::Broken)));
                 }
             }
@@ -264,6 +267,7 @@
         Err(Failed {
             refusal: Refusal::TargetsRefused,
             retry: Some(self.sending.work / 4),
+            why: None,
         })
     }
 
@@ -304,9 +308,10 @@
             _ if self.unknown => Err(Failed::soon(Refusal::Broken)),
             Found::NoTarget if self.refused => Err(Failed::soon(Refusal::TargetsRefused)),
             Found::NoTarget => Err(Failed::soon(Refusal::NoTarget)),
-            Found::NoRoom(retry) => Err(Failed {
+            Found::NoRoom(found) => Err(Failed {
                 refusal: Refusal::NoRoom,
-                retry: Some(retry),
+                retry: Some(found.retry),
+                why: Some(found.to_string().into()),
             }),
         }
     }
@@ -322,7 +327,7 @@
 
     /// Returns when a second copy may be sent.
     fn hedge_at(&self) -> Option<Instant> {
-        let allowed = self.sending.repeatable
+        let allowed = self.sending.is_repeatable()
             && self.arrivals == 1
             && self.route.attempts > 1
             && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
@@ -367,9 +372,6 @@
                 None
             }
             Some(Ok(response)) => {
-                if response.head.status < 500 {
-                    self.gateway.observe_work(&self.route, self.ratio(time));
-                }
                 let outcome = match response.head.status {
                     200..300 => "served",
                     _ => "error-of-target",
@@ -395,12 +397,6 @@
         }
     }
 
-    /// Returns the time relative to the work on an idle, quiet target. Only quick requests pull
-    /// the estimate: what slowed the others down is no part of the work.
-    fn ratio(&self, time: Duration) -> f64 {
-        (time.as_secs_f64() / self.sending.work.as_secs_f64()).min(1.2)
-    }
-
     fn note(&self, id: &str, status: u16, outcome: &str, time: Duration) {
         let failed = !(200..300).contains(&status);
         if let Some(left_out) = self.gateway.take_line(Instant::now(), failed) {
@@ -418,7 +414,11 @@
 impl Failed {
     fn soon(refusal: Refusal) -> Self {
         let retry = (refusal.status() == 503).then_some(RETRY_SOON);
-        Self { refusal, retry }
+        Self {
+            refusal,
+            retry,
+            why: None,
+        }
     }
 }
 
@@ -438,7 +438,7 @@
         let version = gateway.routes.borrow().config().version.0;
         log::info!(
             id = id.unwrap_or_default(), route, version, status = failed.refusal.status(), outcome,
-            ms = time.as_millis() as u64, attempts = ends.join(" "), left_out;
+            ms = time.as_millis() as u64, attempts = ends.join(" "), why = failed.why.as_deref().unwrap_or_default(), left_out;
             "request"
         );
     }
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -8,6 +8,7 @@
 use carobshore_http::client::Outgoing;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_choice;
 use carobshore_lib::target_choice::ASKED_AT_ONCE;
 use carobshore_lib::target_choice::Candidate;
@@ -59,8 +60,36 @@
     Target(Usable),
     /// No target is known that has not had the request.
     NoTarget,
-    /// No target has room in time; when one may have.
-    NoRoom(Duration),
+    /// No target has room in time.
+    NoRoom(NoRoom),
+}
+
+/// What a refusal for want of room is based on.
+#[derive(Clone, Debug)]
+pub struct NoRoom {
+    /// When a target may have room.
+    pub retry: Duration,
+    /// The best target that was found.
+    pub best: TargetId,
+    /// How many requests are ahead there.
+    pub ahead: f64,
+    /// How long the request is expected to take there.
+    pub expected: Duration,
+    /// How many targets were known.
+    pub known: usize,
+}
+
+impl std::fmt::Display for NoRoom {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            best, ahead, known, ..
+        } = self;
+        let expected = self.expected.as_millis();
+        write!(
+            f,
+            "best of {known} is {best}, {ahead:.1} ahead, expected {expected} ms"
+        )
+    }
 }
 
 /// Looks for the best target, but for those in `except`.
@@ -85,10 +114,17 @@
         }
         if now + SEARCH_PAUSE >= search.patience {
             // Targets queue a little; some never answer what they cannot queue.
-            return match ahead <= MOST_AHEAD && now + expected < search.limit {
-                true => Found::Target(best),
-                false => Found::NoRoom(search.demand.work / 2),
-            };
+            if ahead <= MOST_AHEAD && now + expected < search.limit {
+                return Found::Target(best);
+            }
+            let known = usable.len();
+            return Found::NoRoom(NoRoom {
+                retry: search.demand.work / 2,
+                best: best.links.id.clone(),
+                ahead,
+                expected,
+                known,
+            });
         }
         tokio::time::sleep(SEARCH_PAUSE).await;
     }
--- a/lib/src/target_choice.rs
+++ b/lib/src/target_choice.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::load_report::LoadReport;
 use crate::target_outlook::TargetOutlook;
 
 /// How many targets are asked at the same time.
@@ -27,6 +28,8 @@
 /// A target that works this much slower than usual, in percent, is not taken without a look at
 /// others.
 const QUIET_PACE: u32 = 130;
+/// Age up to which a report tells how a request found its target.
+const TELLING: Duration = Duration::from_millis(30);
 /// The largest share of failed attempts of a target that is taken without a look at others.
 const SOUND: f64 = 0.15;
 
@@ -104,13 +107,23 @@
 
 /// Returns whether a target that was just asked is so good that no other need be looked at.
 pub fn is_ideal(now: Instant, outlook: &TargetOutlook) -> bool {
-    let Some((_, report)) = outlook.last_report() else {
-        return false;
-    };
-    let quiet = report.is_idle() && report.pace <= QUIET_PACE;
+    let quiet = outlook
+        .last_report()
+        .is_some_and(|(_, report)| is_quiet(report));
     quiet && outlook.own() == 0 && outlook.failure_share(now) < SOUND
 }
 
+/// Returns whether a request that started now found an idle, quiet target, by a report that is
+/// young enough to tell. Its time shows how long the work itself takes.
+pub fn was_ideal(now: Instant, report: Option<(Instant, LoadReport)>) -> bool {
+    let young = |at| now.saturating_duration_since(at) <= TELLING;
+    report.is_some_and(|(at, report)| young(at) && is_quiet(report))
+}
+
+fn is_quiet(report: LoadReport) -> bool {
+    report.is_idle() && report.pace <= QUIET_PACE
+}
+
 /// Returns how long a request is expected to take at a target, with what it costs beside time.
 pub fn cost(now: Instant, demand: Demand, candidate: &Candidate<'_>) -> Duration {
     let mut cost = candidate.outlook.cost(now, demand.work, candidate.slots);
--- a/lib/src/work_estimate.rs
+++ b/lib/src/work_estimate.rs
@@ -8,7 +8,7 @@
 /// Weight of a new measurement.
 const WEIGHT: f64 = 0.1;
 /// Bounds of one measurement, relative to what was expected.
-const BOUNDS: (f64, f64) = (0.25, 4.0);
+const BOUNDS: (f64, f64) = (0.5, 2.0);
 /// The shortest estimate.
 const SHORTEST: Duration = Duration::from_millis(1);
 
