target_search: never queue inside a target

Cause: requests that waited inside a full target ended late or never. Change: a request that finds no room in time is refused with a time to return.

--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -32,9 +32,6 @@
 /// Pause between two searches while no target has room.
 const SEARCH_PAUSE: Duration = Duration::from_millis(20);
 
-/// Requests that may wait inside a target when a request has waited for room in vain.
-const MOST_AHEAD: f64 = 1.0;
-
 /// How many targets one look around asks, and how many while this VM's share of the health checks
 /// runs short.
 const ASKED: usize = 16;
@@ -113,17 +110,14 @@
             return Found::Target(best);
         }
         if now + SEARCH_PAUSE >= search.patience {
-            // Targets queue a little; some never answer what they cannot queue.
-            if ahead <= MOST_AHEAD && now + expected < search.limit {
-                return Found::Target(best);
-            }
-            let known = usable.len();
+            // A request that waits inside a target cannot be taken back, and some targets never
+            // answer what they cannot queue.
             return Found::NoRoom(NoRoom {
                 retry: search.demand.work / 2,
                 best: best.links.id.clone(),
                 ahead,
                 expected,
-                known,
+                known: usable.len(),
             });
         }
         tokio::time::sleep(SEARCH_PAUSE).await;
