call: look for an idle target for a second copy again and again

Cause: one look at 2.5 times the expected time; if no target was idle then, a request at a dark or stopped target waited until its caller's deadline. Change: a look every 120 ms.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -41,6 +41,8 @@
 const HEDGE_FACTOR: f64 = 2.5;
 /// Least time after which a second copy is sent.
 const HEDGE_LEAST: Duration = Duration::from_millis(100);
+/// Pause between two looks for an idle target for a second copy.
+const HEDGE_PAUSE: Duration = Duration::from_millis(120);
 /// How long after the end of its time a request waits for the target's own word, which arrives at
 /// about the same moment and leaves the connection usable.
 const LATE_ANSWER: Duration = Duration::from_millis(60);
@@ -76,6 +78,8 @@
     /// An error of a target, in case nothing better comes.
     fallback: Option<Incoming>,
     ends: Vec<Box<str>>,
+    /// When a second copy may be sent at the earliest.
+    hedge_from: Instant,
 }
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (Usable, AttemptEnd)>>>>;
@@ -158,6 +162,7 @@
         refused: false,
         fallback: None,
         ends: Vec::new(),
+        hedge_from: arrived.at,
     };
     call.run(gone).await
 }
@@ -332,7 +337,7 @@
             && self.route.attempts > 1
             && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
         let after = self.sending.work.mul_f64(HEDGE_FACTOR).max(HEDGE_LEAST);
-        let at = self.arrived + after;
+        let at = (self.arrived + after).max(self.hedge_from);
         let useful = at + self.sending.work < self.sending.limit;
         (allowed && useful).then_some(at)
     }
@@ -348,8 +353,7 @@
             self.ends.push("hedged".into());
             self.start(running, usable);
         } else {
-            // No further copy is tried.
-            self.arrivals = self.arrivals.max(2);
+            self.hedge_from = Instant::now() + HEDGE_PAUSE;
         }
     }
 
