gateway: start from the store at once, or from another VM while it is away

A VM that restarted while the store was away was not ready until its return. Change: only the very first start gathers the VMs before it reads; a VM that knows nothing asks the seeds of its settings if the store does not answer, and is told what was last known.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -95,7 +95,7 @@
 /// Returns the route of a request, or why there is none.
 pub fn route(gateway: &Gateway, head: &RequestHead) -> Result<Rc<Route>, Refusal> {
     let routes = gateway.routes.borrow();
-    if !routes.is_loaded() {
+    if !routes.is_loaded() || !gateway.targets_known.get() {
         return Err(Refusal::NotReady);
     }
     let host = head.fields.text("host").unwrap_or_default();
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -65,6 +65,8 @@
         let callers = listen(boot.callers).wrap_err("cannot listen for callers")?;
         let readiness = listen(boot.readiness).wrap_err("cannot listen for readiness")?;
         let admin = listen(boot.admin()).wrap_err("cannot listen for metrics")?;
+        let control = boot.control.map(listen).transpose();
+        let control = control.wrap_err("cannot listen for other VMs")?;
         let gateway = Gateway::new(boot, settings.log_rate, rand::random())?;
         spawn(
             "callers",
@@ -75,6 +77,12 @@
             admin_server::accept(Rc::clone(&gateway), readiness),
         );
         spawn("admin", admin_server::accept(Rc::clone(&gateway), admin));
+        if let Some(control) = control {
+            spawn(
+                "control",
+                admin_server::accept(Rc::clone(&gateway), control),
+            );
+        }
         spawn("store", follow_store(Rc::clone(&gateway)));
         let modified = modified(&settings.path);
         Ok(Self {
@@ -142,12 +150,20 @@
     }
 }
 
-/// Learns of the other VMs, then follows the store.
+/// Learns of the other VMs and follows the store. When the whole system starts for the first time
+/// there is time to learn of the others before; after that callers wait, and all VMs may have been
+/// restarted at the same moment, so that none can hand anything on yet.
 async fn follow_store(gateway: Rc<Gateway>) -> eyre::Result<()> {
-    roster_entry::enter(&gateway).await;
+    let first_start = gateway.boot.borrow().first_start;
+    if first_start {
+        roster_entry::enter(&gateway).await;
+    }
     for topic in [Topic::Operators, Topic::Targets] {
         spawn("store", store_watch::follow(Rc::clone(&gateway), topic));
     }
+    if !first_start {
+        roster_entry::enter(&gateway).await;
+    }
     Ok(())
 }
 
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -35,6 +35,9 @@
 /// The path of the polls; the topic and the offset follow.
 const PATH: &str = "/feed/";
 
+/// An offset behind every record: who asks from there gets everything.
+pub const EVERYTHING: u64 = u64::MAX;
+
 /// A topic as this VM knows it, for other VMs.
 #[derive(Debug)]
 pub struct Feed {
@@ -87,7 +90,9 @@
         let _ = timeout(HOLD, news).await;
         let mirror = self.mirror.borrow();
         let healthy = *self.healthy.borrow();
-        if !healthy || mirror.next().is_none() {
+        // Who knows nothing is better off with what was true when the store was lost.
+        let useful = healthy || from == EVERYTHING;
+        if !useful || mirror.next().is_none() {
             return Reply::text(503, "this VM does not follow the store now\n");
         }
         match serde_json::to_vec(&mirror.since(from)) {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -179,6 +179,17 @@
         sources.into_iter().map(|vm| vm.feed).collect()
     }
 
+    /// Returns the addresses of VMs that this one asks once if it knows nothing and the store does
+    /// not answer.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let boot = self.boot.borrow();
+        let others = boot
+            .seeds
+            .iter()
+            .filter(|addr| Some(**addr) != boot.control);
+        others.copied().collect()
+    }
+
     /// Returns what other VMs take from this one.
     pub fn feed(&self, topic: Topic) -> &Feed {
         match topic {
--- a/gateway/src/roster_entry.rs
+++ b/gateway/src/roster_entry.rs
@@ -16,17 +16,12 @@
 /// How long a VM waits for the others to enter themselves when the whole system starts.
 const GATHERING: Duration = Duration::from_millis(1_000);
 /// How long the start waits for the store. Without it, the VM goes on by itself.
-const FIRST_START_PATIENCE: Duration = Duration::from_millis(2_500);
-const RESTART_PATIENCE: Duration = Duration::from_millis(300);
+const PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// Enters the VM and takes over the roster.
 pub async fn enter(gateway: &Rc<Gateway>) {
     let started = Instant::now();
-    let patience = match gateway.boot.borrow().first_start {
-        true => FIRST_START_PATIENCE,
-        false => RESTART_PATIENCE,
-    };
-    let entered = timeout(patience, enter_and_read(gateway)).await;
+    let entered = timeout(PATIENCE, enter_and_read(gateway)).await;
     let ms = started.elapsed().as_millis() as u64;
     match entered {
         Ok(Ok(roster)) => {
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -13,6 +13,7 @@
 use carobshore_platform::store_client::StoreFailure;
 use carobshore_platform::store_client::Topic;
 
+use crate::feed::EVERYTHING;
 use crate::feed::FeedClient;
 use crate::gateway::Gateway;
 use crate::take_over;
@@ -32,9 +33,6 @@
 const START_TRIES: u32 = 4;
 const START_PAUSE: Duration = Duration::from_millis(150);
 
-/// An offset behind every record: who asks from there gets everything.
-const EVERYTHING: u64 = u64::MAX;
-
 /// Follows one topic.
 struct Watch {
     gateway: Rc<Gateway>,
@@ -91,7 +89,10 @@
             return;
         }
         self.avoided.retain(|(_, until)| *until > now);
-        let sources = self.gateway.sources();
+        let mut sources = self.gateway.sources();
+        if self.next.is_none() && self.lost.is_some() {
+            sources.extend(self.gateway.seeds());
+        }
         let usable = |addr: &SocketAddr| !self.avoided.iter().any(|(other, _)| other == addr);
         if let Some(addr) = sources.into_iter().find(usable) {
             log::info!(topic:? = self.topic, from:% = addr; "changes come from another VM");
@@ -111,9 +112,10 @@
                 } else if changes.next != from {
                     self.take_some(changes.records, changes.next);
                 }
-                self.peer = Some(peer);
+                // A VM of another failure domain is asked only for the start.
+                self.peer = Some(peer).filter(|peer| self.gateway.sources().contains(&peer.addr()));
             }
-            Err(reason) if self.start_tries > 0 => {
+            Err(reason) if self.start_tries > 0 && self.lost.is_none() => {
                 log::debug!(topic:? = self.topic, reason = &*reason; "another VM is not ready yet");
                 self.start_tries -= 1;
                 tokio::time::sleep(START_PAUSE).await;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -117,9 +117,16 @@
 
     /// Starts a gateway.
     pub(crate) fn start_gateway(&self, name: &str) -> Gateway {
+        self.start_seeded(name, &[])
+    }
+
+    /// Starts a gateway that knows where some others are found.
+    pub(crate) fn start_seeded(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
         let [callers, readiness, admin] = [free_port(), free_port(), free_port()];
         let settings = self.dir.join(format!("{name}.json"));
-        let text = self.settings(name, callers, readiness, admin).to_string();
+        let mut text = self.settings(name, callers, readiness, admin);
+        text["Seeds"] = seeds.iter().map(ToString::to_string).collect();
+        let text = text.to_string();
         std::fs::write(&settings, text).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
             .arg("--settings")
--- a/gateway/tests/test_site.rs
+++ b/gateway/tests/test_site.rs
@@ -162,6 +162,26 @@
     assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
 }
 
+#[test]
+fn a_gateway_that_starts_while_the_store_is_away_learns_from_another_one() {
+    let site = site("seeded", 2);
+    let first = site.gateway("edge-1");
+    site.store.set_fault(StoreFault::Status(503));
+    // The first one notices, and still hands on what it knows.
+    wait("the loss is noticed", || {
+        first.has_line(&["the store does not answer"])
+    });
+    let gone = "127.0.0.1:1".parse().expect("an address");
+    let second = site.start_seeded("edge-2", &[gone, first.admin]);
+    wait("the second one is ready", || second.is_ready());
+    assert_eq!(second.call("unsafe", "id-1", "x").head.status, 200);
+    site.store.set_fault(StoreFault::None);
+    site.configure(3, &routes(1_500, "status")[1..]);
+    wait("the change arrives", || {
+        second.call("safe", "id-2", "").head.status == 404
+    });
+}
+
 #[test]
 fn a_planned_stop_fails_readiness_at_once_and_answers_what_it_has_taken() {
     let site = site("stop", 2);
