gateway: a randomized soak with processes, proxies and signals

Change: a test starts three gateways, a store and four targets behind proxies that delay, silence, cut one way and reset; processes are killed, stopped, frozen and restarted; callers keep connections. It checks whole answers, at most one run, and that 408, 421, 429 and 503 have not run.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -37,6 +38,8 @@
 pub(crate) struct Site {
     pub(crate) store: SiteStore,
     pub(crate) targets: Vec<SiteTarget>,
+    /// Where the gateways reach the store; its own address unless a proxy stands before it.
+    pub(crate) store_addr: SocketAddr,
     dir: PathBuf,
 }
 
@@ -73,6 +76,7 @@
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&dir).expect("a directory");
     let site = Site {
+        store_addr: store.addr(),
         store,
         targets,
         dir,
@@ -128,22 +132,8 @@
         text["Seeds"] = seeds.iter().map(ToString::to_string).collect();
         let text = text.to_string();
         std::fs::write(&settings, text).expect("a settings file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("a process");
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
-        let out = child.stdout.take().expect("its output");
-        let sink = Arc::clone(&lines);
-        thread::spawn(move || {
-            for line in BufReader::new(out).lines().map_while(Result::ok) {
-                sink.lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .push(line);
-            }
-        });
+        let child = spawn(&settings, &lines);
         Gateway {
             child,
             callers,
@@ -169,7 +159,7 @@
             "Limits": {"CpuShare": 0.2, "MemoryMb": 260, "MaxFds": 4100},
             "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
                 "RetryBudgetExtra": 60, "ProbesPerS": 60},
-            "Platform": {"Address": self.store.addr().to_string(), "form": "log"},
+            "Platform": {"Address": self.store_addr.to_string(), "form": "log"},
         })
     }
 
@@ -181,6 +171,23 @@
 }
 
 impl Gateway {
+    /// Kills the process and starts it again with the same settings.
+    pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.start_again();
+    }
+
+    /// Starts the process again after it has ended.
+    pub(crate) fn start_again(&mut self) {
+        self.child = spawn(&self.settings, &self.lines);
+    }
+
+    /// Returns whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Returns whether readiness is answered with 200.
     pub(crate) fn is_ready(&self) -> bool {
         let response = try_call(self.readiness, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -192,6 +199,17 @@
         call(self.callers, &request(kind, id, 1_500, body))
     }
 
+    /// Sends a request, and returns nothing if there is no answer.
+    pub(crate) fn try_call(&self, kind: &str, id: &str) -> Option<Response> {
+        try_call(self.callers, &request(kind, id, 1_500, ""))
+    }
+
+    /// Returns the state, or nothing if the process does not answer.
+    pub(crate) fn dump(&self) -> String {
+        let response = try_call(self.admin, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
+        response.map(|response| response.body).unwrap_or_default()
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
@@ -225,6 +243,26 @@
     }
 }
 
+/// Starts a process and collects its log.
+fn spawn(settings: &Path, lines: &Arc<Mutex<Vec<String>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("a process");
+    let out = child.stdout.take().expect("its output");
+    let sink = Arc::clone(lines);
+    thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            sink.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(line);
+        }
+    });
+    child
+}
+
 /// Returns a request in wire format.
 pub(crate) fn request(kind: &str, id: &str, deadline_ms: u64, body: &str) -> String {
     let method = if kind == "safe" { "GET" } else { "POST" };
--- /dev/null
+++ b/gateway/tests/test_soak.rs
@@ -0,0 +1,289 @@
+//! A randomized soak: three gateway processes, a store and targets behind proxies, callers that keep
+//! connections open, and faults that overlap. It checks what callers and targets see.
+//!
+//! `CAROBSHORE_SOAK_SEEDS=1..50 cargo test -p carobshore-gateway --test test_soak` runs other seeds.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use carobshore_standin::fault_proxy::FaultProxy;
+use carobshore_standin::fault_proxy::Harm;
+use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_store::StoreFault;
+use carobshore_standin::site_store::TARGETS;
+use carobshore_standin::site_target::Behaviour;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::common::Gateway;
+use crate::common::Site;
+use crate::common::connect;
+use crate::common::read_response;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::wait;
+
+/// Seeds that are always played. Each seed that ever failed stays here with its cause.
+const SEEDS: [u64; 2] = [1, 2];
+/// Faults of one run.
+const FAULTS: usize = 24;
+/// Callers that send at the same time.
+const CALLERS: usize = 6;
+/// How long the statuses of a run promise that a request has not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// What a caller saw of a request; 0 stands for no answer.
+struct Seen {
+    id: String,
+    kind: &'static str,
+    status: u16,
+}
+
+struct Soak {
+    site: Site,
+    target_proxies: Vec<FaultProxy>,
+    store_proxy: FaultProxy,
+    gateways: Vec<Gateway>,
+    rng: StdRng,
+    version: u64,
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("CAROBSHORE_SOAK_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    let (first, last) = text.split_once("..").expect("a range such as 1..50");
+    let bound = |text: &str| text.parse::<u64>().expect("a number");
+    (bound(first)..=bound(last)).collect()
+}
+
+#[test]
+fn promises_hold_while_faults_overlap() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        Soak::start(seed).play(seed);
+    }
+}
+
+impl Soak {
+    fn start(seed: u64) -> Self {
+        let mut site = site(&format!("soak-{seed}"), 4);
+        let store_proxy = FaultProxy::start(site.store.addr()).expect("a proxy");
+        site.store_addr = store_proxy.addr();
+        let target_proxies: Vec<_> = site
+            .targets
+            .iter()
+            .map(|target| FaultProxy::start(target.addr()).expect("a proxy"))
+            .collect();
+        for (target, proxy) in site.targets.iter().zip(&target_proxies) {
+            target.set_work(Duration::from_millis(20));
+            target.announce_at(&site.store, "ready", proxy.addr());
+        }
+        let gateways = (0..3)
+            .map(|index| site.gateway(&format!("edge-{index}")))
+            .collect();
+        Self {
+            site,
+            target_proxies,
+            store_proxy,
+            gateways,
+            rng: StdRng::seed_from_u64(seed),
+            version: 1,
+        }
+    }
+
+    fn play(mut self, seed: u64) {
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let ended = Arc::new(AtomicBool::new(false));
+        let addrs: Vec<_> = self
+            .gateways
+            .iter()
+            .map(|gateway| gateway.callers)
+            .collect();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let (addrs, seen, ended) = (addrs.clone(), Arc::clone(&seen), Arc::clone(&ended));
+                let rng = StdRng::seed_from_u64(seed * 1_000 + caller as u64);
+                thread::spawn(move || call_on_and_on(caller, &addrs, &seen, &ended, rng))
+            })
+            .collect();
+        for _ in 0..FAULTS {
+            self.inject();
+            let pause = self.rng.random_range(20..350);
+            thread::sleep(Duration::from_millis(pause));
+        }
+        self.heal();
+        ended.store(true, Ordering::SeqCst);
+        callers
+            .into_iter()
+            .for_each(|caller| caller.join().expect("a caller"));
+        self.check_recovered();
+        let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+        self.check_runs(&seen, seed);
+    }
+
+    /// Starts a fault, or ends some that were started before.
+    fn inject(&mut self) {
+        let at = self.rng.random_range(0..4);
+        let vm = self.rng.random_range(0..3);
+        let millis = self.rng.random_range(10..200);
+        match self.rng.random_range(0..18) {
+            0 => self.target_proxies[at].set(Harm::Delay(Duration::from_millis(millis))),
+            1 => self.target_proxies[at].set(Harm::OneWay),
+            2 => self.target_proxies[at].set(Harm::Silence),
+            3 => self.target_proxies[at].set(Harm::Reset),
+            4 => self.store_proxy.set(Harm::Silence),
+            5 => self.store_proxy.set(Harm::Reset),
+            6 => self.site.store.set_fault(StoreFault::Status(503)),
+            7 => self.site.targets[at].set(Behaviour::Refuse),
+            8 => self.site.targets[at].set(Behaviour::Truncate),
+            9 => self.site.targets[at].set(Behaviour::Lose),
+            10 => self.site.targets[at].set(Behaviour::AnswerTwice),
+            11 => self.site.targets[at].set(Behaviour::Hang),
+            12 => self.gateways[vm].restart(),
+            13 => self.stop_and_start(vm),
+            14 => self.freeze(vm, millis),
+            15 => self.change(),
+            16 => self
+                .site
+                .store
+                .drop_history(if at < 2 { OPERATORS } else { TARGETS }),
+            _ => self.calm(),
+        }
+    }
+
+    fn stop_and_start(&mut self, vm: usize) {
+        self.gateways[vm].signal("-TERM");
+        let gateway = &mut self.gateways[vm];
+        wait("the gateway ends within its grace time", || {
+            gateway.has_ended()
+        });
+        gateway.start_again();
+    }
+
+    fn freeze(&mut self, vm: usize, millis: u64) {
+        self.gateways[vm].signal("-STOP");
+        thread::sleep(Duration::from_millis(millis * 4));
+        self.gateways[vm].signal("-CONT");
+    }
+
+    fn change(&mut self) {
+        self.version += 1;
+        self.site.configure(self.version, &routes(1_500, "status"));
+    }
+
+    /// Ends the harm done to connections and targets.
+    fn calm(&self) {
+        self.target_proxies
+            .iter()
+            .for_each(|proxy| proxy.set(Harm::None));
+        self.store_proxy.set(Harm::None);
+        self.site.store.set_fault(StoreFault::None);
+        self.site
+            .targets
+            .iter()
+            .for_each(|target| target.set(Behaviour::Serve));
+    }
+
+    fn heal(&mut self) {
+        self.calm();
+        self.change();
+    }
+
+    /// All VMs serve again, by the last configuration.
+    fn check_recovered(&self) {
+        let version = format!("\"version\":{},", self.version);
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            wait("the last configuration is in force", || {
+                gateway.dump().contains(&version)
+            });
+            let mut number = 0;
+            wait("requests are served again", || {
+                number += 1;
+                let id = format!("after-{index}-{number}");
+                gateway
+                    .try_call("unsafe", &id)
+                    .is_some_and(|response| response.head.status == 200)
+            });
+        }
+    }
+
+    fn check_runs(&self, seen: &[Seen], seed: u64) {
+        let answered = seen.iter().filter(|seen| seen.status == 200).count();
+        println!("seed {seed}: {} requests, {answered} answered", seen.len());
+        assert!(answered > 0, "seed {seed}");
+        for Seen { id, kind, status } in seen {
+            let runs = self.site.runs_of(id);
+            if PROMISES.contains(status) {
+                assert_eq!(
+                    runs, 0,
+                    "seed {seed}: {id} was answered {status} and has run"
+                );
+            }
+            if *kind != "safe" {
+                assert!(runs <= 1, "seed {seed}: {id} has run {runs} times");
+            }
+        }
+    }
+}
+
+/// Sends requests on kept and fresh connections, and checks each answer.
+fn call_on_and_on(
+    caller: usize,
+    addrs: &[std::net::SocketAddr],
+    seen: &Mutex<Vec<Seen>>,
+    ended: &AtomicBool,
+    mut rng: StdRng,
+) {
+    let mut kept: Option<(TcpStream, BytesMut)> = None;
+    let mut number = 0;
+    while !ended.load(Ordering::SeqCst) {
+        number += 1;
+        let id = format!("c{caller}-{number}");
+        let kind = ["safe", "unsafe", "upload"][rng.random_range(0..3)];
+        let body = "x".repeat(if kind == "upload" {
+            rng.random_range(1..50_000)
+        } else {
+            0
+        });
+        if rng.random_bool(0.2) {
+            kept = None;
+        }
+        let addr = addrs[rng.random_range(0..addrs.len())];
+        let open = || Some((connect(addr)?, BytesMut::new()));
+        let Some((mut stream, mut buffer)) = kept.take().or_else(open) else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let text = request(kind, &id, 1_500, &body);
+        let answer = match stream.write_all(text.as_bytes()) {
+            Ok(()) => read_response(&mut stream, &mut buffer),
+            Err(_) => None,
+        };
+        let status = answer.as_ref().map_or(0, |answer| answer.head.status);
+        if let Some(answer) = answer {
+            if status == 200 {
+                assert_eq!(answer.body, format!("body of {id}"));
+            }
+            if answer.head.keep_alive {
+                kept = Some((stream, buffer));
+            }
+        }
+        seen.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(Seen { id, kind, status });
+        thread::sleep(Duration::from_millis(rng.random_range(0..10)));
+    }
+}
--- /dev/null
+++ b/standin/src/fault_proxy.rs
@@ -0,0 +1,128 @@
+//! A proxy on loopback that harms the connections that pass through it.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+use crate::raw_server::lock;
+use crate::server::ANY_PORT;
+
+/// What a proxy does with what passes through it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    /// Nothing.
+    #[default]
+    None,
+    /// It holds everything up for so long.
+    Delay(Duration),
+    /// It drops what the server sends, without a word.
+    OneWay,
+    /// It drops everything, without a word.
+    Silence,
+    /// It resets connections, old and new.
+    Reset,
+}
+
+/// A running proxy. It ends with the process.
+#[derive(Debug)]
+pub struct FaultProxy {
+    addr: SocketAddr,
+    harm: Arc<Mutex<Harm>>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy in front of a server.
+    pub fn start(server: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(ANY_PORT)?;
+        let proxy = Self {
+            addr: listener.local_addr()?,
+            harm: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (harm, connections) = (Arc::clone(&proxy.harm), Arc::clone(&proxy.connections));
+        thread::spawn(move || {
+            for caller in listener.incoming().flatten() {
+                if *lock(&harm) == Harm::Reset {
+                    reset(&caller);
+                } else if let Err(error) = join(&caller, server, &harm, &connections) {
+                    log::debug!(reason:% = error; "a connection could not be passed on");
+                }
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Returns the address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes what the proxy does, for open connections too.
+    pub fn set(&self, harm: Harm) {
+        *lock(&self.harm) = harm;
+        if harm == Harm::Reset {
+            lock(&self.connections)
+                .drain(..)
+                .for_each(|stream| reset(&stream));
+        }
+    }
+}
+
+fn join(
+    caller: &TcpStream,
+    server: SocketAddr,
+    harm: &Arc<Mutex<Harm>>,
+    connections: &Mutex<Vec<TcpStream>>,
+) -> io::Result<()> {
+    let server = TcpStream::connect(server)?;
+    lock(connections).extend([caller.try_clone()?, server.try_clone()?]);
+    let directions = [
+        (caller.try_clone()?, server.try_clone()?, false),
+        (server, caller.try_clone()?, true),
+    ];
+    for (from, to, back) in directions {
+        let harm = Arc::clone(harm);
+        thread::spawn(move || pump(from, to, back, &harm));
+    }
+    Ok(())
+}
+
+/// Passes bytes on in one direction until either side ends.
+fn pump(mut from: TcpStream, mut to: TcpStream, back: bool, harm: &Mutex<Harm>) {
+    let mut bytes = [0; 16 << 10];
+    let mut lossy = false;
+    loop {
+        let count = match from.read(&mut bytes) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => count,
+        };
+        let harm = *lock(harm);
+        if let Harm::Delay(time) = harm {
+            thread::sleep(time);
+        }
+        // A connection that has lost bytes carries nothing any more.
+        lossy |= harm == Harm::Silence || (back && harm == Harm::OneWay);
+        if !lossy && to.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    if !lossy {
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod blob;
 pub mod conn_table;
 pub mod executions;
+pub mod fault_proxy;
 pub mod log;
 pub mod log_faults;
 pub mod log_settings;
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -117,9 +117,19 @@
 
     /// Writes the target's entry.
     pub fn announce(&self, store: &SiteStore, state: &str) {
+        self.announce_at(store, state, self.addr());
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Writes the target's entry with the address of a proxy.
+    pub fn announce_at(&self, store: &SiteStore, state: &str, addr: SocketAddr) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let entry = serde_json::json!({
-            "Address": self.server.addr().to_string(),
+            "Address": addr.to_string(),
             "Info": {"Service": self.service, "Version": "v1", "Zone": self.domain, "Slots": 2},
             "Status": {"State": state, "SeqNo": sequence, "WarmupLeft": "0ms"},
             "born": 1_800_000_000_000_u64,
