http, gateway: one way to judge a parsed head, a file for calls that fail

Cause: read as a newcomer, heads were judged twice and call.rs held two jobs. Change: whole() for both heads; failed_call; a branch that did nothing is out.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -19,6 +19,8 @@
 use crate::attempt;
 use crate::attempt::AttemptEnd;
 use crate::attempt::Sending;
+use crate::failed_call::Failed;
+use crate::failed_call::refuse;
 use crate::gateway::Gateway;
 use crate::gateway::Usable;
 use crate::reply::Refusal;
@@ -46,8 +48,6 @@
 /// How long after the end of its time a request waits for the target's own word, which arrives at
 /// about the same moment and leaves the connection usable.
 const LATE_ANSWER: Duration = Duration::from_millis(60);
-/// When a caller may come back if no target is known.
-const RETRY_SOON: Duration = Duration::from_millis(250);
 
 /// A request that has arrived whole.
 #[derive(Debug)]
@@ -84,14 +84,6 @@
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (Usable, AttemptEnd)>>>>;
 
-/// Why a call ended without a response of a target.
-struct Failed {
-    refusal: Refusal,
-    retry: Option<Duration>,
-    /// What the decision is based on, for the log.
-    why: Option<Box<str>>,
-}
-
 /// Returns the route of a request, or why there is none.
 pub fn route(gateway: &Gateway, head: &RequestHead) -> Result<Rc<Route>, Refusal> {
     let routes = gateway.routes.borrow();
@@ -415,40 +407,6 @@
     }
 }
 
-impl Failed {
-    fn soon(refusal: Refusal) -> Self {
-        let retry = (refusal.status() == 503).then_some(RETRY_SOON);
-        Self {
-            refusal,
-            retry,
-            why: None,
-        }
-    }
-}
-
-/// Logs, counts and builds a response of the gateway's own.
-fn refuse(
-    gateway: &Gateway,
-    route: &str,
-    id: Option<&str>,
-    arrived: Instant,
-    failed: &Failed,
-    ends: &[Box<str>],
-) -> Reply {
-    let outcome = failed.refusal.as_str();
-    let time = arrived.elapsed();
-    gateway.metrics.request(route, outcome, time);
-    if let Some(left_out) = gateway.take_line(Instant::now(), true) {
-        let version = gateway.routes.borrow().config().version.0;
-        log::info!(
-            id = id.unwrap_or_default(), route, version, status = failed.refusal.status(), outcome,
-            ms = time.as_millis() as u64, attempts = ends.join(" "), why = failed.why.as_deref().unwrap_or_default(), left_out;
-            "request"
-        );
-    }
-    Reply::refuse(failed.refusal, id, failed.retry)
-}
-
 /// Waits until the caller has left.
 async fn left_by(gone: &mut watch::Receiver<bool>) {
     // The sender is dropped with the connection.
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -178,11 +178,6 @@
             Ok(Err(error)) => return self.fail(&error, in_flight).await,
             Err(_) => return self.refuse(Refusal::TooSlow, in_flight).await,
         };
-        let expects = head.fields.has_token("expect", "100-continue");
-        if expects && self.shared.open.get() == 0 && self.buffer.is_empty() {
-            // Interim responses are not needed: the caller sends the body after a short wait.
-            log::debug!("a caller waits for an interim response");
-        }
         let reserved = match head.fields.text("content-length").map(str::parse::<u64>) {
             Some(Ok(length)) => length,
             _ => 0,
--- /dev/null
+++ b/gateway/src/failed_call.rs
@@ -0,0 +1,54 @@
+//! A call that ends without a response of a target.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway::Gateway;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+
+/// When a caller may come back if no target is known.
+const RETRY_SOON: Duration = Duration::from_millis(250);
+
+/// Why a call ended without a response of a target.
+pub(crate) struct Failed {
+    pub(crate) refusal: Refusal,
+    pub(crate) retry: Option<Duration>,
+    /// What the decision is based on, for the log.
+    pub(crate) why: Option<Box<str>>,
+}
+
+impl Failed {
+    /// Builds a failure after which the caller may come back soon, if the request has not run.
+    pub(crate) fn soon(refusal: Refusal) -> Self {
+        let retry = (refusal.status() == 503).then_some(RETRY_SOON);
+        Self {
+            refusal,
+            retry,
+            why: None,
+        }
+    }
+}
+
+/// Logs, counts and builds a response of the gateway's own.
+pub(crate) fn refuse(
+    gateway: &Gateway,
+    route: &str,
+    id: Option<&str>,
+    arrived: Instant,
+    failed: &Failed,
+    ends: &[Box<str>],
+) -> Reply {
+    let outcome = failed.refusal.as_str();
+    let time = arrived.elapsed();
+    gateway.metrics.request(route, outcome, time);
+    if let Some(left_out) = gateway.take_line(Instant::now(), true) {
+        let version = gateway.routes.borrow().config().version.0;
+        log::info!(
+            id = id.unwrap_or_default(), route, version, status = failed.refusal.status(), outcome,
+            ms = time.as_millis() as u64, attempts = ends.join(" "), why = failed.why.as_deref().unwrap_or_default(), left_out;
+            "request"
+        );
+    }
+    Reply::refuse(failed.refusal, id, failed.retry)
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_connection;
 pub mod daemon;
 pub mod decision_log;
+mod failed_call;
 pub mod feed;
 pub mod flags;
 pub mod gateway;
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -41,17 +41,9 @@
     pub fn take(buffer: &mut BytesMut, most: usize) -> Result<Option<Self>, MessageError> {
         let mut room = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut room);
-        let length = match parsed.parse(buffer) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if buffer.len() > most => {
-                return Err(MessageError::HeadTooLarge);
-            }
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(error) => return Err(malformed(error)),
+        let Some(length) = whole(parsed.parse(buffer), buffer.len(), most)? else {
+            return Ok(None);
         };
-        if length > most {
-            return Err(MessageError::HeadTooLarge);
-        }
         let version = parsed.version.unwrap_or_default();
         let fields = collect(parsed.headers);
         let head = Self {
@@ -93,13 +85,8 @@
         loop {
             let mut room = [httparse::EMPTY_HEADER; MAX_FIELDS];
             let mut parsed = httparse::Response::new(&mut room);
-            let length = match parsed.parse(buffer) {
-                Ok(httparse::Status::Complete(length)) => length,
-                Ok(httparse::Status::Partial) if buffer.len() > most => {
-                    return Err(MessageError::HeadTooLarge);
-                }
-                Ok(httparse::Status::Partial) => return Ok(None),
-                Err(error) => return Err(malformed(error)),
+            let Some(length) = whole(parsed.parse(buffer), buffer.len(), most)? else {
+                return Ok(None);
             };
             let version = parsed.version.unwrap_or_default();
             let fields = collect(parsed.headers);
@@ -138,6 +125,21 @@
     }
 }
 
+/// Returns the length of a head that was parsed, or `None` if more bytes are needed. `received` is the
+/// number of bytes that have arrived.
+fn whole(
+    parsed: httparse::Result<usize>,
+    received: usize,
+    most: usize,
+) -> Result<Option<usize>, MessageError> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= most => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if received <= most => Ok(None),
+        Ok(_) => Err(MessageError::HeadTooLarge),
+        Err(error) => Err(malformed(error)),
+    }
+}
+
 fn length(fields: &Fields) -> Result<u64, MessageError> {
     let text = fields.text("content-length").unwrap_or_default();
     let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
