--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -31,9 +31,8 @@
 use serde_json::Value;
 use serde_json::json;
 
-/// How long a test waits for something that has to happen. A read of the store whose connection went
-/// silent beyond what the kernel notices ends after 23 s.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+/// How long a test waits for something that has to happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A store with targets.
 pub(crate) struct Site {
