decision_log: write the last lines before the process ends

Change: flush waits up to 200 ms until the queue is written; main calls it. A reader that stalls delays only the end, by no more than that.

--- a/gateway/src/decision_log.rs
+++ b/gateway/src/decision_log.rs
@@ -9,6 +9,8 @@
 use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use eyre::WrapErr;
 use flexi_logger::DeferredNow;
@@ -22,11 +24,17 @@
 /// Lines that wait for a reader of standard output. Further lines are counted and left out.
 const WAITING_LINES: usize = 2_048;
 
+/// How long the end of the process waits for a reader of the last lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
+const LAST_LINES_PAUSE: Duration = Duration::from_millis(1);
+
 /// Starts the log. The handle has to live as long as the process.
 pub fn start(level: LevelFilter) -> eyre::Result<LoggerHandle> {
     let (lines, received) = sync_channel::<Vec<u8>>(WAITING_LINES);
     let lost = Arc::new(AtomicU64::new(0));
     let reported = Arc::clone(&lost);
+    let waiting = Arc::new(AtomicU64::new(0));
+    let unwritten = Arc::clone(&waiting);
     let writer = thread::Builder::new().name("log".to_owned());
     writer
         .spawn(move || {
@@ -36,6 +44,7 @@
                 if written.is_err() {
                     reported.fetch_add(1, Ordering::Relaxed);
                 }
+                unwritten.fetch_sub(1, Ordering::Release);
             }
         })
         .wrap_err("cannot start the log thread")?;
@@ -45,7 +54,11 @@
         .module("ntex_rt", LevelFilter::Warn)
         .build();
     Logger::with(spec)
-        .log_to_writer(Box::new(QueueWriter { lines, lost }))
+        .log_to_writer(Box::new(QueueWriter {
+            lines,
+            lost,
+            waiting,
+        }))
         .start()
         .wrap_err("cannot start the logger")
 }
@@ -55,6 +68,8 @@
     lines: SyncSender<Vec<u8>>,
     /// Lines that were left out since the last one that was not.
     lost: Arc<AtomicU64>,
+    /// Lines that are not written yet.
+    waiting: Arc<AtomicU64>,
 }
 
 impl LogWriter for QueueWriter {
@@ -66,13 +81,20 @@
         }
         flexi_logger::json_format(&mut line, now, record)?;
         line.push(b'\n');
+        self.waiting.fetch_add(1, Ordering::Relaxed);
         if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
             self.lost.fetch_add(lost + 1, Ordering::Relaxed);
         }
         Ok(())
     }
 
+    /// Waits for a bounded time until the lines so far are written.
     fn flush(&self) -> io::Result<()> {
+        let until = Instant::now() + LAST_LINES;
+        while self.waiting.load(Ordering::Acquire) > 0 && Instant::now() < until {
+            thread::sleep(LAST_LINES_PAUSE);
+        }
         Ok(())
     }
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -25,7 +25,11 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    let served = decision_log::start(flags.log_level).and_then(|_log| daemon::run(settings));
+    let served = decision_log::start(flags.log_level).and_then(|log| {
+        let served = daemon::run(settings);
+        log.flush();
+        served
+    });
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
