gateway tests: take ports that nothing else is given

A test asked the kernel for a free port and released it; the kernel then gave it to another listener or to an outgoing connection of the same run before the gateway listened.

Change: ports of gateways come from 10000 to 29999, below the kernel's own range (32768 to 60999 here), each once per test process, and only if nothing listens there.

The reading of the kernel's range is the ground.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -17,6 +18,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -34,6 +37,9 @@
 /// How long a test waits for something that has to happen.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The ports of gateways.
+const PORTS: Range<u16> = 10_000..30_000;
+
 /// A store with targets.
 pub(crate) struct Site {
     pub(crate) store: SiteStore,
@@ -326,9 +332,22 @@
     }
 }
 
+/// Returns an address that nothing listens at, and that no other test gets.
+///
+/// The kernel takes ports for outgoing connections and for [`ANY_PORT`] from 32768 on. So a port
+/// below stays free until the gateway listens at it, and a process that starts again finds it free.
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind(ANY_PORT).expect("a port");
-    listener.local_addr().expect("its address")
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    // Test processes that run at the same time begin at different ports.
+    let first = std::process::id() * 64;
+    loop {
+        let number = first.wrapping_add(TAKEN.fetch_add(1, Ordering::SeqCst)) % PORTS.len() as u32;
+        let port = PORTS.start + u16::try_from(number).expect("a number below 20,000");
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// Returns whether something listens at the address.
