--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -56,7 +56,7 @@
     pub(crate) readiness: SocketAddr,
     pub(crate) admin: SocketAddr,
     pub(crate) settings: PathBuf,
-    lines: Arc<Mutex<Vec<String>>>,
+    lines: Lines,
 }
 
 /// A whole response.
@@ -130,15 +130,26 @@
         self.start_seeded(name, &[])
     }
 
+    /// Starts a gateway whose log nobody reads, and waits until it is ready.
+    pub(crate) fn unread_gateway(&self, name: &str) -> Gateway {
+        let gateway = self.start(name, &[], spawn_unread);
+        wait("the gateway is ready", || gateway.is_ready());
+        gateway
+    }
+
     /// Starts a gateway that knows where some others are found.
     pub(crate) fn start_seeded(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
+        self.start(name, seeds, spawn)
+    }
+
+    fn start(&self, name: &str, seeds: &[SocketAddr], spawn: Spawn) -> Gateway {
         let [callers, readiness, admin] = [free_port(), free_port(), free_port()];
         let settings = self.dir.join(format!("{name}.json"));
         let mut text = self.settings(name, callers, readiness, admin);
         text["Seeds"] = seeds.iter().map(ToString::to_string).collect();
         let text = text.to_string();
         std::fs::write(&settings, text).expect("a settings file");
-        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = Lines::default();
         let child = spawn(&settings, &lines);
         Gateway {
             child,
@@ -233,6 +244,17 @@
         status.is_some_and(|status| status.success())
     }
 
+    /// Reads the log from now on.
+    pub(crate) fn read_log(&mut self) {
+        collect(&mut self.child, &self.lines);
+    }
+
+    /// Returns the lines of the log.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.clone()
+    }
+
     /// Returns how often the last start of the process turned to another gateway.
     pub(crate) fn polls(&self) -> usize {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
@@ -258,14 +280,28 @@
     }
 }
 
-/// Starts a process and collects its log.
-fn spawn(settings: &Path, lines: &Arc<Mutex<Vec<String>>>) -> Child {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
+type Lines = Arc<Mutex<Vec<String>>>;
+type Spawn = fn(&Path, &Lines) -> Child;
+
+/// Starts a process that logs every request, and whose log stays in the pipe.
+fn spawn_unread(settings: &Path, _: &Lines) -> Child {
+    command(settings)
+        .args(["--log-rate", "1000000"])
+        .spawn()
+        .expect("a process")
+}
+
+fn command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"));
+    command
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("a process");
+        .stdout(Stdio::piped());
+    command
+}
+
+/// Collects the log of a process.
+fn collect(child: &mut Child, lines: &Lines) {
     let out = child.stdout.take().expect("its output");
     let sink = Arc::clone(lines);
     thread::spawn(move || {
@@ -275,6 +311,12 @@
                 .push(line);
         }
     });
+}
+
+/// Starts a process and collects its log.
+fn spawn(settings: &Path, lines: &Lines) -> Child {
+    let mut child = command(settings).spawn().expect("a process");
+    collect(&mut child, lines);
     child
 }
 
--- /dev/null
+++ b/gateway/tests/test_log.rs
@@ -0,0 +1,159 @@
+//! Guards against a decision that writes no line, and against a log that delays requests or shows what
+//! callers send.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_target::SiteTarget;
+use expect_test::expect;
+use serde_json::Value;
+
+use crate::common::Gateway;
+use crate::common::call;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::wait;
+
+/// What a request must not take longer than, whatever becomes of the log: the target latency of its
+/// route.
+const LATENCY: Duration = Duration::from_millis(600);
+
+/// Values that differ from run to run.
+const VARYING: [&str; 8] = [
+    "store",
+    "callers",
+    "ms",
+    "work_ms",
+    "expected_ms",
+    "report",
+    "why",
+    "from",
+];
+
+/// Returns a line without what differs from run to run.
+fn plain(line: &str) -> String {
+    let json: Value = serde_json::from_str(line).expect("JSON");
+    let mut text = format!(
+        "{} {}",
+        json["level"].as_str().unwrap_or(""),
+        json["text"].as_str().unwrap_or("")
+    );
+    if let Some(values) = json["kv"].as_object() {
+        for (name, value) in values
+            .iter()
+            .filter(|(name, _)| !VARYING.contains(&&***name))
+        {
+            text += &format!(" {name}={value}");
+        }
+    }
+    text
+}
+
+/// Returns the lines of the log, each once and in the order of their text: two topics are followed at
+/// the same time.
+fn story(gateway: &Gateway) -> String {
+    let mut lines: Vec<_> = gateway.lines().iter().map(|line| plain(line)).collect();
+    lines.sort();
+    lines.dedup();
+    lines.join("\n") + "\n"
+}
+
+#[test]
+fn a_session_writes_a_line_for_each_decision() {
+    let site = site("golden", 1);
+    let mut gateway = site.gateway("edge-1");
+    gateway.call("safe", "id-served", "");
+    call(
+        gateway.callers,
+        "GET /none/ HTTP/1.1\r\nHost: x\r\nAttempt-Id: id-denied\r\n\r\n",
+    );
+    let leaving = SiteTarget::start(ANY_PORT, "i-left", "status", "a").expect("a target");
+    leaving.announce(&site.store, "ready");
+    wait("the target joins", || {
+        gateway.has_line(&["target announced", "i-left"])
+    });
+    leaving.announce(&site.store, "draining");
+    wait("the target leaves", || {
+        gateway.has_line(&["target announced", "Leaving"])
+    });
+    leaving.withdraw(&site.store);
+    wait("the target is gone", || gateway.has_line(&["target gone"]));
+    site.configure(2, &routes(1_500, "nobody")[..1]);
+    wait("the change arrives", || {
+        gateway.has_line(&["\"version\":2", "in force"])
+    });
+    gateway.call("safe", "id-nobody", "");
+    gateway.signal("-HUP");
+    wait("the signal is followed", || {
+        gateway.has_line(&["settings read again"])
+    });
+    gateway.signal("-TERM");
+    assert!(gateway.ended());
+    wait("the last line is read", || {
+        gateway.has_line(&["the gateway ends"])
+    });
+    expect![[r#"
+        INFO attempt end="answered" id="id-served" left_out=0 local=true missing=false preferred=true target="i-0"
+        INFO planned stop in_flight=0
+        INFO request attempts="" id="id-denied" left_out=0 outcome="no-route" route="" status=404 version=1
+        INFO request attempts="" id="id-nobody" left_out=0 outcome="no-target" route="r-safe" status=503 version=2
+        INFO request attempts="i-0:answered" id="id-served" left_out=0 outcome="served" route="r-safe" service="status" status=200 version=1
+        INFO settings read again cause="signal"
+        INFO target announced service="status" state="Leaving" target="i-left"
+        INFO target announced service="status" state="Serving" target="i-0"
+        INFO target announced service="status" state="Serving" target="i-left"
+        INFO target gone reason="its entry is gone" target="i-left"
+        INFO the VMs are known vms=1
+        INFO the configuration is in force routes=1 version=2
+        INFO the configuration is in force routes=3 version=1
+        INFO the gateway ends
+        INFO the gateway starts domain="a" vm="edge-1"
+        INFO the targets are known targets=1
+    "#]].assert_eq(&story(&gateway));
+}
+
+#[test]
+fn a_log_that_nobody_reads_delays_no_request() {
+    let site = site("unread", 2);
+    let mut gateway = site.unread_gateway("edge-1");
+    site.targets
+        .iter()
+        .for_each(|target| target.set_work(Duration::from_millis(1)));
+    // Two lines each: more than the pipe and the queue of the log hold.
+    for index in 0..1_500 {
+        let started = Instant::now();
+        let response = gateway.call("safe", &format!("id-{index}"), "");
+        assert_eq!(response.head.status, 200);
+        assert!(
+            started.elapsed() < LATENCY,
+            "request {index}: {:?}",
+            started.elapsed()
+        );
+    }
+    assert!(gateway.is_ready());
+    gateway.read_log();
+    wait("the lines left out are counted", || {
+        gateway.call("safe", "id-last", "");
+        gateway.has_line(&["log lines left out"])
+    });
+}
+
+#[test]
+fn no_line_shows_what_a_caller_sends() {
+    let site = site("private", 1);
+    let gateway = site.gateway("edge-1");
+    let body = "the-body-of-a-caller";
+    let text = request("unsafe", "id-1", 1_500, body)
+        .replace("Host:", "Authorization: the-key-of-a-caller\r\nHost:");
+    assert_eq!(call(gateway.callers, &text).head.status, 200);
+    wait("the request is logged", || {
+        gateway.has_line(&["id-1", "served"])
+    });
+    for secret in [body, "the-key-of-a-caller"] {
+        assert!(!gateway.has_line(&[secret]), "{secret}");
+    }
+}
