call: name attempts that were given up; split admission and times off

Cause: a recorded log of a request whose time was over named no target: an attempt that is dropped while it is under way wrote no line, and the request's line listed only attempts that had ended.

Change: an attempt writes its line when it is dropped, with end=given-up, and the request's line lists it. admission decides whether a request is served; call_times (without a network) until when it waits, when a second copy helps and when another try is too late.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -79,14 +79,29 @@
     }
 }
 
-/// Counts an attempt at its target until it is dropped.
+/// How an attempt is logged that was dropped while it was under way.
+pub const GIVEN_UP: &str = "given-up";
+
+/// Counts an attempt at its target until it is dropped, and logs it then.
 struct Counted {
+    gateway: Rc<Gateway>,
+    sending: Rc<Sending>,
     usable: Usable,
     attempt: u64,
     started: Instant,
     expected: Duration,
-    /// What the end says about the target; absent while the attempt is under way.
-    verdict: Option<Verdict>,
+    /// The report that was known at the start.
+    report: Option<(Instant, LoadReport)>,
+    /// How the attempt ended; absent while it is under way.
+    end: Option<CountedEnd>,
+}
+
+/// How an attempt ended.
+struct CountedEnd {
+    name: &'static str,
+    success: bool,
+    /// What it says about the target.
+    verdict: Verdict,
 }
 
 impl Counted {
@@ -99,9 +114,14 @@
 impl Drop for Counted {
     fn drop(&mut self) {
         let ratio = self.ratio();
-        let verdict = self.verdict.unwrap_or(Verdict::GivenUp { ratio });
+        let end = self.end.take().unwrap_or(CountedEnd {
+            name: GIVEN_UP,
+            success: false,
+            verdict: Verdict::GivenUp { ratio },
+        });
+        self.note(&end);
         let mut outlook = self.usable.links.outlook.borrow_mut();
-        outlook.ended(Instant::now(), self.attempt, verdict);
+        outlook.ended(Instant::now(), self.attempt, end.verdict);
     }
 }
 
@@ -118,18 +138,21 @@
         let outlook = usable.links.outlook.borrow();
         outlook.expected(started, sending.work, usable.slots)
     };
+    let report = usable.links.outlook.borrow().last_report();
     let mut counted = Counted {
+        gateway: Rc::clone(&gateway),
+        sending: Rc::clone(&sending),
         usable: usable.clone(),
         attempt: gateway.next_attempt(),
         started,
         expected,
-        verdict: None,
+        report,
+        end: None,
     };
     let outlook = &usable.links.outlook;
     outlook
         .borrow_mut()
         .started(started, counted.attempt, expected);
-    let report = usable.links.outlook.borrow().last_report();
     let undisturbed = target_choice::was_ideal(started, report);
     let end = exchange(&gateway, &usable, &sending).await;
     let ratio = counted.ratio();
@@ -137,50 +160,51 @@
         let took = started.elapsed().as_secs_f64();
         gateway.observe_work(&sending.route, took / sending.work.as_secs_f64());
     }
-    counted.verdict = Some(match &end {
+    let verdict = match &end {
         AttemptEnd::Answered(response) if response.head.status >= 500 => Verdict::Failed,
         AttemptEnd::Answered(_) => Verdict::Answered { ratio },
         AttemptEnd::NotRun => Verdict::Refused,
         AttemptEnd::NotSent | AttemptEnd::Unknown => Verdict::Failed,
+    };
+    let (name, success) = (end.as_str(), end.is_success());
+    gateway.metrics.attempt(&service, name, started.elapsed());
+    counted.end = Some(CountedEnd {
+        name,
+        success,
+        verdict,
     });
-    gateway
-        .metrics
-        .attempt(&service, end.as_str(), started.elapsed());
-    note(&gateway, &usable, &sending, &counted, report, &end);
     drop(counted);
     (usable, end)
 }
 
-/// Logs an attempt: what was known when the target was chosen, and how it ended.
-fn note(
-    gateway: &Gateway,
-    usable: &Usable,
-    sending: &Sending,
-    counted: &Counted,
-    report: Option<(Instant, LoadReport)>,
-    end: &AttemptEnd,
-) {
-    let Some(left_out) = gateway.take_line(Instant::now(), !end.is_success()) else {
-        return;
-    };
-    let report = report.map(|(at, load)| {
-        let age = counted.started.saturating_duration_since(at).as_millis();
-        let LoadReport {
-            running,
-            waiting,
-            slots,
-            pace,
-        } = load;
-        format!("{running} running, {waiting} waiting, {slots} slots, pace {pace}, {age} ms old")
-    });
-    log::info!(
-        id = sending.id.as_deref().unwrap_or_default(), target = usable.links.id.as_str(),
-        local = usable.local, preferred = usable.preferred, missing = usable.missing,
-        report = report.as_deref().unwrap_or("none"),
-        expected_ms = counted.expected.as_millis() as u64,
-        ms = counted.started.elapsed().as_millis() as u64, end = end.as_str(), left_out;
-        "attempt"
-    );
+impl Counted {
+    /// Logs the attempt: what was known when the target was chosen, and how it ended.
+    fn note(&self, end: &CountedEnd) {
+        let Some(left_out) = self.gateway.take_line(Instant::now(), !end.success) else {
+            return;
+        };
+        let report = self.report.map(|(at, load)| {
+            let age = self.started.saturating_duration_since(at).as_millis();
+            let LoadReport {
+                running,
+                waiting,
+                slots,
+                pace,
+            } = load;
+            format!(
+                "{running} running, {waiting} waiting, {slots} slots, pace {pace}, {age} ms old"
+            )
+        });
+        let usable = &self.usable;
+        log::info!(
+            id = self.sending.id.as_deref().unwrap_or_default(), target = usable.links.id.as_str(),
+            local = usable.local, preferred = usable.preferred, missing = usable.missing,
+            report = report.as_deref().unwrap_or("none"),
+            expected_ms = self.expected.as_millis() as u64,
+            ms = self.started.elapsed().as_millis() as u64, end = end.name, left_out;
+            "attempt"
+        );
+    }
 }
 
 async fn exchange(gateway: &Gateway, usable: &Usable, sending: &Sending) -> AttemptEnd {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,4 +1,4 @@
-//! One request from its arrival to its response.
+//! One request from its admission to its response.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -6,12 +6,11 @@
 use std::time::Instant;
 
 use carobshore_http::client::Incoming;
-use carobshore_http::head::RequestHead;
+use carobshore_lib::call_times::CallTimes;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::route::Route;
 use carobshore_lib::search_step::Times;
 use carobshore_lib::target_choice::Demand;
-use carobshore_platform::call_fields;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
@@ -19,6 +18,7 @@
 
 use crate::attempt;
 use crate::attempt::AttemptEnd;
+use crate::attempt::GIVEN_UP;
 use crate::attempt::Sending;
 use crate::failed_call::Failed;
 use crate::failed_call::refuse;
@@ -31,38 +31,16 @@
 use crate::target_search::Found;
 use crate::target_search::Search;
 
-/// How long a caller waits that does not say so.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
-/// Part of the time for full worth for which a request may wait for a target with room in any case.
-const WAIT_DIVISOR: u32 = 8;
-/// How much longer than on an idle, quiet target a request takes while all are busy. One that has
-/// waited until only this much of the time for full worth is left starts or is refused.
-const BUSY_FACTOR: f64 = 1.8;
 /// Bytes of a typical response, for the cost of crossing failure domains.
 const RESPONSE_BYTES: usize = 2 << 10;
-/// A second copy is sent when the first one has taken this many times what was expected.
-const HEDGE_FACTOR: f64 = 2.5;
-/// Least time after which a second copy is sent.
-const HEDGE_LEAST: Duration = Duration::from_millis(100);
 /// Pause between two looks for an idle target for a second copy.
 const HEDGE_PAUSE: Duration = Duration::from_millis(120);
 /// How long after the end of its time a request waits for the target's own word, which arrives at
 /// about the same moment and leaves the connection usable.
 const LATE_ANSWER: Duration = Duration::from_millis(60);
 
-/// A request that has arrived whole.
-#[derive(Debug)]
-pub struct Arrived {
-    /// The head.
-    pub head: RequestHead,
-    /// The body.
-    pub body: Vec<u8>,
-    /// When its first byte arrived.
-    pub at: Instant,
-}
-
 /// A request on its way.
-struct Call {
+pub(crate) struct Call {
     gateway: Rc<Gateway>,
     route: Rc<Route>,
     service: ServiceId,
@@ -85,90 +63,32 @@
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (Usable, AttemptEnd)>>>>;
 
-/// Returns the route of a request, or why there is none.
-pub fn route(gateway: &Gateway, head: &RequestHead) -> Result<Rc<Route>, Refusal> {
-    let routes = gateway.routes.borrow();
-    if !routes.is_loaded() || !gateway.targets_known.get() {
-        return Err(Refusal::NotReady);
-    }
-    let host = head.fields.text("host").unwrap_or_default();
-    routes.find(host, &head.target).ok_or(Refusal::NoRoute)
-}
-
-/// Serves a request. Returns nothing if the caller has left.
-pub async fn serve(
-    gateway: Rc<Gateway>,
-    arrived: Arrived,
-    gone: watch::Receiver<bool>,
-) -> Option<Reply> {
-    let fields = call_fields::of_call(&arrived.head.fields);
-    let id = fields.id.clone();
-    let route = match route(&gateway, &arrived.head) {
-        Ok(route) => route,
-        Err(refusal) => {
-            let failed = Failed::soon(refusal);
-            return Some(refuse(
-                &gateway,
-                "",
-                id.as_deref(),
-                arrived.at,
-                &failed,
-                &[],
-            ));
+impl Call {
+    /// Builds a call that has been admitted.
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        service: ServiceId,
+        sending: Sending,
+        arrived: Instant,
+    ) -> Self {
+        Self {
+            gateway,
+            route: Rc::clone(&sending.route),
+            service,
+            sending: Rc::new(sending),
+            arrived,
+            tried: Vec::new(),
+            arrivals: 0,
+            unknown: false,
+            refused: false,
+            fallback: None,
+            ends: Vec::new(),
+            hedge_from: arrived,
         }
-    };
-    let patience = fields.patience.unwrap_or(DEFAULT_PATIENCE);
-    let limit = arrived.at + patience.min(route.timeout);
-    let work = gateway.work(&route);
-    if !has_time(&gateway, work) {
-        let failed = Failed {
-            refusal: Refusal::Stopping,
-            retry: Some(Duration::ZERO),
-            why: None,
-        };
-        let id = id.as_deref();
-        return Some(refuse(&gateway, &route.name, id, arrived.at, &failed, &[]));
     }
-    let service = gateway.routes.borrow_mut().assign(&route);
-    gateway.count_request(Instant::now(), &service);
-    let mut passed = arrived.head.fields;
-    passed.keep_end_to_end();
-    let sending = Sending {
-        method: arrived.head.method,
-        target: arrived.head.target,
-        fields: passed,
-        body: Rc::new(arrived.body),
-        id,
-        route: Rc::clone(&route),
-        work,
-        limit,
-    };
-    let call = Call {
-        gateway,
-        route,
-        service,
-        sending: Rc::new(sending),
-        arrived: arrived.at,
-        tried: Vec::new(),
-        arrivals: 0,
-        unknown: false,
-        refused: false,
-        fallback: None,
-        ends: Vec::new(),
-        hedge_from: arrived.at,
-    };
-    call.run(gone).await
-}
-
-/// Returns whether the process lives long enough for a request that takes `work`.
-fn has_time(gateway: &Gateway, work: Duration) -> bool {
-    let now = Instant::now();
-    let exit = gateway.exit.borrow();
-    exit.takes_work(now) && exit.time_left(now).is_none_or(|left| left > work * 2)
-}
 
-impl Call {
-    async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
+    /// Serves the request. Returns nothing if the caller has left.
+    pub(crate) async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
         let repeatable = self.sending.is_repeatable();
         let mut left = false;
         let mut running = Running::new();
@@ -180,7 +100,7 @@
                         left = true;
                         break None;
                     }
-                    found = self.search(self.wait_end()) => found,
+                    found = self.search() => found,
                 };
                 match found {
                     Ok(usable) => self.start(&mut running, usable),
@@ -209,9 +129,20 @@
         };
         // Copies that are still under way lose: their connections are closed.
         drop(running);
+        self.note_given_up();
         self.conclude(ended, left)
     }
 
+    /// Notes the attempts that were still under way at the end.
+    fn note_given_up(&mut self) {
+        for links in &self.tried {
+            let name = format!("{}:", links.id);
+            if !self.ends.iter().any(|end| end.starts_with(&name)) {
+                self.ends.push(format!("{name}{GIVEN_UP}").into());
+            }
+        }
+    }
+
     /// Takes in the end of an attempt. Returns how the call ends, if it does.
     fn on_end(
         &mut self,
@@ -249,7 +180,7 @@
     /// Returns whether another attempt may follow, and takes it from the allowance.
     fn may_try_again(&self) -> bool {
         let now = Instant::now();
-        let time = now + self.sending.work / 2 < self.sending.limit;
+        let time = self.times().has_time(now);
         let attempts = self.arrivals < self.route.attempts;
         let free = self.arrivals == 0;
         time && attempts && (free || self.gateway.may_repeat(now, &self.service))
@@ -277,14 +208,13 @@
         Failed::soon(refusal)
     }
 
-    /// Returns until when the request may wait for a target with room.
-    fn wait_end(&self) -> Instant {
-        let latency = self.route.latency;
-        let service = self.sending.work.mul_f64(BUSY_FACTOR);
-        let wait = latency.saturating_sub(service).max(latency / WAIT_DIVISOR);
-        (self.arrived + wait)
-            .max(Instant::now() + wait / 2)
-            .min(self.sending.limit)
+    fn times(&self) -> CallTimes {
+        CallTimes {
+            arrived: self.arrived,
+            latency: self.route.latency,
+            work: self.sending.work,
+            limit: self.sending.limit,
+        }
     }
 
     fn search_for(&self, patience: Instant) -> Search<'_> {
@@ -296,13 +226,14 @@
             },
             times: Times {
                 patience,
-                aim: self.arrived + self.route.latency,
+                aim: self.times().aim(),
                 limit: self.sending.limit,
             },
         }
     }
 
-    async fn search(&self, patience: Instant) -> Result<Usable, Failed> {
+    async fn search(&self) -> Result<Usable, Failed> {
+        let patience = self.times().wait_end(Instant::now());
         let search = self.search_for(patience);
         match target_search::find(&self.gateway, search, &self.tried).await {
             Found::Target(usable) => Ok(usable),
@@ -332,10 +263,8 @@
             && self.arrivals == 1
             && self.route.attempts > 1
             && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
-        let after = self.sending.work.mul_f64(HEDGE_FACTOR).max(HEDGE_LEAST);
-        let at = (self.arrived + after).max(self.hedge_from);
-        let useful = at + self.sending.work < self.sending.limit;
-        (allowed && useful).then_some(at)
+        let at = self.times().hedge_at(self.hedge_from);
+        at.filter(|_| allowed)
     }
 
     /// Sends a second copy if a target is idle: anywhere else it would take the place of a request
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -30,8 +30,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use crate::call;
-use crate::call::Arrived;
+use crate::admission;
+use crate::admission::Arrived;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightGuard;
 use crate::reply::Refusal;
@@ -249,7 +249,7 @@
     async fn start(&mut self, arrived: Arrived, in_flight: InFlightGuard, reserved: u64) -> Next {
         let last = !arrived.head.keep_alive;
         let gateway = Rc::clone(&self.shared.gateway);
-        let route = call::route(&gateway, &arrived.head);
+        let route = admission::route(&gateway, &arrived.head);
         let repeatable = route.is_ok_and(|route| route.kind.is_repeatable());
         if !repeatable && !self.answered().await {
             gateway.release_body(reserved);
@@ -267,7 +267,7 @@
             return Next::Linger;
         }
         ntex::rt::spawn(async move {
-            let reply = call::serve(Rc::clone(&gateway), arrived, gone).await;
+            let reply = admission::serve(Rc::clone(&gateway), arrived, gone).await;
             gateway.release_body(reserved);
             if let Some(reply) = reply {
                 // The connection may have ended meanwhile.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! VM of a large failure domain.
 
 pub mod admin_server;
+pub mod admission;
 pub mod attempt;
 pub mod call;
 pub mod caller_connection;
--- a/gateway/tests/test_log.rs
+++ b/gateway/tests/test_log.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_target::Behaviour;
 use carobshore_standin::site_target::SiteTarget;
 use expect_test::expect;
 use serde_json::Value;
@@ -142,6 +143,22 @@
     });
 }
 
+/// A line of a recorded log said only that the time was over, and named no target.
+#[test]
+fn a_request_whose_time_is_over_names_the_target_that_had_it() {
+    let site = site("over", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::Hang);
+    let response = call(gateway.callers, &request("unsafe", "id-1", 700, "x"));
+    assert_eq!(response.head.status, 504);
+    wait("the request is logged", || {
+        gateway.has_line(&["id-1", "\"outcome\":\"timed-out\"", "i-0:given-up"])
+    });
+    wait("the attempt is logged", || {
+        gateway.has_line(&["\"attempt\"", "id-1", "\"target\":\"i-0\"", "given-up"])
+    });
+}
+
 #[test]
 fn no_line_shows_what_a_caller_sends() {
     let site = site("private", 1);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod byte_size;
 pub mod call_kind;
 pub mod call_limits;
+pub mod call_times;
 mod canonical;
 pub mod change;
 pub mod charge_window;
