entry: take socket options and connection fields from carobshore-http

Cause: the entry daemon and the gateway each had their own code for keep-alive, user timeout and no-delay, and their own list of the fields that concern one connection (duplicates).

Measured: all tests of carobshore-entry pass.

--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_http::socket;
 use ntex::SharedCfg;
 use ntex::client::Client;
 use ntex::client::Connector;
@@ -31,7 +32,7 @@
 use tokio::time::timeout;
 
 use crate::answer::Answer;
-use crate::socket_options;
+use crate::socket_options::VIGILANCE;
 use crate::wire::Wire;
 use crate::wire::WireFilter;
 
@@ -80,7 +81,7 @@
         let stream = timeout(limit, TcpStream::connect(addr))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        socket_options::set(&stream)?;
+        socket::set(&stream, VIGILANCE)?;
         let wire = Rc::new(Wire::default());
         let io = ntex::rt::from_tcp_stream(stream.into_std()?, SharedCfg::default())?;
         let io = io.add_filter(WireFilter(Rc::clone(&wire)));
--- a/entry/src/headers.rs
+++ b/entry/src/headers.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write;
 use std::net::IpAddr;
 
+use carobshore_http::fields::is_of_connection;
+use carobshore_http::fields::is_of_framing;
 use ntex::http::HeaderMap;
 use ntex::http::header::CONNECTION;
 use ntex::http::header::HeaderName;
@@ -11,21 +13,6 @@
 
 use crate::field;
 
-/// Fields that belong to one connection (RFC 9110, section 7.6.1), and `Expect`, which this VM
-/// answers itself.
-const HOP_BY_HOP: [&str; 10] = [
-    "connection",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The value of the field that says that no request with the key has run.
 const UNUSED: &str = "unused";
 
@@ -35,7 +22,9 @@
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let text = name.as_str();
-        if HOP_BY_HOP.contains(&text) || text == "content-length" || named.contains(text) {
+        // This VM answers `Expect` itself.
+        let fixed = is_of_connection(text) || is_of_framing(text) || text == "expect";
+        if fixed || named.contains(text) {
             continue;
         }
         kept.append(name.clone(), value.clone());
--- a/entry/src/http_server.rs
+++ b/entry/src/http_server.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use carobshore_http::socket;
 use carobshore_lib::prelude::Error;
 use carobshore_lib::prelude::Outcome;
 use carobshore_lib::prelude::ResultCode;
@@ -41,7 +42,7 @@
 use crate::refusal::Closing;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
-use crate::socket_options;
+use crate::socket_options::VIGILANCE;
 use crate::wire::Wire;
 use crate::wire::WireFilter;
 
@@ -136,7 +137,7 @@
 }
 
 fn io_of(stream: TcpStream, config: &SharedCfg) -> io::Result<Io<Filtered>> {
-    socket_options::set(&stream)?;
+    socket::set(&stream, VIGILANCE)?;
     let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
     let wire = Rc::new(Wire::default());
     let io = io.add_filter(WireFilter(Rc::clone(&wire)));
--- a/http/src/fields.rs
+++ b/http/src/fields.rs
@@ -15,6 +15,16 @@
 /// The fields that frame the body.
 const FRAMING_FIELDS: [&str; 2] = ["content-length", "transfer-encoding"];
 
+/// Returns whether a field, whose name is given in lower case, concerns one connection only.
+pub fn is_of_connection(name: &str) -> bool {
+    CONNECTION_FIELDS.contains(&name)
+}
+
+/// Returns whether a field, whose name is given in lower case, frames the body.
+pub fn is_of_framing(name: &str) -> bool {
+    FRAMING_FIELDS.contains(&name)
+}
+
 /// Header fields with their names and values as they were sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields(Vec<Field>);
