store_watch: pass over records that are known already

Cause: found by reading. While a VM is cut off it learns from its followers, and its calls to the store go on. A call that began before may answer late: an entry that was dropped and came back would be dropped again, and its announcement, which is no newer than the last one, would be taken for stale, so that the target stayed out of use. And the loop counted a failed call of the store where none had ended.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::keyed_record::unseen;
 use carobshore_lib::read_wait::ReadWait;
 use carobshore_lib::source_choice::SourceChoice;
 use carobshore_lib::store_mirror::Changes;
@@ -99,6 +100,7 @@
 }
 
 impl Watch {
+    /// Takes changes once, from another VM, from the store, or from whichever answers first.
     async fn step(&mut self) {
         self.choose_peer();
         let sure = self.lost.is_none() && self.heard.elapsed() < SURE;
@@ -224,7 +226,10 @@
                         self.wait = ReadWait::after(time);
                         return self.found(found);
                     }
-                    Err(failure) => self.lose(&failure.to_string()),
+                    Err(failure) => {
+                        self.gateway.metrics.store_call("failed");
+                        self.lose(&failure.to_string());
+                    }
                 },
                 (peer, polled) = &mut other => return match polled {
                     Ok(changes) => {
@@ -248,6 +253,8 @@
     fn found(&mut self, found: Found) {
         self.store_answered();
         match found {
+            // Another VM may have told more since the call began.
+            Found::Everything(newest) if self.next.is_some_and(|next| newest.end < next) => {}
             Found::Everything(newest) => self.take_all(newest.records, newest.end),
             Found::Changes(page) => self.take_page(page),
             Found::Expired => self.expired(),
@@ -263,8 +270,9 @@
         if page.malformed > 0 {
             log::warn!(topic:? = self.topic, count = page.malformed; "malformed records");
         }
-        if self.next != Some(page.next) {
-            self.take_some(page.records, page.next);
+        let known = self.next.unwrap_or_default();
+        if page.next > known {
+            self.take_some(unseen(page.records, known), page.next);
         }
     }
 
@@ -312,19 +320,18 @@
 
     /// Notes that a read failed.
     fn failed(&mut self, failure: &StoreFailure) {
+        self.gateway.metrics.store_call("failed");
         self.probes = Some(self.new_probes());
         if *failure == StoreFailure::Cut {
             // The store cuts connections when it drops records; it may well answer at once.
-            self.gateway.metrics.store_call("failed");
             log::info!(topic:? = self.topic; "the store cut the connection");
         } else {
             self.lose(&failure.to_string());
         }
     }
 
-    /// Notes that the store did not answer a call.
+    /// Notes that the store does not answer.
     fn lose(&mut self, reason: &str) {
-        self.gateway.metrics.store_call("failed");
         if self.lost.is_some() {
             log::debug!(topic:? = self.topic, reason; "the store still does not answer");
             return;
--- a/lib/src/keyed_record.rs
+++ b/lib/src/keyed_record.rs
@@ -14,3 +14,10 @@
     /// such a value is malformed for its reader.
     pub value: Option<Box<str>>,
 }
+
+/// Returns the records that come after what is known up to the offset `next`. Calls that overlap
+/// answer with records that are known already; to take an old one again could undo a newer one.
+pub fn unseen(mut records: Vec<KeyedRecord>, next: u64) -> Vec<KeyedRecord> {
+    records.retain(|record| record.offset >= next);
+    records
+}
--- a/lib/tests/test_store_following.rs
+++ b/lib/tests/test_store_following.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::keyed_record::unseen;
 use carobshore_lib::read_wait::ReadWait;
 use carobshore_lib::return_pace::ReturnPace;
 use carobshore_lib::source_choice::Source;
@@ -121,6 +122,20 @@
     }
 }
 
+/// A call from before another VM told more answers late: its records would take a target out of use
+/// that is back, for good.
+#[test]
+fn records_that_are_known_are_not_taken_again() {
+    let late = vec![
+        record(10, "i-1", None),
+        record(12, "i-1", Some("back")),
+        record(13, "i-2", Some("new")),
+    ];
+    assert_eq!(unseen(late.clone(), 13), vec![late[2].clone()]);
+    assert_eq!(unseen(late.clone(), 0), late);
+    assert!(unseen(late, 20).is_empty());
+}
+
 /// A store that never answers must not take more and more connections.
 #[test]
 fn calls_that_get_no_answer_are_bounded() {
