gateway: one piece of code for what was written twice, and memory of bodies given back

Cause: the whole change read once more. Two accept loops were the same (accept_loop). The weight of a value at an age was written in fading and in target_outlook although target_stats had it (now fading::fade). sources and followers of the gateway differed in one name. Call kept its route twice, found given-up attempts by the beginning of a text, and had an outcome too-late that nothing can reach: while an attempt runs, one has been sent.

A fault found on the way: memory that was reserved for a body was given back by hand at three places, and not where the connection ends while a request waits for its turn; enough of these and every request with a body gets 503. A Content-Length near the largest number overflowed the sum.

Change: as above; a reservation is a guard that gives the memory back when it is dropped, and the sum saturates. The line about a failed accept names its listener in a field of its own. No bound changed.

Measured: test_body_memory (new); tests of gateway, platform, http and lib pass. The leak was found by reading; no run has shown it.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::accept_loop;
 use crate::feed;
 use crate::gateway::Gateway;
 use crate::reply::Reply;
@@ -22,27 +23,18 @@
 const MAX_REQUEST: usize = 8 << 10;
 /// How long a connection may be idle.
 const IDLE: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections for as long as the process lives.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = Rc::clone(&gateway);
-                ntex::rt::spawn(async move {
-                    if let Err(error) = serve(&gateway, stream).await {
-                        log::debug!(reason:% = error; "an admin connection ended");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!(reason:% = error; "cannot accept an admin connection");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+    accept_loop::run(listener, "admin", |stream| {
+        let gateway = Rc::clone(&gateway);
+        async move {
+            if let Err(error) = serve(&gateway, stream).await {
+                log::debug!(reason:% = error; "an admin connection ended");
             }
         }
-    }
+    })
+    .await
 }
 
 async fn serve(gateway: &Gateway, mut stream: TcpStream) -> Result<(), MessageError> {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -109,6 +109,34 @@
     fn ratio(&self) -> f64 {
         self.started.elapsed().as_secs_f64() / self.expected.as_secs_f64().max(0.001)
     }
+
+    /// Logs the attempt: what was known when the target was chosen, and how it ended.
+    fn note(&self, end: &CountedEnd) {
+        let Some(left_out) = self.gateway.take_line(Instant::now(), !end.success) else {
+            return;
+        };
+        let report = self.report.map(|(at, load)| {
+            let age = self.started.saturating_duration_since(at).as_millis();
+            let LoadReport {
+                running,
+                waiting,
+                slots,
+                pace,
+            } = load;
+            format!(
+                "{running} running, {waiting} waiting, {slots} slots, pace {pace}, {age} ms old"
+            )
+        });
+        let usable = &self.usable;
+        log::info!(
+            id = self.sending.id.as_deref().unwrap_or_default(), target = usable.links.id.as_str(),
+            local = usable.local, preferred = usable.preferred, missing = usable.missing,
+            report = report.as_deref().unwrap_or("none"),
+            expected_ms = self.expected.as_millis() as u64,
+            ms = self.started.elapsed().as_millis() as u64, end = end.name, left_out;
+            "attempt"
+        );
+    }
 }
 
 impl Drop for Counted {
@@ -134,11 +162,11 @@
     sending: Rc<Sending>,
 ) -> (Usable, AttemptEnd) {
     let started = Instant::now();
-    let expected = {
+    let (expected, report) = {
         let outlook = usable.links.outlook.borrow();
-        outlook.expected(started, sending.work, usable.slots)
+        let expected = outlook.expected(started, sending.work, usable.slots);
+        (expected, outlook.last_report())
     };
-    let report = usable.links.outlook.borrow().last_report();
     let mut counted = Counted {
         gateway: Rc::clone(&gateway),
         sending: Rc::clone(&sending),
@@ -177,36 +205,6 @@
     (usable, end)
 }
 
-impl Counted {
-    /// Logs the attempt: what was known when the target was chosen, and how it ended.
-    fn note(&self, end: &CountedEnd) {
-        let Some(left_out) = self.gateway.take_line(Instant::now(), !end.success) else {
-            return;
-        };
-        let report = self.report.map(|(at, load)| {
-            let age = self.started.saturating_duration_since(at).as_millis();
-            let LoadReport {
-                running,
-                waiting,
-                slots,
-                pace,
-            } = load;
-            format!(
-                "{running} running, {waiting} waiting, {slots} slots, pace {pace}, {age} ms old"
-            )
-        });
-        let usable = &self.usable;
-        log::info!(
-            id = self.sending.id.as_deref().unwrap_or_default(), target = usable.links.id.as_str(),
-            local = usable.local, preferred = usable.preferred, missing = usable.missing,
-            report = report.as_deref().unwrap_or("none"),
-            expected_ms = self.expected.as_millis() as u64,
-            ms = self.started.elapsed().as_millis() as u64, end = end.name, left_out;
-            "attempt"
-        );
-    }
-}
-
 async fn exchange(gateway: &Gateway, usable: &Usable, sending: &Sending) -> AttemptEnd {
     let links = &usable.links;
     let Ok(mut link) = links.checkout(!sending.is_repeatable()).await else {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -8,7 +8,6 @@
 use carobshore_http::client::Incoming;
 use carobshore_lib::call_times::CallTimes;
 use carobshore_lib::prelude::ServiceId;
-use carobshore_lib::route::Route;
 use carobshore_lib::search_step::Times;
 use carobshore_lib::target_choice::Demand;
 use futures_util::StreamExt;
@@ -42,12 +41,13 @@
 /// A request on its way.
 pub(crate) struct Call {
     gateway: Rc<Gateway>,
-    route: Rc<Route>,
     service: ServiceId,
     sending: Rc<Sending>,
     arrived: Instant,
     /// The targets that the request was given to.
     tried: Vec<Rc<TargetLinks>>,
+    /// Those of them that have not ended.
+    under_way: Vec<Rc<TargetLinks>>,
     /// How many targets it may have arrived at.
     arrivals: u32,
     /// Whether it may have run without an answer that can be passed on.
@@ -73,11 +73,11 @@
     ) -> Self {
         Self {
             gateway,
-            route: Rc::clone(&sending.route),
             service,
             sending: Rc::new(sending),
             arrived,
             tried: Vec::new(),
+            under_way: Vec::new(),
             arrivals: 0,
             unknown: false,
             refused: false,
@@ -121,7 +121,7 @@
                         break None;
                     }
                 }
-                () = sleep_until((self.sending.limit + LATE_ANSWER).into()) => break Some(Err(self.out_of_time())),
+                () = sleep_until((self.sending.limit + LATE_ANSWER).into()) => break Some(Err(Failed::soon(Refusal::TimedOut))),
                 () = sleep_until(hedge.unwrap_or(self.sending.limit).into()), if hedge.is_some() && running.len() == 1 => {
                     self.hedge(&mut running).await;
                 }
@@ -135,12 +135,9 @@
 
     /// Notes the attempts that were still under way at the end.
     fn note_given_up(&mut self) {
-        for links in &self.tried {
-            let name = format!("{}:", links.id);
-            if !self.ends.iter().any(|end| end.starts_with(&name)) {
-                self.ends.push(format!("{name}{GIVEN_UP}").into());
-            }
-        }
+        let given_up = self.under_way.drain(..);
+        self.ends
+            .extend(given_up.map(|links| format!("{}:{GIVEN_UP}", links.id).into()));
     }
 
     /// Takes in the end of an attempt. Returns how the call ends, if it does.
@@ -150,6 +147,8 @@
         end: AttemptEnd,
         last: bool,
     ) -> Option<Result<Incoming, Failed>> {
+        self.under_way
+            .retain(|links| !Rc::ptr_eq(links, &usable.links));
         self.ends
             .push(format!("{}:{}", usable.links.id, end.as_str()).into());
         match end {
@@ -181,7 +180,7 @@
     fn may_try_again(&self) -> bool {
         let now = Instant::now();
         let time = self.times().has_time(now);
-        let attempts = self.arrivals < self.route.attempts;
+        let attempts = self.arrivals < self.sending.route.attempts;
         let free = self.arrivals == 0;
         time && attempts && (free || self.gateway.may_repeat(now, &self.service))
     }
@@ -200,18 +199,10 @@
         })
     }
 
-    fn out_of_time(&self) -> Failed {
-        let refusal = match self.arrivals > 0 {
-            true => Refusal::TimedOut,
-            false => Refusal::TooLate,
-        };
-        Failed::soon(refusal)
-    }
-
     fn times(&self) -> CallTimes {
         CallTimes {
             arrived: self.arrived,
-            latency: self.route.latency,
+            latency: self.sending.route.latency,
             work: self.sending.work,
             limit: self.sending.limit,
         }
@@ -251,6 +242,7 @@
     fn start(&mut self, running: &mut Running, usable: Usable) {
         self.arrivals += 1;
         self.tried.push(Rc::clone(&usable.links));
+        self.under_way.push(Rc::clone(&usable.links));
         let gateway = Rc::clone(&self.gateway);
         let sending = Rc::clone(&self.sending);
         let attempt = attempt::run(gateway, self.service.clone(), usable, sending);
@@ -261,7 +253,7 @@
     fn hedge_at(&self) -> Option<Instant> {
         let allowed = self.sending.is_repeatable()
             && self.arrivals == 1
-            && self.route.attempts > 1
+            && self.sending.route.attempts > 1
             && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
         let at = self.times().hedge_at(self.hedge_from);
         at.filter(|_| allowed)
@@ -296,7 +288,7 @@
             None => {
                 self.gateway
                     .metrics
-                    .request(&self.route.name, "caller-left", time);
+                    .request(&self.sending.route.name, "caller-left", time);
                 self.note(&id, 0, "caller-left", time);
                 None
             }
@@ -307,7 +299,7 @@
                 };
                 self.gateway
                     .metrics
-                    .request(&self.route.name, outcome, time);
+                    .request(&self.sending.route.name, outcome, time);
                 self.note(&id, response.head.status, outcome, time);
                 (!left).then(|| Reply::of_target(response))
             }
@@ -315,7 +307,7 @@
                 let gateway = &self.gateway;
                 let reply = refuse(
                     gateway,
-                    &self.route.name,
+                    &self.sending.route.name,
                     Some(&id),
                     self.arrived,
                     &failed,
@@ -331,7 +323,7 @@
         if let Some(left_out) = self.gateway.take_line(Instant::now(), failed) {
             let version = self.gateway.routes.borrow().config().version.0;
             log::info!(
-                id, route = &*self.route.name, service = self.service.as_str(), version, status,
+                id, route = &*self.sending.route.name, service = self.service.as_str(), version, status,
                 outcome, ms = time.as_millis() as u64, attempts = self.ends.join(" "),
                 work_ms = self.sending.work.as_millis() as u64, left_out;
                 "request"
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -30,8 +30,10 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::accept_loop;
 use crate::admission;
 use crate::admission::Arrived;
+use crate::body_memory::ReservedBody;
 use crate::gateway::Gateway;
 use crate::in_flight::InFlightGuard;
 use crate::reply::Refusal;
@@ -43,8 +45,6 @@
 const READ_SIZE: usize = 16 << 10;
 /// The most bytes that are read ahead while earlier requests are served.
 const READ_AHEAD: usize = 256 << 10;
-/// Pause after a failed accept, which mostly means that no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a connection is read on after the last response, so that the caller gets it even if
 /// it is still sending.
 const LINGER: Duration = Duration::from_secs(1);
@@ -73,17 +73,8 @@
 
 /// Accepts connections of callers for as long as the process lives.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                ntex::rt::spawn(serve(Rc::clone(&gateway), stream));
-            }
-            Err(error) => {
-                log::warn!(reason:% = error; "cannot accept a connection");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream| serve(Rc::clone(&gateway), stream);
+    accept_loop::run(listener, "callers", serve).await
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
@@ -182,9 +173,9 @@
             Some(Ok(length)) => length,
             _ => 0,
         };
-        if !self.shared.gateway.reserve_body(reserved) {
+        let Some(reserved) = self.shared.gateway.reserve_body(reserved) else {
             return self.refuse(Refusal::NoMemory, in_flight).await;
-        }
+        };
         let body = self.body(&head, &limits).await;
         match body {
             Ok(body) => {
@@ -192,7 +183,7 @@
                     .await
             }
             Err(error) => {
-                self.shared.gateway.release_body(reserved);
+                drop(reserved);
                 self.fail(&error, in_flight).await
             }
         }
@@ -246,13 +237,18 @@
     }
 
     /// Starts to serve a request that has arrived whole.
-    async fn start(&mut self, arrived: Arrived, in_flight: InFlightGuard, reserved: u64) -> Next {
+    async fn start(
+        &mut self,
+        arrived: Arrived,
+        in_flight: InFlightGuard,
+        reserved: ReservedBody,
+    ) -> Next {
         let last = !arrived.head.keep_alive;
         let gateway = Rc::clone(&self.shared.gateway);
+        // It is looked up again when the request starts: the configuration may change while it waits.
         let route = admission::route(&gateway, &arrived.head);
         let repeatable = route.is_ok_and(|route| route.kind.is_repeatable());
         if !repeatable && !self.answered().await {
-            gateway.release_body(reserved);
             return self.after_idle();
         }
         let (sender, reply) = oneshot::channel();
@@ -267,8 +263,8 @@
             return Next::Linger;
         }
         ntex::rt::spawn(async move {
-            let reply = admission::serve(Rc::clone(&gateway), arrived, gone).await;
-            gateway.release_body(reserved);
+            let reply = admission::serve(gateway, arrived, gone).await;
+            drop(reserved);
             if let Some(reply) = reply {
                 // The connection may have ended meanwhile.
                 let _ = sender.send(reply);
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -3,13 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carobshore_http::client::Client;
-use carobshore_http::client::Outgoing;
-use carobshore_http::fields::Fields;
-use carobshore_http::socket::Vigilance;
+use carobshore_http::kept_client::CallFailure;
+use carobshore_http::kept_client::KeptClient;
 use carobshore_lib::source_choice::SourceFailure;
 use carobshore_lib::store_mirror::Changes;
-use tokio::time::timeout;
 
 use crate::feed::HOLD;
 use crate::feed::Poll;
@@ -18,8 +15,6 @@
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Time for opening a connection.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
-/// The largest answer.
-const MAX_BODY: usize = 64 << 20;
 
 /// A poll without changes.
 #[derive(Clone, Debug)]
@@ -39,25 +34,29 @@
     }
 }
 
+impl From<CallFailure> for PollFailure {
+    fn from(failure: CallFailure) -> Self {
+        Self::silent(match failure {
+            CallFailure::Unreachable(error) => error.to_string(),
+            CallFailure::TimedOut => "no answer in time".to_owned(),
+            CallFailure::Broken(error) => error.to_string(),
+        })
+    }
+}
+
 /// Polls another VM.
 #[derive(Debug)]
-pub struct FeedClient {
-    addr: SocketAddr,
-    connection: Option<Client>,
-}
+pub struct FeedClient(KeptClient);
 
 impl FeedClient {
     /// Builds a client that is not connected yet.
     pub fn new(addr: SocketAddr) -> Self {
-        Self {
-            addr,
-            connection: None,
-        }
+        Self(KeptClient::new(addr, CONNECT_TIME))
     }
 
     /// Returns the address of the other VM.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.0.addr()
     }
 
     /// Asks for changes.
@@ -65,22 +64,7 @@
         let path = poll
             .path()
             .ok_or_else(|| PollFailure::silent("the topic is not handed on"))?;
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => Client::open(self.addr, CONNECT_TIME, Vigilance::CLOSE, MAX_BODY)
-                .await
-                .map_err(|error| PollFailure::silent(error.to_string()))?,
-        };
-        let mut fields = Fields::default();
-        fields.add("Host", self.addr.to_string());
-        let request = Outgoing::new("GET", &path, &fields, &[]);
-        let answer = timeout(HOLD + ANSWER_TIME, connection.exchange(&request, |_| true)).await;
-        let response = answer
-            .map_err(|_| PollFailure::silent("no answer in time"))?
-            .map_err(|failure| PollFailure::silent(failure.error.to_string()))?;
-        if connection.is_idle() {
-            self.connection = Some(connection);
-        }
+        let response = self.0.call("GET", &path, &[], HOLD + ANSWER_TIME).await?;
         match response.head.status {
             200 => serde_json::from_slice(&response.body)
                 .map_err(|error| PollFailure::silent(error.to_string())),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use carobshore_lib::home_set::Placed;
 use carobshore_lib::line_budget::LineBudget;
 use carobshore_lib::load_report::LoadReport;
+use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
@@ -25,11 +26,14 @@
 use carobshore_lib::service_load::ServiceLoad;
 use carobshore_lib::target_choice::TargetChoice;
 use carobshore_lib::target_directory::TargetDirectory;
+use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_lib::work_estimate::WorkEstimate;
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_platform::store_client::Topic;
 
+use crate::body_memory::BodyMemory;
+use crate::body_memory::ReservedBody;
 use crate::feed::Feed;
 use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
@@ -77,7 +81,7 @@
     good_lines: RefCell<LineBudget>,
     failed_lines: RefCell<LineBudget>,
     attempts: Cell<u64>,
-    body_bytes: Cell<u64>,
+    bodies: BodyMemory,
 }
 
 /// A target that may get a request, with its connections.
@@ -128,7 +132,7 @@
             good_lines: RefCell::new(LineBudget::new(now, log_rate)),
             failed_lines: RefCell::new(LineBudget::new(now, log_rate * FAILED_LINES)),
             attempts: Cell::new(0),
-            body_bytes: Cell::new(0),
+            bodies: BodyMemory::default(),
             boot: RefCell::new(boot),
         }))
     }
@@ -181,18 +185,22 @@
 
     /// Returns the addresses of the VMs from which this one may take changes.
     pub fn sources(&self) -> Vec<SocketAddr> {
-        let boot = self.boot.borrow();
-        let roster = self.roster.borrow();
-        let sources = roster.sources(&boot.vm_name, &boot.domain);
-        sources.into_iter().map(|vm| vm.feed).collect()
+        self.feeds(VmRoster::sources)
     }
 
     /// Returns the addresses of the VMs that may take changes from this one.
     pub fn followers(&self) -> Vec<SocketAddr> {
+        self.feeds(VmRoster::followers)
+    }
+
+    fn feeds(
+        &self,
+        vms: impl for<'a> Fn(&'a VmRoster, &str, &DomainId) -> Vec<&'a VmRecord>,
+    ) -> Vec<SocketAddr> {
         let boot = self.boot.borrow();
         let roster = self.roster.borrow();
-        let followers = roster.followers(&boot.vm_name, &boot.domain);
-        followers.into_iter().map(|vm| vm.feed).collect()
+        let vms = vms(&roster, &boot.vm_name, &boot.domain);
+        vms.into_iter().map(|vm| vm.feed).collect()
     }
 
     /// Returns the addresses of VMs that this one asks once if it knows nothing and the store does
@@ -310,21 +318,10 @@
         budget.borrow_mut().take(now)
     }
 
-    /// Reserves memory for the body of a request. Returns false if too much is in use.
-    pub fn reserve_body(&self, bytes: u64) -> bool {
+    /// Reserves memory for the body of a request. Returns nothing if too much is in use.
+    pub(crate) fn reserve_body(&self, bytes: u64) -> Option<ReservedBody> {
         let most = self.boot.borrow().memory / BODY_MEMORY_DIVISOR;
-        let used = self.body_bytes.get() + bytes;
-        let fits = used <= most;
-        if fits {
-            self.body_bytes.set(used);
-        }
-        fits
-    }
-
-    /// Gives back memory of a request's body.
-    pub fn release_body(&self, bytes: u64) {
-        self.body_bytes
-            .set(self.body_bytes.get().saturating_sub(bytes));
+        self.bodies.reserve(bytes, most)
     }
 
     /// Returns the state for the dump.
@@ -359,7 +356,7 @@
             "ready": self.is_ready(),
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
-            "body_bytes": self.body_bytes.get(),
+            "body_bytes": self.bodies.used(),
             "targets": targets,
         })
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,9 +4,11 @@
 //! It reads the configuration and the targets from the platform's store, or takes them from another
 //! VM of a large failure domain.
 
+pub mod accept_loop;
 pub mod admin_server;
 pub mod admission;
 pub mod attempt;
+pub mod body_memory;
 pub mod call;
 pub mod caller_connection;
 pub mod daemon;
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -31,8 +31,6 @@
     NoMemory,
     /// The process is about to end.
     Stopping,
-    /// The time was over before the request was sent.
-    TooLate,
     /// The request was sent, and nothing is known of its end.
     Broken,
     /// The time was over while a target worked on the request.
@@ -55,8 +53,7 @@
             | Self::NoRoom
             | Self::TargetsRefused
             | Self::NoMemory
-            | Self::Stopping
-            | Self::TooLate => 503,
+            | Self::Stopping => 503,
         }
     }
 
@@ -74,7 +71,6 @@
             Self::TargetsRefused => "targets-refused",
             Self::NoMemory => "no-memory",
             Self::Stopping => "stopping",
-            Self::TooLate => "too-late",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
         }
--- /dev/null
+++ b/gateway/tests/test_body_memory.rs
@@ -0,0 +1,22 @@
+//! Guards against memory of bodies that stays reserved after its request, until no request is served.
+
+use carobshore_gateway::body_memory::BodyMemory;
+
+#[test]
+fn memory_is_given_back_however_a_request_ends() {
+    let memory = BodyMemory::default();
+    let first = memory.reserve(60, 100).expect("memory");
+    assert!(memory.reserve(60, 100).is_none());
+    assert_eq!(memory.used(), 60);
+    drop(first);
+    assert_eq!(memory.used(), 0);
+    assert!(memory.reserve(100, 100).is_some());
+}
+
+#[test]
+fn a_length_beyond_all_numbers_is_refused() {
+    let memory = BodyMemory::default();
+    let _first = memory.reserve(60, 100).expect("memory");
+    assert!(memory.reserve(u64::MAX, 100).is_none());
+    assert_eq!(memory.used(), 60);
+}
--- a/lib/src/fading.rs
+++ b/lib/src/fading.rs
@@ -37,6 +37,11 @@
             return 0.0;
         };
         let age = now.saturating_duration_since(at);
-        self.value * (-age.as_secs_f64() / self.half_life.as_secs_f64()).exp2()
+        self.value * fade(age, self.half_life)
     }
 }
+
+/// Returns the weight, from 0 to 1, that is left at an age.
+pub fn fade(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
--- a/lib/src/target_outlook.rs
+++ b/lib/src/target_outlook.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::fading::Fading;
+use crate::fading::fade;
 use crate::load_report::LoadReport;
 
 /// Time in which the pace of a machine changes: what a report says of it lasts about as long, unless
@@ -156,7 +157,7 @@
             return usual.max(own);
         };
         let age = now.saturating_duration_since(at);
-        let young = (-age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64()).exp2();
+        let young = fade(age, REPORT_HALF_LIFE);
         let reported = f64::from(report.running + report.waiting);
         let held = reported * young + usual * (1.0 - young);
         (held + f64::from(self.since_report)).max(own)
--- a/lib/src/target_stats.rs
+++ b/lib/src/target_stats.rs
@@ -5,6 +5,7 @@
 
 use crate::baseline::Baseline;
 use crate::baseline::log_time;
+use crate::fading::fade;
 use crate::pool_event::TargetLoad;
 
 /// Time in which evidence loses half of its weight.
@@ -80,7 +81,3 @@
         age.map_or(0.0, |age| self.weight * fade(age, HALF_LIFE))
     }
 }
-
-fn fade(age: Duration, half_life: Duration) -> f64 {
-    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
-}
