tests: what the platform's side writes comes from the stand-ins

Cause: the gateway's tests wrote settings, configurations, requests and header names of the platform themselves; the check for such names looked at sources only.

All assertions and bounds are as they were.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -31,8 +31,11 @@
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_store::SiteStore;
 use carobshore_standin::site_target::SiteTarget;
+use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::VmSettings;
+pub(crate) use carobshore_standin::site_wire::request;
+pub(crate) use carobshore_standin::site_wire::routes;
 use serde_json::Value;
-use serde_json::json;
 
 /// How long a test waits for something that has to happen.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
@@ -91,31 +94,12 @@
     site
 }
 
-/// Returns the routes of [`site`].
-pub(crate) fn routes(timeout_ms: u64, service: &str) -> Vec<Value> {
-    ["safe", "unsafe", "upload"]
-        .iter()
-        .map(|kind| {
-            json!({"Type": "Routes", "Metadata": {"Name": format!("r-{kind}")}, "Spec": {
-                "Host": "site.example", "PathPrefix": format!("/{kind}/"), "Kind": kind,
-                "Timeout": format!("{timeout_ms}ms"), "TargetLatency": "600ms", "Priority": 1,
-                "Service": service, "MaxAttempts": 3}})
-        })
-        .collect()
-}
-
 impl Site {
     /// Writes a configuration.
     pub(crate) fn configure(&self, version: u64, routes: &[Value]) {
-        let mut resources = routes.to_vec();
-        resources.push(json!({"Type": "Services", "Metadata": {"Name": "status"},
-            "Spec": {"HealthPath": "/health", "MaxConns": 240, "Protocol": "h1", "Tls": false}}));
-        resources.push(json!({"Type": "Limits", "Metadata": {}, "Spec": {
-            "MaxHeaderBytes": 16384, "MaxBodyBytes": 1_000_000,
-            "HeaderTimeout": "1000ms", "IdleTimeout": "15000ms"}}));
-        let document = json!({"Version": format!("r{version}"), "Resources": resources});
+        let document = site_wire::configuration(version, routes);
         self.store
-            .put(OPERATORS, "config", Some(document.to_string().as_bytes()));
+            .put(OPERATORS, "config", Some(document.as_bytes()));
     }
 
     /// Starts a gateway and waits until it is ready.
@@ -145,9 +129,14 @@
     fn start(&self, name: &str, seeds: &[SocketAddr], spawn: Spawn) -> Gateway {
         let [callers, readiness, admin] = [free_port(), free_port(), free_port()];
         let settings = self.dir.join(format!("{name}.json"));
-        let mut text = self.settings(name, callers, readiness, admin);
-        text["Seeds"] = seeds.iter().map(ToString::to_string).collect();
-        let text = text.to_string();
+        let text = site_wire::settings(&VmSettings {
+            name,
+            callers,
+            readiness,
+            admin,
+            seeds,
+            store: self.store_addr,
+        });
         std::fs::write(&settings, text).expect("a settings file");
         let lines = Lines::default();
         let child = spawn(&settings, &lines);
@@ -161,25 +150,6 @@
         }
     }
 
-    fn settings(
-        &self,
-        name: &str,
-        callers: SocketAddr,
-        readiness: SocketAddr,
-        admin: SocketAddr,
-    ) -> Value {
-        json!({
-            "NodeName": name, "Role": "gateway", "MachineClass": "edge", "Serves": ["edge"],
-            "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r"},
-            "Listen": {"Frontend": callers.to_string(), "Readiness": readiness.to_string()},
-            "InternalPorts": [admin.port(), admin.port()], "Seeds": [], "Bootstrap": false,
-            "Limits": {"CpuShare": 0.2, "MemoryMb": 260, "MaxFds": 4100},
-            "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
-                "RetryBudgetExtra": 60, "ProbesPerS": 60},
-            "Platform": {"Address": self.store_addr.to_string(), "form": "log"},
-        })
-    }
-
     /// Returns how often the targets ran the request with the id.
     pub(crate) fn runs_of(&self, id: &str) -> usize {
         let runs = self.targets.iter().flat_map(SiteTarget::runs);
@@ -320,18 +290,6 @@
     child
 }
 
-/// Returns a request in wire format.
-pub(crate) fn request(kind: &str, id: &str, deadline_ms: u64, body: &str) -> String {
-    let method = if kind == "safe" { "GET" } else { "POST" };
-    let length = match body.is_empty() {
-        true => String::new(),
-        false => format!("Content-Length: {}\r\n", body.len()),
-    };
-    format!(
-        "{method} /{kind}/%2e/x?y=%zz HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: {id}\r\nRequest-Deadline: {deadline_ms}\r\n{length}\r\n{body}"
-    )
-}
-
 /// Sends bytes on a new connection and reads one response.
 pub(crate) fn call(addr: SocketAddr, text: &str) -> Response {
     try_call(addr, text).expect("a response")
--- a/gateway/tests/test_calls.rs
+++ b/gateway/tests/test_calls.rs
@@ -10,6 +10,8 @@
 
 use bytes::BytesMut;
 use carobshore_standin::site_target::Behaviour;
+use carobshore_standin::site_wire::REQUEST_ID;
+use carobshore_standin::site_wire::RESPONSE_SIGNATURE;
 
 use crate::common::call;
 use crate::common::connect;
@@ -26,7 +28,7 @@
     let response = gateway.call("upload", "id-1", "some bytes");
     assert_eq!(response.head.status, 200);
     assert_eq!(response.body, "body of id-1");
-    assert_eq!(response.head.fields.text("Response-Signature"), Some("s"));
+    assert_eq!(response.head.fields.text(RESPONSE_SIGNATURE), Some("s"));
     let run = &site.targets[0].runs()[0];
     assert_eq!(&*run.request, "POST /upload/%2e/x?y=%zz");
     assert_eq!(run.body, 10);
@@ -142,7 +144,7 @@
         let id = format!("id-{index}");
         let response = gateway.call("safe", &id, "");
         assert_eq!(response.body, format!("body of {id}"));
-        assert_eq!(response.head.fields.text("Attempt-Id"), Some(&*id));
+        assert_eq!(response.head.fields.text(REQUEST_ID), Some(&*id));
     }
 }
 
--- a/gateway/tests/test_log.rs
+++ b/gateway/tests/test_log.rs
@@ -9,6 +9,7 @@
 use carobshore_standin::server::ANY_PORT;
 use carobshore_standin::site_target::Behaviour;
 use carobshore_standin::site_target::SiteTarget;
+use carobshore_standin::site_wire::REQUEST_ID;
 use expect_test::expect;
 use serde_json::Value;
 
@@ -70,7 +71,7 @@
     gateway.call("safe", "id-served", "");
     call(
         gateway.callers,
-        "GET /none/ HTTP/1.1\r\nHost: x\r\nAttempt-Id: id-denied\r\n\r\n",
+        &format!("GET /none/ HTTP/1.1\r\nHost: x\r\n{REQUEST_ID}: id-denied\r\n\r\n"),
     );
     let leaving = SiteTarget::start(ANY_PORT, "i-left", "status", "a").expect("a target");
     leaving.announce(&site.store, "ready");
--- a/gateway/tests/test_site.rs
+++ b/gateway/tests/test_site.rs
@@ -16,6 +16,7 @@
 use carobshore_standin::site_store::StoreFault;
 use carobshore_standin::site_store::TARGETS;
 use carobshore_standin::site_target::SiteTarget;
+use carobshore_standin::site_wire::REQUEST_ID;
 
 use crate::common::Gateway;
 use crate::common::call;
@@ -29,6 +30,13 @@
 /// The bound for a change of configuration and for a target that leaves.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Waits until the gateway goes by a configuration without the route `/safe/`.
+fn wait_for_change(gateway: &Gateway) {
+    wait("the change arrives", || {
+        gateway.call("safe", "id-2", "").head.status == 404
+    });
+}
+
 #[test]
 fn a_change_of_configuration_is_in_force_in_time_and_is_never_undone() {
     let site = site("change", 1);
@@ -36,9 +44,7 @@
     assert_eq!(gateway.call("safe", "id-1", "").head.status, 200);
     site.configure(5, &routes(1_500, "status")[1..]);
     let sent = Instant::now();
-    wait("the route is gone", || {
-        gateway.call("safe", "id-2", "").head.status == 404
-    });
+    wait_for_change(&gateway);
     assert!(sent.elapsed() < IN_FORCE);
     for older in ["r4", "r5", "r0", "x7", "7"] {
         let document = format!("{{\"Version\":\"{older}\",\"Resources\":[]}}");
@@ -62,9 +68,7 @@
         thread::sleep(Duration::from_millis(millis));
         site.configure(2, &routes(1_500, "status")[1..]);
         let sent = Instant::now();
-        wait("the route is gone", || {
-            gateway.call("safe", "id-1", "").head.status == 404
-        });
+        wait_for_change(&gateway);
         assert!(
             sent.elapsed() < IN_FORCE,
             "{millis} ms: {:?}",
@@ -88,9 +92,7 @@
     proxy.set(Harm::None);
     let healed = Instant::now();
     for gateway in &gateways {
-        wait("the route is gone", || {
-            gateway.call("safe", "id-1", "").head.status == 404
-        });
+        wait_for_change(gateway);
         assert!(healed.elapsed() < IN_FORCE, "{:?}", healed.elapsed());
     }
 }
@@ -129,9 +131,7 @@
     site.configure(2, &routes(1_500, "status")[1..]);
     let sent = Instant::now();
     for gateway in &gateways {
-        wait("the route is gone", || {
-            gateway.call("safe", "id-1", "").head.status == 404
-        });
+        wait_for_change(gateway);
     }
     assert!(sent.elapsed() < IN_FORCE, "{:?}", sent.elapsed());
 }
@@ -223,9 +223,7 @@
         assert!(gateway.is_ready(), "{fault:?}");
         site.store.set_fault(StoreFault::None);
         site.configure(3, &routes(1_500, "status")[1..]);
-        wait("the change arrives", || {
-            gateway.call("safe", "id-2", "").head.status == 404
-        });
+        wait_for_change(&gateway);
     }
 }
 
@@ -235,9 +233,7 @@
     let gateway = site.gateway("edge-1");
     site.store.drop_history(OPERATORS);
     site.configure(3, &routes(1_500, "status")[1..]);
-    wait("the change arrives", || {
-        gateway.call("safe", "id-1", "").head.status == 404
-    });
+    wait_for_change(&gateway);
 }
 
 #[test]
@@ -265,9 +261,7 @@
     assert_eq!(second.call("unsafe", "id-1", "x").head.status, 200);
     site.store.set_fault(StoreFault::None);
     site.configure(3, &routes(1_500, "status")[1..]);
-    wait("the change arrives", || {
-        second.call("safe", "id-2", "").head.status == 404
-    });
+    wait_for_change(&second);
 }
 
 /// Two of 45 drawn days showed this: a VM that had started while the store was silent waited for an
@@ -283,9 +277,7 @@
     site.store.set_fault(StoreFault::None);
     site.configure(3, &routes(1_500, "status")[1..]);
     let returned = Instant::now();
-    wait("the change arrives", || {
-        second.call("safe", "id-1", "").head.status == 404
-    });
+    wait_for_change(&second);
     // The time until a VM counts as in touch again, and the bound of a change.
     let bound = Duration::from_secs(3) + IN_FORCE;
     assert!(returned.elapsed() < bound, "{:?}", returned.elapsed());
@@ -424,7 +416,7 @@
     gateway.call("safe", "id-served", "");
     call(
         gateway.callers,
-        "GET /none/ HTTP/1.1\r\nHost: x\r\nAttempt-Id: id-denied\r\n\r\n",
+        &format!("GET /none/ HTTP/1.1\r\nHost: x\r\n{REQUEST_ID}: id-denied\r\n\r\n"),
     );
     wait("the served request is logged", || {
         gateway.has_line(&[
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod service_time;
 pub mod site_store;
 pub mod site_target;
+pub mod site_wire;
 pub mod slot_queue;
 pub mod target;
 pub mod target_body;
