--- a/cli/tests/test_explain.rs
+++ b/cli/tests/test_explain.rs
@@ -9,7 +9,7 @@
 /// Runs the command on recorded logs, and returns what it prints and its exit code.
 fn explain(id: &str, logs: &[&str]) -> (String, Option<i32>) {
     let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/");
-    let files = logs.iter().map(|name| format!("{dir}{name}.log"));
+    let files = logs.iter().map(|name| format!("{dir}{name}.jsonl"));
     let output = Command::new(env!("CARGO_BIN_EXE_carobshore"))
         .args(["explain", id])
         .args(files)
@@ -28,23 +28,30 @@
 #[test]
 fn a_refused_request_is_explained_by_the_best_target() {
     check(
-        "cac9e908c413f7a4",
+        "a557deea13bc0119",
         &["failed", "refused"],
         &expect![[r#"
-        2026-10-25 09:46:25.629614 +00:00 edge-1 request: id=cac9e908c413f7a4, left_out=0, ms=189, outcome=no-room, route=r-twstany, status=503, version=3, why=best of 13 is i-e6c641bfd5, 1.0 ahead, expected 504 ms
-    "#]],
+            2026-09-25 23:37:18.430221 +00:00 edge-1 another VM does not hand changes on: from=10.3.0.11:7360, reason=status 503, topic=Operators
+            2026-09-25 23:37:18.430237 +00:00 edge-1 another VM is asked for changes: cut=false, from=10.3.0.8:7360, topic=Operators
+            2026-09-25 23:37:18.443292 +00:00 edge-1 the configuration is in force: routes=19, version=7
+            2026-09-25 23:37:19.079808 +00:00 edge-1 another VM does not hand changes on: from=10.3.0.11:7360, reason=status 503, topic=Targets
+            2026-09-25 23:37:19.079824 +00:00 edge-1 another VM is asked for changes: cut=false, from=10.3.0.8:7360, topic=Targets
+            2026-09-25 23:37:20.770412 +00:00 edge-1 request: id=a557deea13bc0119, left_out=0, ms=230, outcome=no-room, route=r-9pmwhjf, status=503, version=7, why=best of 16 is i-0d0bf137e1, 1.0 ahead, expected 404 ms
+        "#]],
     );
 }
 
 #[test]
 fn a_request_that_its_target_refused_is_explained_by_the_attempt() {
     check(
-        "e7f137f7417e714e",
+        "1da0b71ac2d96fae",
         &["refused", "failed"],
         &expect![[r#"
-        2026-10-25 09:46:24.435662 +00:00 edge-2 attempt: end=not-run, expected_ms=503, id=e7f137f7417e714e, left_out=0, local=true, missing=false, ms=362, preferred=true, report=1 running, 0 waiting, 2 slots, pace 100, 36 ms old, target=i-45d4c7cb35
-        2026-10-25 09:46:24.435663 +00:00 edge-2 request: attempts=i-45d4c7cb35:not-run, id=e7f137f7417e714e, left_out=0, ms=401, outcome=targets-refused, route=r-rwfi6e6, status=503, version=3
-    "#]],
+            2026-09-25 23:37:29.539888 +00:00 edge-2 the configuration is in force: routes=19, version=14
+            2026-09-25 23:37:30.118901 +00:00 edge-2 attempt: end=not-run, expected_ms=319, id=1da0b71ac2d96fae, left_out=0, local=true, missing=false, ms=0, preferred=true, report=0 running, 0 waiting, 2 slots, pace 100, 0 ms old, target=i-d178d2c2ee
+            2026-09-25 23:37:30.131841 +00:00 edge-2 attempt: end=not-run, expected_ms=416, id=1da0b71ac2d96fae, left_out=0, local=false, missing=false, ms=2, preferred=false, report=0 running, 0 waiting, 2 slots, pace 100, 0 ms old, target=i-a925511257
+            2026-09-25 23:37:30.131843 +00:00 edge-2 request: attempts=i-d178d2c2ee:not-run i-a925511257:not-run, id=1da0b71ac2d96fae, left_out=0, ms=13, outcome=targets-refused, route=r-yw8c67a, status=503, version=14
+        "#]],
     );
 }
 
