call: a request whose caller has left goes to no further target

Cause: a request that must not run twice runs on when its caller leaves, because it may have begun. When its target then said that it did not run it, the call looked for another target as if someone still waited for the answer.

Change: whether the caller has left is a part of the call, and ends it once no attempt is under way. The stand-in target learns to refuse after a time in its queue, and counts what reaches it.

Conclusion: slots of targets are not given to requests whose answer nobody reads.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -59,6 +59,8 @@
     ends: Vec<Box<str>>,
     /// When a second copy may be sent at the earliest.
     hedge_from: Instant,
+    /// Whether the caller has left, so that no further target is given the request.
+    left: bool,
 }
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (Usable, AttemptEnd)>>>>;
@@ -84,22 +86,22 @@
             fallback: None,
             ends: Vec::new(),
             hedge_from: arrived,
+            left: false,
         }
     }
 
     /// Serves the request. Returns nothing if the caller has left.
     pub(crate) async fn run(mut self, mut gone: watch::Receiver<bool>) -> Option<Reply> {
         let repeatable = self.sending.is_repeatable();
-        let mut left = false;
         let mut running = Running::new();
         let ended = loop {
             if running.is_empty() {
+                if self.left {
+                    break None;
+                }
                 let found = tokio::select! {
                     biased;
-                    () = left_by(&mut gone), if !left => {
-                        left = true;
-                        break None;
-                    }
+                    () = left_by(&mut gone) => break None,
                     found = self.search() => found,
                 };
                 match found {
@@ -115,8 +117,8 @@
                         break Some(ended);
                     }
                 }
-                () = left_by(&mut gone), if !left => {
-                    left = true;
+                () = left_by(&mut gone), if !self.left => {
+                    self.left = true;
                     if repeatable {
                         break None;
                     }
@@ -130,7 +132,7 @@
         // Copies that are still under way lose: their connections are closed.
         drop(running);
         self.note_given_up();
-        self.conclude(ended, left)
+        self.conclude(ended)
     }
 
     /// Notes the attempts that were still under way at the end.
@@ -170,7 +172,7 @@
                 }
             }
         }
-        match last && !self.may_try_again() {
+        match last && !self.left && !self.may_try_again() {
             true => Some(self.give_up()),
             false => None,
         }
@@ -274,7 +276,8 @@
         }
     }
 
-    fn conclude(mut self, ended: Option<Result<Incoming, Failed>>, left: bool) -> Option<Reply> {
+    fn conclude(mut self, ended: Option<Result<Incoming, Failed>>) -> Option<Reply> {
+        let left = self.left;
         let time = self.arrived.elapsed();
         let id = self.sending.id.clone().unwrap_or_default();
         let ended = match ended {
--- a/gateway/tests/test_calls.rs
+++ b/gateway/tests/test_calls.rs
@@ -10,6 +10,7 @@
 
 use bytes::BytesMut;
 use carobshore_standin::site_target::Behaviour;
+use carobshore_standin::site_target::SiteTarget;
 use carobshore_standin::site_wire::REQUEST_ID;
 use carobshore_standin::site_wire::RESPONSE_SIGNATURE;
 
@@ -243,6 +244,29 @@
     }
 }
 
+/// A caller that has left can do nothing with an answer, so no other target is given its request.
+#[test]
+fn a_request_that_was_refused_after_its_caller_left_goes_nowhere_else() {
+    let site = site("leaves-refused", 3);
+    let gateway = site.gateway("edge-1");
+    for target in &site.targets {
+        target.set(Behaviour::RefuseLate);
+        target.set_work(Duration::from_millis(300));
+    }
+    let arrivals = || site.targets.iter().map(SiteTarget::arrivals).sum::<u32>();
+    let mut stream = connect(gateway.callers).expect("a connection");
+    stream
+        .write_all(request("unsafe", "id-1", 3_000, "x").as_bytes())
+        .expect("a write");
+    wait("the request has arrived", || arrivals() == 1);
+    drop(stream);
+    wait("its end is logged as such", || {
+        let lines = gateway.lines();
+        lines.iter().any(|line| line.contains("caller-left"))
+    });
+    assert_eq!(arrivals(), 1);
+}
+
 #[test]
 fn malformed_and_oversized_requests_get_a_clear_answer() {
     let site = site("malformed", 1);
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -30,6 +30,8 @@
     Serve,
     /// It says that it did not run the request.
     Refuse,
+    /// It queues the request for the time of its work, and then says that it did not run it.
+    RefuseLate,
     /// It runs the request and closes the connection in the middle of the response.
     Truncate,
     /// It runs the request and resets the connection.
@@ -69,6 +71,7 @@
     work: Mutex<Duration>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
+    arrivals: AtomicU32,
     running: AtomicU32,
     /// A second answer that is sent before the next one.
     extra: Mutex<Vec<u8>>,
@@ -92,6 +95,7 @@
             work: Mutex::new(Duration::from_millis(5)),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
+            arrivals: AtomicU32::new(0),
             running: AtomicU32::new(0),
             extra: Mutex::default(),
         });
@@ -157,6 +161,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Returns how many requests the target got, with those that it refused.
+    pub fn arrivals(&self) -> u32 {
+        self.state.arrivals.load(Ordering::SeqCst)
+    }
+
     /// Resets all connections, as a network device does that has lost track of them.
     pub fn reset_connections(&self) {
         self.server.reset_connections();
@@ -180,10 +189,12 @@
         );
         return Answer::Bytes(response("200 OK", &fields, b""));
     }
+    state.arrivals.fetch_add(1, Ordering::SeqCst);
     match behaviour {
-        Behaviour::Refuse => {
-            let fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
-            return Answer::Bytes(response("503 Full", &fields, b""));
+        Behaviour::Refuse => return refusal(&id),
+        Behaviour::RefuseLate => {
+            thread::sleep(*lock(&state.work));
+            return refusal(&id);
         }
         Behaviour::Hang => return Answer::Silence,
         Behaviour::RejectEarly => {
@@ -219,6 +230,11 @@
     }
 }
 
+fn refusal(id: &str) -> Answer {
+    let fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
+    Answer::Bytes(response("503 Full", &fields, b""))
+}
+
 /// Works on a request. Returns whether the caller left meanwhile.
 fn run(state: &State, call: &Received, id: &str) -> bool {
     let fields = &call.head.fields;
