router: pass by homes that own no targets

Cause: a service has a home in each failure domain, and with fewer targets than domains some homes own none. The router sent the calls of such a VM to itself, and its pool, which has no targets, refused them with 4003 unless a report of another home was younger than 100 ms.

Change: homes count their targets; the router considers only homes that own some. A call that has to stay at a VM without targets (its key's owner, or the end of its hop) uses the shared pool of all targets, as a VM that is no home does. Who owns a key is unchanged.

Slot ownership affects efficiency only.

--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -226,7 +226,7 @@
                 let code = ResultCode::OwnershipMoving;
                 self.tell(ExchangeEvent::Rejected { code });
             }
-            Route::Local => self.submit(SeatKind::Owned),
+            Route::Local => self.submit(self.service.local_seat()),
             Route::Fallback => self.submit(SeatKind::Shared),
             Route::Forward { vm } => self.start_vm(vm, false),
             Route::Refuse { code } => self.tell(ExchangeEvent::Rejected { code }),
--- a/entry/src/service_plane.rs
+++ b/entry/src/service_plane.rs
@@ -220,6 +220,16 @@
         self.home.get()
     }
 
+    /// Returns the pool for a call that stays here: that of all targets if this VM owns none, as the
+    /// owner of a key may.
+    pub(crate) fn local_seat(&self) -> SeatKind {
+        if self.router.borrow().homes().owns_targets(&self.me) {
+            return SeatKind::Owned;
+        }
+        self.start_fallback();
+        SeatKind::Shared
+    }
+
     /// Decides where a call goes.
     pub(crate) fn route(&self, call: &Call) -> Route {
         let router = match call.key {
--- a/lib/src/homes.rs
+++ b/lib/src/homes.rs
@@ -40,6 +40,8 @@
     domain: DomainId,
     index: u32,
     vm: VmId,
+    /// How many targets it owns. With fewer targets than seats, some own none.
+    targets: u32,
 }
 
 impl Homes {
@@ -50,8 +52,11 @@
         roster: &Roster,
         settings: &HomesSettings,
     ) -> Self {
-        let seats = choose_seats(service, roster, settings);
+        let mut seats = choose_seats(service, roster, settings);
         let owners = divide_targets(service, spec, &seats);
+        for seat in owners.values() {
+            seats[*seat].targets += 1;
+        }
         Self { seats, owners }
     }
 
@@ -70,6 +75,13 @@
         self.vms().any(|home| home == vm)
     }
 
+    /// Returns whether the VM is a home that owns targets.
+    pub fn owns_targets(&self, vm: &VmId) -> bool {
+        self.seats
+            .iter()
+            .any(|seat| seat.targets > 0 && seat.vm == *vm)
+    }
+
     /// Returns the home that owns the target's slots.
     pub fn owner(&self, target: &TargetId) -> Option<&VmId> {
         self.owners.get(target).map(|seat| &self.seats[*seat].vm)
@@ -136,7 +148,12 @@
             let Some(best) = best else { break };
             let vm = vms.swap_remove(best).clone();
             let domain = domain.clone();
-            seats.push(Seat { domain, index, vm });
+            seats.push(Seat {
+                domain,
+                index,
+                vm,
+                targets: 0,
+            });
         }
     }
     seats
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -135,8 +135,10 @@
         }
         if call.forwarded {
             // The sender's view may be newer or older. The call has used its hop, so it ends here.
-            let home = self.homes.contains(&self.me);
-            return if home { Route::Local } else { Route::Fallback };
+            return match self.homes.owns_targets(&self.me) {
+                true => Route::Local,
+                false => Route::Fallback,
+            };
         }
         let Some(vm) = self.choose(now) else {
             return Route::Fallback;
@@ -183,10 +185,10 @@
     }
 
     /// Picks this VM when it is a home, then a home in the own failure domain, then the other home
-    /// with the most free slots. Homes that are down are skipped; a full one is the last resort,
-    /// because its report may be outdated.
+    /// with the most free slots. Homes that own no targets or are down are skipped; a full one is the
+    /// last resort, because its report may be outdated.
     fn choose(&self, now: Instant) -> Option<VmId> {
-        if self.homes.contains(&self.me) && !self.is_full(now, &self.me) {
+        if self.homes.owns_targets(&self.me) && !self.is_full(now, &self.me) {
             return Some(self.me.clone());
         }
         let near = self.homes.homes_in(&self.domain);
@@ -198,12 +200,13 @@
         if let Some(vm) = far.max_by_key(|vm| (self.fresh_free(now, vm), self.rank(vm))) {
             return Some(vm.clone());
         }
-        let up = self.homes.vms().filter(|vm| self.is_up(now, vm));
+        let serving = |vm: &&VmId| self.is_up(now, vm) && self.homes.owns_targets(vm);
+        let up = self.homes.vms().filter(serving);
         up.max_by_key(|vm| self.rank(vm)).cloned()
     }
 
     fn usable(&self, now: Instant, vm: &VmId) -> bool {
-        self.is_up(now, vm) && !self.is_full(now, vm)
+        self.is_up(now, vm) && !self.is_full(now, vm) && self.homes.owns_targets(vm)
     }
 
     /// Divides the entry VMs among equal homes.
--- a/lib/tests/test_homes.rs
+++ b/lib/tests/test_homes.rs
@@ -226,3 +226,28 @@
         }
     }
 }
+
+/// A service with fewer targets than failure domains has homes that own none. Guards against their
+/// refusing calls that a target of another home could serve.
+#[test]
+fn a_home_without_targets_passes_its_calls_on() {
+    let homes = assign(1, &roster(3, 3), 1);
+    let owner = homes.owner(&target_id(0)).expect("an owner").clone();
+    let now = Instant::now();
+    for vm in 0..3 {
+        let me = vm_id(vm);
+        let mut router = Router::new(me.clone(), domain(vm), RouterSettings::default());
+        router.set_homes(homes.clone());
+        let call = |forwarded| Call {
+            key: None,
+            forwarded,
+        };
+        let (first, passed_on) = match me == owner {
+            true => (Route::Local, Route::Local),
+            false => (Route::Forward { vm: owner.clone() }, Route::Fallback),
+        };
+        assert_eq!(router.route(now, &call(false)), first);
+        // The sender's view may be older; the call has used its hop.
+        assert_eq!(router.route(now, &call(true)), passed_on);
+    }
+}
