--- a/cli/src/change_arg.rs
+++ b/cli/src/change_arg.rs
@@ -5,16 +5,10 @@
 use carobshore_lib::prelude::*;
 use carobshore_lib::service::DEFAULT_CONNECTIONS;
 
-/// The forms of a change, for help and error messages.
-pub(crate) const FORMS: &str = "\
-add-service SERVICE measuring=BUDGET [connections=N]
-remove-service SERVICE
-set-measuring SERVICE BUDGET
-set-connections SERVICE N
-add-target SERVICE/TARGET addr=IP:PORT domain=DOMAIN slots=N
-remove-target SERVICE/TARGET
-mark-leaving SERVICE/TARGET
-set-slots SERVICE/TARGET N";
+use crate::route_arg;
+use crate::words::Words;
+use crate::words::bad;
+use crate::words::quoted;
 
 /// A change that was written as text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +40,10 @@
                 service: words.next("a service")?.parse()?,
                 connections: number(words.next("a connection budget")?)?,
             },
+            "set-route" => route_arg::set_route(&mut words)?,
+            "remove-route" => Change::RemoveRoute {
+                route: words.next("a route")?.parse()?,
+            },
             _ => target_change(verb, &mut words)?,
         };
         words.end()?;
@@ -84,61 +82,6 @@
     })
 }
 
-/// The words of a change; `key=value` words may come in any order.
-struct Words<'a> {
-    text: &'a str,
-    plain: Vec<&'a str>,
-    pairs: Vec<(&'a str, &'a str)>,
-}
-
-impl<'a> Words<'a> {
-    fn new(text: &'a str) -> Self {
-        let words = text.split_whitespace();
-        let (pairs, mut plain): (Vec<_>, Vec<_>) = words.partition(|word| word.contains('='));
-        plain.reverse();
-        Self {
-            text,
-            plain,
-            pairs: pairs
-                .iter()
-                .filter_map(|pair| pair.split_once('='))
-                .collect(),
-        }
-    }
-
-    fn next(&mut self, what: &str) -> Result<&'a str> {
-        let missing = || bad(format!("{what} is missing in {}", quoted(self.text)));
-        self.plain.pop().ok_or_else(missing)
-    }
-
-    fn optional(&mut self, key: &str) -> Option<&'a str> {
-        let index = self.pairs.iter().position(|(name, _)| *name == key)?;
-        Some(self.pairs.remove(index).1)
-    }
-
-    fn value(&mut self, key: &str) -> Result<&'a str> {
-        let missing = bad(format!("`{key}=` is missing in {}", quoted(self.text)));
-        self.optional(key).ok_or(missing)
-    }
-
-    fn end(&self) -> Result<()> {
-        let plain = self.plain.last().copied();
-        let extra = plain.or(self.pairs.first().map(|(key, _)| *key));
-        match extra {
-            None => Ok(()),
-            Some(word) => Err(bad(format!(
-                "{} is unexpected in {}",
-                quoted(word),
-                quoted(self.text)
-            ))),
-        }
-    }
-}
-
-fn quoted(text: &str) -> String {
-    format!("`{}`", text.escape_debug())
-}
-
 fn number(text: &str) -> Result<u32> {
     text.parse().map_err(|_| {
         Error::new(
@@ -158,12 +101,3 @@
         )
     })
 }
-
-fn bad(message: String) -> Error {
-    let forms = FORMS.replace('\n', "; ");
-    Error::new(
-        ResultCode::BadUsage,
-        message,
-        format!("a change has one of these forms: {forms}"),
-    )
-}
--- a/cli/src/commands/history.rs
+++ b/cli/src/commands/history.rs
@@ -28,7 +28,7 @@
         println!("nothing was confirmed yet; publish a change with `carobshore intent`");
         return Ok(Exit::Done);
     }
-    let mut rows = table(&["offset", "operator", "result", "services", "intent", "note"]);
+    let mut rows = table(&["offset", "operator", "result", "touches", "intent", "note"]);
     for entry in &entries {
         rows.add_row(row(entry));
     }
@@ -37,12 +37,12 @@
 }
 
 fn row(entry: &HistoryEntry) -> [String; 6] {
-    let services: Vec<_> = entry.services.iter().map(|id| id.as_str()).collect();
+    let items: Vec<_> = entry.items.iter().map(ToString::to_string).collect();
     [
         entry.confirm.offset.to_string(),
         entry.confirm.operator.to_string(),
         result(&entry.verdict),
-        services.join(" "),
+        items.join(" "),
         entry.intent.to_string(),
         entry.note.to_string(),
     ]
--- a/cli/src/commands/intent.rs
+++ b/cli/src/commands/intent.rs
@@ -9,13 +9,13 @@
 use uuid::Uuid;
 
 use crate::change_arg::ChangeArg;
-use crate::change_arg::FORMS;
 use crate::commands::Context;
 use crate::commands::plan_view::PlanView;
 use crate::exit::Exit;
 use crate::log_append;
 use crate::log_follow;
 use crate::output;
+use crate::words::FORMS;
 
 /// Publish changes that come into force together when they are confirmed.
 #[derive(Debug, ClapArgs)]
--- a/cli/src/commands/plan.rs
+++ b/cli/src/commands/plan.rs
@@ -1,5 +1,7 @@
 //! `carobshore plan`
 
+use std::collections::BTreeSet;
+
 use carobshore_lib::history::ConfirmRef;
 use carobshore_lib::prelude::*;
 use clap::Args as ClapArgs;
@@ -25,7 +27,9 @@
     offset: Offset,
     operator: &'a OperatorId,
     note: &'a str,
-    services: Vec<&'a ServiceId>,
+    /// The services and routes that the intent touches.
+    #[serde(rename = "services")]
+    items: BTreeSet<ItemId>,
 }
 
 /// Prints the plan of an intent, or the waiting intents.
@@ -84,21 +88,21 @@
             offset: pending.offset,
             operator: &pending.intent.operator,
             note: &pending.intent.note,
-            services: pending.intent.services().into_iter().collect(),
+            items: pending.intent.items(),
         })
         .collect();
     if waiting.is_empty() && !context.json {
         println!("no intent waits for a confirm; publish one with `carobshore intent`");
         return Ok(());
     }
-    let mut rows = table(&["intent", "offset", "operator", "services", "note"]);
+    let mut rows = table(&["intent", "offset", "operator", "touches", "note"]);
     for row in &waiting {
-        let services: Vec<_> = row.services.iter().map(|id| id.as_str()).collect();
+        let items: Vec<_> = row.items.iter().map(ToString::to_string).collect();
         rows.add_row([
             row.intent.to_string(),
             row.offset.to_string(),
             row.operator.to_string(),
-            services.join(" "),
+            items.join(" "),
             row.note.to_owned(),
         ]);
     }
--- a/cli/src/commands/plan_view.rs
+++ b/cli/src/commands/plan_view.rs
@@ -14,7 +14,7 @@
     operator: OperatorId,
     note: Box<str>,
     digest: PlanDigest,
-    bases: BTreeMap<ServiceId, Version>,
+    bases: BTreeMap<ItemId, Version>,
     lines: Vec<String>,
     warnings: Vec<String>,
     next: String,
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -4,6 +4,7 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 
+use carobshore_lib::configured_route::ConfiguredRoute;
 use carobshore_lib::prelude::*;
 use clap::Args as ClapArgs;
 use serde::Serialize;
@@ -43,6 +44,8 @@
 struct Status {
     vms: Vec<VmView>,
     services: BTreeMap<String, ServiceView>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    routes: BTreeMap<String, ConfiguredRoute>,
 }
 
 /// Prints the status that the VMs' dumps give.
@@ -96,6 +99,7 @@
     let ahead = answered.iter().max_by_key(|(view, _)| view.applied);
     if let Some((best, dump)) = ahead {
         status.services = dump_view::services(dump);
+        status.routes = dump_view::routes(dump);
         for vm in &mut status.vms {
             vm.lag = best.applied.zip(vm.applied).map(|(best, own)| best - own);
         }
@@ -112,6 +116,9 @@
         parts.push(services(status));
         parts.push(targets(status, all));
     }
+    if !status.routes.is_empty() {
+        parts.push(routes(status));
+    }
     let errors = status.vms.iter().filter_map(|vm| vm.error.as_ref());
     parts.extend(errors.map(|error| {
         format!(
@@ -177,6 +184,26 @@
     rows.trim_fmt()
 }
 
+fn routes(status: &Status) -> String {
+    let mut rows = table(&[
+        "route", "version", "host", "prefix", "services", "kind", "timeout", "attempts",
+    ]);
+    for (id, route) in &status.routes {
+        let rule = &route.rule;
+        rows.add_row([
+            id.clone(),
+            route.version.to_string(),
+            rule.host.to_string(),
+            rule.prefix.to_string(),
+            rule.services(),
+            rule.kind.as_str().to_owned(),
+            format!("{:?}", rule.timeout),
+            rule.attempts.to_string(),
+        ]);
+    }
+    rows.trim_fmt()
+}
+
 fn targets(status: &Status, all: bool) -> String {
     let mut rows = table(&[
         "target",
--- a/cli/src/dump_view.rs
+++ b/cli/src/dump_view.rs
@@ -4,7 +4,9 @@
 
 use std::collections::BTreeMap;
 
+use carobshore_lib::configured_route::ConfiguredRoute;
 use carobshore_lib::prelude::*;
+use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -84,6 +86,15 @@
     }
 }
 
+/// Reads the routes of a dump. One that another release wrote in another form is left out.
+pub(crate) fn routes(dump: &Value) -> BTreeMap<String, ConfiguredRoute> {
+    let routes = dump.get("routes").and_then(Value::as_object);
+    let routes = routes.into_iter().flatten();
+    routes
+        .filter_map(|(id, route)| Some((id.clone(), ConfiguredRoute::deserialize(route).ok()?)))
+        .collect()
+}
+
 /// Reads the services of a dump.
 pub(crate) fn services(dump: &Value) -> BTreeMap<String, ServiceView> {
     let services = dump.get("services").and_then(Value::as_object);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -11,8 +11,10 @@
 mod log_follow;
 mod log_line;
 mod output;
+mod route_arg;
 mod table;
 mod vm_client;
+mod words;
 
 use std::process::ExitCode;
 
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -67,13 +67,13 @@
         [1]
 
         gwen$ carobshore intent 'set-slots status 4'
-        error: invalid value 'set-slots status 4' for '[CHANGE]...': [1004] `set-slots` needs SERVICE/TARGET; a change has one of these forms: add-service SERVICE measuring=BUDGET [connections=N]; remove-service SERVICE; set-measuring SERVICE BUDGET; set-connections SERVICE N; add-target SERVICE/TARGET addr=IP:PORT domain=DOMAIN slots=N; remove-target SERVICE/TARGET; mark-leaving SERVICE/TARGET; set-slots SERVICE/TARGET N
+        error: invalid value 'set-slots status 4' for '[CHANGE]...': [1004] `set-slots` needs SERVICE/TARGET; a change has one of these forms: add-service SERVICE measuring=BUDGET [connections=N]; remove-service SERVICE; set-measuring SERVICE BUDGET; set-connections SERVICE N; add-target SERVICE/TARGET addr=IP:PORT domain=DOMAIN slots=N; remove-target SERVICE/TARGET; mark-leaving SERVICE/TARGET; set-slots SERVICE/TARGET N; set-route ROUTE host=HOST prefix=/PATH/ to=SERVICE[:WEIGHT][,SERVICE:WEIGHT] kind=safe|unsafe|upload [timeout=MS] [attempts=N]; remove-route ROUTE
 
         For more information, try '--help'.
         [2]
 
         gwen$ carobshore intent 'add-service status measuring=30ms/s extra=1'
-        error: invalid value 'add-service status measuring=30ms/s extra=1' for '[CHANGE]...': [1004] `extra` is unexpected in `add-service status measuring=30ms/s extra=1`; a change has one of these forms: add-service SERVICE measuring=BUDGET [connections=N]; remove-service SERVICE; set-measuring SERVICE BUDGET; set-connections SERVICE N; add-target SERVICE/TARGET addr=IP:PORT domain=DOMAIN slots=N; remove-target SERVICE/TARGET; mark-leaving SERVICE/TARGET; set-slots SERVICE/TARGET N
+        error: invalid value 'add-service status measuring=30ms/s extra=1' for '[CHANGE]...': [1004] `extra` is unexpected in `add-service status measuring=30ms/s extra=1`; a change has one of these forms: add-service SERVICE measuring=BUDGET [connections=N]; remove-service SERVICE; set-measuring SERVICE BUDGET; set-connections SERVICE N; add-target SERVICE/TARGET addr=IP:PORT domain=DOMAIN slots=N; remove-target SERVICE/TARGET; mark-leaving SERVICE/TARGET; set-slots SERVICE/TARGET N; set-route ROUTE host=HOST prefix=/PATH/ to=SERVICE[:WEIGHT][,SERVICE:WEIGHT] kind=safe|unsafe|upload [timeout=MS] [attempts=N]; remove-route ROUTE
 
         For more information, try '--help'.
         [2]
--- a/cli/tests/test_handover.rs
+++ b/cli/tests/test_handover.rs
@@ -88,8 +88,8 @@
         [0]
 
         salma$ carobshore plan
-        intent                                offset  operator  services  note
-        ID-0  2       gwen      status    status-1 is serviced
+        intent                                offset  operator  touches  note
+        ID-0  2       gwen      status   status-1 is serviced
         ID-1  3       salma     status
         [0]
 
@@ -136,10 +136,10 @@
         [1]
 
         gwen$ carobshore history
-        offset  operator  result    services  intent                                note
-        1       gwen      in force  status    ID-2
-        4       gwen      in force  status    ID-0  status-1 is serviced
-        5       salma     in force  status    ID-1
+        offset  operator  result    touches  intent                                note
+        1       gwen      in force  status   ID-2
+        4       gwen      in force  status   ID-0  status-1 is serviced
+        5       salma     in force  status   ID-1
         [0]
 
     "#]].assert_eq(&session.transcript());
@@ -189,10 +189,10 @@
         [1]
 
         gwen$ carobshore history
-        offset  operator  result                                         services  intent                                note
-        1       gwen      in force                                       status    ID-2
-        4       salma     in force                                       status    ID-0
-        5       gwen      rejected [2004], salma at offset 4 came first  status    ID-1
+        offset  operator  result                                         touches  intent                                note
+        1       gwen      in force                                       status   ID-2
+        4       salma     in force                                       status   ID-0
+        5       gwen      rejected [2004], salma at offset 4 came first  status   ID-1
         [0]
 
     "#]].assert_eq(&session.transcript());
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -179,6 +179,7 @@
 fn forward_fields(plane: &Plane, head: &CallHead, spill: bool, fields: &mut HeaderMap) {
     let hops = if spill { MAX_HOPS } else { head.hops + 1 };
     headers::set_number(fields, field::HOPS, u64::from(hops));
+    headers::set_number(fields, field::ATTEMPTS, u64::from(head.attempts));
     headers::set(fields, field::SERVICE, head.service.as_str());
     headers::set(fields, field::CALLER, &head.caller);
     headers::set(fields, field::ORIGIN, plane.view().me.as_str());
--- a/entry/src/call_head.rs
+++ b/entry/src/call_head.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::exchange::MAX_ATTEMPTS;
 use carobshore_lib::prelude::Error;
 use carobshore_lib::prelude::RequestKey;
 use carobshore_lib::prelude::Result;
@@ -16,6 +17,7 @@
 use ntex::http::header::CONTENT_LENGTH;
 use ntex::http::header::TRANSFER_ENCODING;
 
+use crate::call_route::CallRoute;
 use crate::field;
 use crate::headers;
 use crate::settings::MAX_DEADLINE;
@@ -68,6 +70,8 @@
     pub target_key: Option<Box<str>>,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// How many copies this VM sends at most.
+    pub attempts: u32,
     /// Who calls, for fair queueing.
     pub caller: Box<str>,
     /// How many entry VMs have forwarded the call.
@@ -77,18 +81,21 @@
 }
 
 impl CallHead {
-    /// Classifies a request.
+    /// Classifies a request. A route goes before what its caller and its method say.
     pub fn parse(
         head: &RequestHead,
         peer: Option<IpAddr>,
         port: Port,
         settings: &Settings,
+        route: Option<&CallRoute>,
         now: Instant,
     ) -> Result<Self> {
         let fields = &head.headers;
         let host = host(fields)?;
         let key = key(fields)?;
-        let repeatable = repeatable(&head.method, fields, key)?;
+        let repeatable = repeatable(&head.method, fields, key, route)?;
+        let deadline = deadline(fields, settings)?;
+        let timeout = route.map_or(MAX_DEADLINE, |route| route.timeout);
         let target_key = match port {
             Port::Callers => None,
             Port::Peers => single(fields, field::TARGET_KEY, "one UUIDv7")?.map(Box::from),
@@ -97,7 +104,10 @@
         headers::remove_all(&mut kept, &field::ENTRY_ONLY);
         Ok(Self {
             port,
-            service: service(fields, &host)?,
+            service: match route {
+                Some(route) => route.service.clone(),
+                None => service(fields, &host)?,
+            },
             method: head.method.clone(),
             path: path(head)?,
             host,
@@ -106,7 +116,8 @@
             repeatable,
             key,
             target_key,
-            deadline: now + deadline(fields, settings)?,
+            deadline: now + deadline.min(timeout),
+            attempts: attempts(fields, port, route)?,
             caller: caller(fields, peer)?,
             hops: hops(fields, port)?,
             peer,
@@ -233,17 +244,42 @@
     text.map(str::parse).transpose()
 }
 
-fn repeatable(method: &Method, fields: &HeaderMap, key: Option<RequestKey>) -> Result<bool> {
+/// Returns whether the request may run more than once. A caller may forbid what the route allows,
+/// but not the other way round.
+fn repeatable(
+    method: &Method,
+    fields: &HeaderMap,
+    key: Option<RequestKey>,
+    route: Option<&CallRoute>,
+) -> Result<bool> {
     let allowed = "`yes` or `no`";
+    let by_method = || matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS);
+    let by_route = route.map(|route| route.kind.is_repeatable());
     let marked = match single(fields, field::REPEATABLE, allowed)? {
-        None => matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS),
-        Some("yes") => true,
+        None => by_route.unwrap_or_else(by_method),
+        Some("yes") => by_route.unwrap_or(true),
         Some("no") => false,
         Some(other) => return Err(bad(field::REPEATABLE, other, allowed)),
     };
     Ok(marked && key.is_none())
 }
 
+/// Returns how many copies this VM sends at most: what the route says, also to the VMs that the
+/// call is forwarded to.
+fn attempts(fields: &HeaderMap, port: Port, route: Option<&CallRoute>) -> Result<u32> {
+    let allowed = "a whole number from 1 on";
+    let told = match port {
+        Port::Callers => None,
+        Port::Peers => single(fields, field::ATTEMPTS, allowed)?,
+    };
+    let Some(text) = told else {
+        return Ok(route.map_or(MAX_ATTEMPTS, |route| route.attempts.min(MAX_ATTEMPTS)));
+    };
+    let number = text.parse().ok().filter(|number| *number > 0);
+    let number: u32 = number.ok_or_else(|| bad(field::ATTEMPTS, text, allowed))?;
+    Ok(number.min(MAX_ATTEMPTS))
+}
+
 fn deadline(fields: &HeaderMap, settings: &Settings) -> Result<Duration> {
     let allowed = "whole milliseconds from 1 to 600000";
     let Some(text) = single(fields, field::DEADLINE, allowed)? else {
--- a/entry/src/control_dump.rs
+++ b/entry/src/control_dump.rs
@@ -31,6 +31,7 @@
         "log_current_ms_ago": current.map(|age| age.as_millis() as u64),
         "lease_left_ms": lease_left.map(|left| left.as_millis() as u64),
         "services": fold.config().services,
+        "routes": fold.config().routes,
         "roster": fold.roster().members,
         "down": *control.down.borrow(),
         "leaving": leaving,
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -105,6 +105,7 @@
             repeatable: head.repeatable,
             key: head.key,
             deadline: head.deadline,
+            attempts: head.attempts,
         };
         let (grants, granted) = mpsc::unbounded_channel();
         let driver = Self {
--- a/entry/src/field.rs
+++ b/entry/src/field.rs
@@ -10,6 +10,8 @@
 pub const CALLER: &str = "carobshore-caller";
 /// How many entry VMs have forwarded the call.
 pub const HOPS: &str = "carobshore-hops";
+/// How many copies of the call the VM that receives it sends at most.
+pub const ATTEMPTS: &str = "carobshore-attempts";
 /// The entry VM that took the call from its caller.
 pub const ORIGIN: &str = "carobshore-origin";
 /// What is known about whether the request ran.
@@ -36,8 +38,8 @@
 pub const TARGET_REFUSED: &str = "target-refused";
 
 /// Fields that are for the entry VM that receives the request, and not for the target.
-pub const ENTRY_ONLY: [&str; 8] = [
-    SERVICE, DEADLINE, CALLER, HOPS, ORIGIN, FREE, QUEUED, TARGET_KEY,
+pub const ENTRY_ONLY: [&str; 9] = [
+    SERVICE, DEADLINE, CALLER, HOPS, ATTEMPTS, ORIGIN, FREE, QUEUED, TARGET_KEY,
 ];
 
 /// Fields that are for the home that receives the response, and not for the caller.
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 mod attempt;
 pub mod call_head;
+pub mod call_route;
 mod caller_end;
 pub mod connection;
 mod control;
--- a/entry/src/plane.rs
+++ b/entry/src/plane.rs
@@ -17,7 +17,10 @@
 use carobshore_lib::prelude::ResultCode;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::Version as ConfigVersion;
 use carobshore_lib::prelude::VmId;
+use carobshore_lib::route_table::RouteTable;
+use carobshore_lib::routing_config::RoutingConfig;
 use carobshore_lib::ticket::TicketId;
 use ntex::http::Request;
 use ntex::http::Response;
@@ -27,6 +30,7 @@
 
 use crate::call_head::CallHead;
 use crate::call_head::Port;
+use crate::call_route::CallRoute;
 use crate::caller_end::CallerConnection;
 use crate::caller_end::CallerEnd;
 use crate::driver::Driver;
@@ -59,6 +63,7 @@
     pub(crate) control: ControlLink,
     view: RefCell<Arc<View>>,
     services: RefCell<HashMap<ServiceId, Rc<ServicePlane>>>,
+    routes: RefCell<RouteTable>,
     /// Services whose homes have to be assigned again.
     pending: RefCell<BTreeSet<ServiceId>>,
     /// The loads of the latest view.
@@ -84,10 +89,12 @@
             control,
             view: RefCell::new(Arc::clone(view)),
             services: RefCell::default(),
+            routes: RefCell::new(RouteTable::new(rand::random())),
             pending: RefCell::default(),
             loads: RefCell::default(),
             tickets: Cell::new(0),
         });
+        plane.take_routes(view);
         plane.take_over(view, true);
         plane
     }
@@ -100,6 +107,9 @@
             self.services.borrow_mut().clear();
         }
         let roster = old.me != view.me || !Arc::ptr_eq(&old.roster, &view.roster);
+        if !Arc::ptr_eq(&old.config, &view.config) {
+            self.take_routes(view);
+        }
         self.take_over(view, roster);
     }
 
@@ -124,7 +134,13 @@
         if request.version() != Version::HTTP_11 {
             return Err(self.refuse_version(port));
         }
-        let head = CallHead::parse(request.head(), peer, port, &self.settings, started);
+        let route = match port {
+            Port::Callers => CallRoute::find(&mut self.routes.borrow_mut(), request.head()),
+            // The VM that took the call has found its route.
+            Port::Peers => None,
+        };
+        let route = route.as_ref();
+        let head = CallHead::parse(request.head(), peer, port, &self.settings, route, started);
         let admitted = head.map_err(Refusal::of_request).and_then(|head| {
             let service = self.admit(&head);
             let service = service.map_err(|refusal| match head.is_keyed_by_caller() {
@@ -261,6 +277,13 @@
         view.roster.member(vm).map(|member| member.forward)
     }
 
+    /// Puts the routes of a view into force. The offset grows with each change that it holds.
+    fn take_routes(&self, view: &View) {
+        let version = ConfigVersion(view.applied.0);
+        let routes = RoutingConfig::confirmed(&view.config, version);
+        self.routes.borrow_mut().take(routes);
+    }
+
     fn take_over(self: &Rc<Self>, view: &View, roster_changed: bool) {
         let mut services = self.services.borrow_mut();
         let mut pending = self.pending.borrow_mut();
--- a/entry/tests/common/vm.rs
+++ b/entry/tests/common/vm.rs
@@ -97,6 +97,7 @@
     let id = service.parse::<ServiceId>().unwrap();
     Config {
         services: BTreeMap::from([(id, service_spec)]),
+        ..Config::default()
     }
 }
 
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -64,7 +64,7 @@
         }
     };
     let patience = fields.patience.unwrap_or(DEFAULT_PATIENCE);
-    let limit = arrived.at + patience.min(route.timeout);
+    let limit = arrived.at + patience.min(route.rule.timeout);
     let work = gateway.work(&route);
     if !has_time(&gateway, work) {
         let failed = Failed {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -44,7 +44,7 @@
 impl Sending {
     /// Returns whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
-        self.route.kind.is_repeatable()
+        self.route.rule.kind.is_repeatable()
     }
 }
 
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -182,7 +182,7 @@
     fn may_try_again(&self) -> bool {
         let now = Instant::now();
         let time = self.times().has_time(now);
-        let attempts = self.arrivals < self.sending.route.attempts;
+        let attempts = self.arrivals < self.sending.route.rule.attempts;
         let free = self.arrivals == 0;
         time && attempts && (free || self.gateway.may_repeat(now, &self.service))
     }
@@ -204,7 +204,7 @@
     fn times(&self) -> CallTimes {
         CallTimes {
             arrived: self.arrived,
-            latency: self.sending.route.latency,
+            latency: self.sending.route.rule.latency,
             work: self.sending.work,
             limit: self.sending.limit,
         }
@@ -255,7 +255,7 @@
     fn hedge_at(&self) -> Option<Instant> {
         let allowed = self.sending.is_repeatable()
             && self.arrivals == 1
-            && self.sending.route.attempts > 1
+            && self.sending.route.rule.attempts > 1
             && self.gateway.repeats_left(Instant::now(), &self.service) > 0;
         let at = self.times().hedge_at(self.hedge_from);
         at.filter(|_| allowed)
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -247,7 +247,7 @@
         let gateway = Rc::clone(&self.shared.gateway);
         // It is looked up again when the request starts: the configuration may change while it waits.
         let route = admission::route(&gateway, &arrived.head);
-        let repeatable = route.is_ok_and(|route| route.kind.is_repeatable());
+        let repeatable = route.is_ok_and(|route| route.rule.kind.is_repeatable());
         if !repeatable && !self.answered().await {
             return self.after_idle();
         }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -265,7 +265,7 @@
         let work = self.work.borrow();
         let known = work.get(&route.name).copied();
         known
-            .unwrap_or_else(|| WorkEstimate::new(route.latency))
+            .unwrap_or_else(|| WorkEstimate::new(route.rule.latency))
             .get()
     }
 
@@ -273,7 +273,7 @@
     pub fn observe_work(&self, route: &Route, ratio: f64) {
         let mut work = self.work.borrow_mut();
         let estimate = work.entry(route.name.clone());
-        let estimate = estimate.or_insert_with(|| WorkEstimate::new(route.latency));
+        let estimate = estimate.or_insert_with(|| WorkEstimate::new(route.rule.latency));
         estimate.observe(ratio);
     }
 
--- a/lib/src/canonical.rs
+++ b/lib/src/canonical.rs
@@ -3,8 +3,11 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::call_kind::CallKind;
 use crate::change::Change;
+use crate::configured_route::ConfiguredRoute;
 use crate::plan_digest::PlanDigest;
+use crate::route_rule::RouteRule;
 use crate::service::Service;
 use crate::target::Target;
 use crate::target::TargetState;
@@ -53,6 +56,38 @@
         }
     }
 
+    /// Adds a route, or its absence.
+    pub(crate) fn route(&mut self, route: Option<&ConfiguredRoute>) {
+        let Some(route) = route else {
+            self.number(0);
+            return;
+        };
+        self.number(1);
+        self.number(route.version.0);
+        self.rule(&route.rule);
+    }
+
+    fn rule(&mut self, rule: &RouteRule) {
+        self.text(&rule.host);
+        self.text(&rule.prefix);
+        self.number(match rule.kind {
+            CallKind::Safe => 0,
+            CallKind::Unsafe => 1,
+            CallKind::Upload => 2,
+        });
+        for time in [rule.timeout, rule.latency] {
+            self.number(time.as_secs());
+            self.number(u64::from(time.subsec_nanos()));
+        }
+        self.number(u64::from(rule.priority));
+        self.number(u64::from(rule.attempts));
+        self.number(rule.parts.len() as u64);
+        for part in &rule.parts {
+            self.text(part.service.as_str());
+            self.number(u64::from(part.weight));
+        }
+    }
+
     fn target(&mut self, target: &Target) {
         self.text(&target.addr.to_string());
         self.text(target.domain.as_str());
@@ -66,7 +101,7 @@
 
     /// Adds one change of an intent.
     pub(crate) fn change(&mut self, change: &Change) {
-        self.text(change.service().as_str());
+        self.text(&change.item().to_string());
         match change {
             Change::AddService {
                 measuring,
@@ -112,6 +147,11 @@
                 self.text(target.as_str());
                 self.number(u64::from(slots.get()));
             }
+            Change::SetRoute { rule, .. } => {
+                self.number(8);
+                self.rule(rule);
+            }
+            Change::RemoveRoute { .. } => self.number(9),
         }
     }
 
--- a/lib/src/change.rs
+++ b/lib/src/change.rs
@@ -1,4 +1,4 @@
-//! One change of a service.
+//! One change of a service or a route.
 
 use std::net::SocketAddr;
 
@@ -6,6 +6,9 @@
 use serde::Serialize;
 
 use crate::domain_id::DomainId;
+use crate::item_id::ItemId;
+use crate::route_id::RouteId;
+use crate::route_rule::RouteRule;
 use crate::service_id::ServiceId;
 use crate::slots::Slots;
 use crate::target_id::TargetId;
@@ -79,11 +82,23 @@
         /// The new number of slots.
         slots: Slots,
     },
+    /// Adds a route, or replaces the one of that name.
+    SetRoute {
+        /// The route.
+        route: RouteId,
+        /// What it says from now on.
+        rule: RouteRule,
+    },
+    /// Removes a route.
+    RemoveRoute {
+        /// The route to remove.
+        route: RouteId,
+    },
 }
 
 impl Change {
-    /// Returns the service that the change touches.
-    pub fn service(&self) -> &ServiceId {
+    /// Returns the service or the route that the change touches.
+    pub fn item(&self) -> ItemId {
         match self {
             Self::AddService { service, .. }
             | Self::RemoveService { service }
@@ -92,7 +107,8 @@
             | Self::AddTarget { service, .. }
             | Self::RemoveTarget { service, .. }
             | Self::MarkLeaving { service, .. }
-            | Self::SetSlots { service, .. } => service,
+            | Self::SetSlots { service, .. } => service.into(),
+            Self::SetRoute { route, .. } | Self::RemoveRoute { route } => route.into(),
         }
     }
 }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -5,15 +5,21 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configured_route::ConfiguredRoute;
+use crate::item_id::ItemId;
+use crate::route_id::RouteId;
 use crate::service::Service;
 use crate::service_id::ServiceId;
 use crate::version::Version;
 
-/// All services that are in force at one offset of the log.
+/// All services and routes that are in force at one offset of the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
     /// The services by their ids.
     pub services: BTreeMap<ServiceId, Service>,
+    /// The routes by their ids.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<RouteId, ConfiguredRoute>,
 }
 
 impl Config {
@@ -22,11 +28,21 @@
         self.services.get(id)
     }
 
-    /// Returns the version on which a plan for the service is based; 0 when there is no such
-    /// service.
-    pub fn version(&self, id: &ServiceId) -> Version {
-        self.service(id)
-            .map_or(Version(0), |service| service.version)
+    /// Returns the version on which a plan for the item is based; 0 when there is no such item.
+    pub fn version(&self, item: &ItemId) -> Version {
+        let version = match item {
+            ItemId::Service(id) => self.services.get(id).map(|service| service.version),
+            ItemId::Route(id) => self.routes.get(id).map(|route| route.version),
+        };
+        version.unwrap_or_default()
+    }
+
+    /// Returns whether there is such an item.
+    pub fn contains(&self, item: &ItemId) -> bool {
+        match item {
+            ItemId::Service(id) => self.services.contains_key(id),
+            ItemId::Route(id) => self.routes.contains_key(id),
+        }
     }
 
     /// Returns the number of targets of all services.
--- a/lib/src/draft.rs
+++ b/lib/src/draft.rs
@@ -1,14 +1,21 @@
-//! The services of a plan while the changes of its intent are applied to them.
+//! The services and routes of a plan while the changes of its intent are applied to them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::change::Change;
 use crate::config::Config;
+use crate::configured_route::ConfiguredRoute;
 use crate::domain_id::DomainId;
 use crate::error::Error;
 use crate::error::Result;
+use crate::item_id::ItemId;
 use crate::result_code::ResultCode;
+use crate::route_checks;
+use crate::route_checks::PlannedRoutes;
+use crate::route_checks::PlannedServices;
+use crate::route_id::RouteId;
+use crate::route_rule::RouteRule;
 use crate::service::Service;
 use crate::service_id::ServiceId;
 use crate::slots::Slots;
@@ -21,21 +28,45 @@
 /// The largest connection budget of a target; a port pair per VM does not allow more.
 const MAX_CONNECTIONS: u32 = 65_535;
 
-/// The touched services, with `None` for one that does not exist.
+/// The touched services and routes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Draft {
-    bases: BTreeMap<ServiceId, Version>,
-    services: BTreeMap<ServiceId, Option<Service>>,
+    pub(crate) bases: BTreeMap<ItemId, Version>,
+    pub(crate) services: PlannedServices,
+    pub(crate) routes: PlannedRoutes,
 }
 
 impl Draft {
     /// Applies one change on top of the earlier ones.
     pub(crate) fn apply(&mut self, config: &Config, change: &Change) -> Result<()> {
-        let id = change.service();
-        let base = *self
-            .bases
+        let item = change.item();
+        let base = config.version(&item);
+        match &item {
+            ItemId::Service(id) => self.apply_to_service(config, id, base, change)?,
+            ItemId::Route(id) => self.apply_to_route(config, id, change)?,
+        }
+        self.bases.insert(item, base);
+        Ok(())
+    }
+
+    fn apply_to_route(&mut self, config: &Config, id: &RouteId, change: &Change) -> Result<()> {
+        let slot = self
+            .routes
             .entry(id.clone())
-            .or_insert_with(|| config.version(id));
+            .or_insert_with(|| config.routes.get(id).cloned());
+        match change {
+            Change::SetRoute { rule, .. } => set_route(slot, id, rule),
+            _ => remove_route(slot, id),
+        }
+    }
+
+    fn apply_to_service(
+        &mut self,
+        config: &Config,
+        id: &ServiceId,
+        base: Version,
+        change: &Change,
+    ) -> Result<()> {
         let slot = self
             .services
             .entry(id.clone())
@@ -56,6 +87,7 @@
             Change::SetConnections { connections, .. } => {
                 existing(slot, id)?.connections = checked_connections(*connections)?;
             }
+            Change::SetRoute { .. } | Change::RemoveRoute { .. } => {}
             Change::AddTarget {
                 target,
                 addr,
@@ -82,22 +114,42 @@
         Ok(())
     }
 
-    /// Returns the base versions and the services after the changes, with their new versions.
-    pub(crate) fn finish(
-        mut self,
-    ) -> (
-        BTreeMap<ServiceId, Version>,
-        BTreeMap<ServiceId, Option<Service>>,
-    ) {
+    /// Gives what was touched its new versions, and checks that the routes fit.
+    pub(crate) fn finish(mut self, config: &Config) -> Result<Self> {
         for (id, service) in &mut self.services {
             if let Some(service) = service {
-                service.version = self.bases[id].next();
+                service.version = self.bases[&id.into()].next();
+            }
+        }
+        for (id, route) in &mut self.routes {
+            if let Some(route) = route {
+                route.version = self.bases[&id.into()].next();
             }
         }
-        (self.bases, self.services)
+        route_checks::check_routes(config, &self.services, &self.routes)?;
+        Ok(self)
     }
 }
 
+fn set_route(slot: &mut Option<ConfiguredRoute>, id: &RouteId, rule: &RouteRule) -> Result<()> {
+    route_checks::check_rule(id, rule)?;
+    *slot = Some(ConfiguredRoute {
+        version: Version(0),
+        rule: rule.clone(),
+    });
+    Ok(())
+}
+
+fn remove_route(slot: &mut Option<ConfiguredRoute>, id: &RouteId) -> Result<()> {
+    let removed = slot.take().map(|_| ());
+    removed.ok_or_else(|| {
+        bad(
+            format!("there is no route `{id}`"),
+            "look up its name with `carobshore status`",
+        )
+    })
+}
+
 fn bad(message: String, help: impl Into<Box<str>>) -> Error {
     Error::new(ResultCode::BadIntent, message, help)
 }
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::send_right::SendRight;
 use crate::send_right::SpentRight;
 
-/// The most attempts of one request.
+/// The most attempts of one request that any route allows.
 pub const MAX_ATTEMPTS: u32 = 4;
 
 /// What a request allows.
@@ -22,6 +22,8 @@
     pub key: Option<RequestKey>,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// The most attempts; [`MAX_ATTEMPTS`] if nothing else is said.
+    pub attempts: u32,
 }
 
 /// What happened to a request.
@@ -236,7 +238,7 @@
 
     fn may_start(&self, now: Instant) -> bool {
         let alive = !self.done && !self.caller_gone && !self.answering;
-        alive && !self.body_lost && self.started < MAX_ATTEMPTS && now < self.spec.deadline
+        alive && !self.body_lost && self.started < self.spec.attempts && now < self.spec.deadline
     }
 
     fn start(&mut self, now: Instant, attempt: AttemptId, out: &mut Vec<ExchangeAction>) {
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -6,11 +6,13 @@
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::configured_route::ConfiguredRoute;
 use crate::history::ConfirmRef;
 use crate::history::History;
 use crate::history::HistoryEntry;
 use crate::history::Verdict;
 use crate::intent::Intent;
+use crate::item_id::ItemId;
 use crate::offset::Offset;
 use crate::pending::Pending;
 use crate::pending::PendingIntent;
@@ -25,6 +27,7 @@
 use crate::result_code::ResultCode;
 use crate::roster::Member;
 use crate::roster::Roster;
+use crate::route_id::RouteId;
 use crate::service::Service;
 use crate::service_id::ServiceId;
 use crate::snapshot_marks::SnapshotMark;
@@ -32,7 +35,7 @@
 use crate::version::Version;
 use crate::vm_id::VmId;
 
-/// The most services of a confirm that its history entry lists.
+/// The most items of a confirm that its history entry lists.
 const MAX_NAMED: usize = 32;
 
 /// What happened to a record.
@@ -76,8 +79,8 @@
     history: History,
     recent: RecentIds,
     snapshots: SnapshotMarks,
-    /// The highest version that a removed service had. A service that is added starts above it, so
-    /// that no version and no target generation is ever used twice.
+    /// The highest version that a removed service or route had. One that is added starts above it,
+    /// so that no version and no target generation is ever used twice.
     floor: Version,
     confirms: u64,
     skipped: u64,
@@ -114,9 +117,9 @@
         self.history.accepted_of(intent)
     }
 
-    /// Returns the last accepted confirm that touched the service.
-    pub fn last_confirm(&self, service: &ServiceId) -> Option<&ConfirmRef> {
-        self.history.last_of(service)
+    /// Returns the last accepted confirm that touched the item.
+    pub fn last_confirm(&self, item: &ItemId) -> Option<&ConfirmRef> {
+        self.history.last_of(item)
     }
 
     /// Returns the last confirms with their judgements, oldest first.
@@ -263,7 +266,7 @@
             confirm: named,
             intent: confirm.intent,
             note,
-            services: confirm.bases.keys().take(MAX_NAMED).cloned().collect(),
+            items: confirm.bases.keys().take(MAX_NAMED).cloned().collect(),
             verdict,
         });
         applied
@@ -277,7 +280,7 @@
         let Some(pending) = self.pending.get(confirm.intent) else {
             return Err((ResultCode::UnknownIntent, None));
         };
-        if !confirm.bases.keys().eq(pending.intent.services()) {
+        if !confirm.bases.keys().eq(&pending.intent.items()) {
             return Err((ResultCode::DigestMismatch, None));
         }
         let stale = confirm
@@ -299,14 +302,23 @@
 
     fn put_in_force(&mut self, named: &ConfirmRef, confirm: &Confirm, plan: Plan) -> Verdict {
         let mut versions = BTreeMap::new();
-        for (id, after) in plan.into_after() {
+        let (services, routes) = plan.into_after();
+        for (id, after) in services {
             match after {
                 Some(service) => {
-                    versions.insert(id.clone(), self.put_service(id, service));
+                    versions.insert(ItemId::from(&id), self.put_service(id, service));
                 }
                 None => self.remove_service(&id),
             }
         }
+        for (id, after) in routes {
+            match after {
+                Some(route) => {
+                    versions.insert(ItemId::from(&id), self.put_route(id, route));
+                }
+                None => self.remove_route(&id),
+            }
+        }
         self.confirms += 1;
         self.pending.remove(confirm.intent);
         self.history
@@ -331,4 +343,19 @@
             self.floor = self.floor.max(removed.version);
         }
     }
+
+    fn put_route(&mut self, id: RouteId, mut route: ConfiguredRoute) -> Version {
+        if !self.config.routes.contains_key(&id) && route.version <= self.floor {
+            route.version = self.floor.next();
+        }
+        let version = route.version;
+        self.config.routes.insert(id, route);
+        version
+    }
+
+    fn remove_route(&mut self, id: &RouteId) {
+        if let Some(removed) = self.config.routes.remove(id) {
+            self.floor = self.floor.max(removed.version);
+        }
+    }
 }
--- a/lib/src/history.rs
+++ b/lib/src/history.rs
@@ -7,16 +7,16 @@
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::item_id::ItemId;
 use crate::offset::Offset;
 use crate::operator_id::OperatorId;
 use crate::record_id::RecordId;
-use crate::service_id::ServiceId;
 use crate::version::Version;
 
 /// The number of confirms that are remembered.
 pub const MAX_HISTORY: usize = 256;
 
-/// The number of removed services whose last confirm is remembered.
+/// The number of removed services and routes whose last confirm is remembered.
 const MAX_REMOVED: usize = 256;
 
 /// Names a confirm and who made it.
@@ -36,8 +36,8 @@
 pub enum Verdict {
     /// The plan is in force.
     InForce {
-        /// The versions that the touched services got; removed services are absent.
-        versions: BTreeMap<ServiceId, Version>,
+        /// The versions that the touched services and routes got; removed ones are absent.
+        versions: BTreeMap<ItemId, Version>,
     },
     /// The confirm has no effect.
     Rejected {
@@ -57,8 +57,9 @@
     pub intent: RecordId,
     /// The intent's note; empty when the intent is unknown.
     pub note: Box<str>,
-    /// The services that the confirm names.
-    pub services: Vec<ServiceId>,
+    /// The services and routes that the confirm names.
+    #[serde(rename = "services")]
+    pub items: Vec<ItemId>,
     /// Whether it is in force.
     pub verdict: Verdict,
 }
@@ -70,11 +71,11 @@
     }
 }
 
-/// The last confirms, oldest first, and the last accepted one of each service.
+/// The last confirms, oldest first, and the last accepted one of each service and route.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct History {
     entries: VecDeque<HistoryEntry>,
-    last: BTreeMap<ServiceId, ConfirmRef>,
+    last: BTreeMap<ItemId, ConfirmRef>,
 }
 
 impl History {
@@ -86,21 +87,22 @@
         }
     }
 
-    /// Notes the accepted confirm as the last one of its services.
+    /// Notes the accepted confirm as the last one of its items.
     pub(crate) fn accepted<'a>(
         &mut self,
         confirm: &ConfirmRef,
-        services: impl Iterator<Item = &'a ServiceId>,
+        items: impl Iterator<Item = &'a ItemId>,
         config: &Config,
     ) {
-        for service in services {
-            self.last.insert(service.clone(), confirm.clone());
+        for item in items {
+            self.last.insert(item.clone(), confirm.clone());
         }
-        while self.last.len() > config.services.len() + MAX_REMOVED {
+        let present = config.services.len() + config.routes.len();
+        while self.last.len() > present + MAX_REMOVED {
             let oldest = self
                 .last
                 .iter()
-                .filter(|(id, _)| config.service(id).is_none())
+                .filter(|(id, _)| !config.contains(id))
                 .min_by_key(|(id, confirm)| (confirm.offset, (*id).clone()))
                 .map(|(id, _)| id.clone());
             let Some(oldest) = oldest else { return };
@@ -108,9 +110,9 @@
         }
     }
 
-    /// Returns the last accepted confirm of the service.
-    pub(crate) fn last_of(&self, service: &ServiceId) -> Option<&ConfirmRef> {
-        self.last.get(service)
+    /// Returns the last accepted confirm of the item.
+    pub(crate) fn last_of(&self, item: &ItemId) -> Option<&ConfirmRef> {
+        self.last.get(item)
     }
 
     /// Returns the accepted confirm of the intent.
--- a/lib/src/intent.rs
+++ b/lib/src/intent.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 
 use crate::change::Change;
+use crate::item_id::ItemId;
 use crate::operator_id::OperatorId;
-use crate::service_id::ServiceId;
 
 /// Changes that come into force together, or not at all, when a confirm names them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,8 +22,8 @@
 }
 
 impl Intent {
-    /// Returns the services that the intent touches.
-    pub fn services(&self) -> BTreeSet<&ServiceId> {
-        self.changes.iter().map(Change::service).collect()
+    /// Returns the services and routes that the intent touches.
+    pub fn items(&self) -> BTreeSet<ItemId> {
+        self.changes.iter().map(Change::item).collect()
     }
 }
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -4,13 +4,19 @@
 
 use crate::canonical::Canonical;
 use crate::config::Config;
+use crate::configured_route::ConfiguredRoute;
 use crate::draft::Draft;
 use crate::error::Error;
 use crate::error::Result;
 use crate::intent::Intent;
+use crate::item_id::ItemId;
 use crate::plan_digest::PlanDigest;
 use crate::plan_report;
 use crate::result_code::ResultCode;
+use crate::route_checks::PlannedRoutes;
+use crate::route_checks::PlannedServices;
+use crate::route_id::RouteId;
+use crate::route_report;
 use crate::service::Service;
 use crate::service_id::ServiceId;
 use crate::version::Version;
@@ -25,16 +31,18 @@
 /// The longest note of an intent, in bytes.
 pub const MAX_NOTE_BYTES: usize = 512;
 
-/// The effect of an intent on the services that it touches.
+/// The effect of an intent on the services and routes that it touches.
 ///
-/// A plan is a pure function of these services and the intent: the operators' client and every VM
-/// compute the same one. The digest covers the services before and after, so that a confirm puts
+/// A plan is a pure function of the configuration and the intent: the operators' client and every
+/// VM compute the same one. The digest covers what is touched, before and after, so that a confirm puts
 /// exactly that into force which its operator saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
-    bases: BTreeMap<ServiceId, Version>,
+    bases: BTreeMap<ItemId, Version>,
     before: BTreeMap<ServiceId, Service>,
-    after: BTreeMap<ServiceId, Option<Service>>,
+    after: PlannedServices,
+    routes_before: BTreeMap<RouteId, ConfiguredRoute>,
+    routes_after: PlannedRoutes,
     digest: PlanDigest,
 }
 
@@ -49,19 +57,27 @@
                 Error::new(error.code, message, error.help)
             })?;
         }
-        let (bases, after) = draft.finish();
-        let before: BTreeMap<_, _> = bases
-            .keys()
-            .filter_map(|id| Some((id.clone(), config.service(id)?.clone())))
-            .collect();
-        check_effect(&before, &after)?;
-        let digest = digest(intent, &bases, &before, &after);
-        Ok(Self {
+        let Draft {
+            bases,
+            services: after,
+            routes: routes_after,
+        } = draft.finish(config)?;
+        let before = after.keys();
+        let before = before.filter_map(|id| Some((id.clone(), config.service(id)?.clone())));
+        let routes_before = routes_after.keys();
+        let routes_before =
+            routes_before.filter_map(|id| Some((id.clone(), config.routes.get(id)?.clone())));
+        let mut plan = Self {
+            before: before.collect(),
+            routes_before: routes_before.collect(),
             bases,
-            before,
             after,
-            digest,
-        })
+            routes_after,
+            digest: PlanDigest([0; 32]),
+        };
+        plan.check_effect()?;
+        plan.digest = plan.compute_digest(intent);
+        Ok(plan)
     }
 
     /// Returns the digest that a confirm has to name.
@@ -69,8 +85,8 @@
         self.digest
     }
 
-    /// Returns the version of each touched service on which the plan is based.
-    pub fn bases(&self) -> &BTreeMap<ServiceId, Version> {
+    /// Returns the version of each touched service and route on which the plan is based.
+    pub fn bases(&self) -> &BTreeMap<ItemId, Version> {
         &self.bases
     }
 
@@ -84,19 +100,90 @@
         &self.after
     }
 
+    /// Returns the touched routes that exist before the plan.
+    pub fn routes_before(&self) -> &BTreeMap<RouteId, ConfiguredRoute> {
+        &self.routes_before
+    }
+
+    /// Returns the touched routes after the plan; `None` for a removed one.
+    pub fn routes_after(&self) -> &BTreeMap<RouteId, Option<ConfiguredRoute>> {
+        &self.routes_after
+    }
+
     /// Returns what changes, the capacity left and the measuring cost, a line each.
     pub fn lines(&self) -> Vec<String> {
-        plan_report::lines(self)
+        let mut lines = plan_report::lines(self);
+        lines.extend(route_report::lines(self));
+        lines
     }
 
     /// Returns what the operator should consider before confirming.
     pub fn warnings(&self) -> Vec<String> {
-        plan_report::warnings(self)
+        let mut warnings = plan_report::warnings(self);
+        warnings.extend(route_report::warnings(self));
+        warnings
+    }
+
+    /// Returns the services and routes after the plan, consuming it.
+    pub(crate) fn into_after(self) -> (PlannedServices, PlannedRoutes) {
+        (self.after, self.routes_after)
+    }
+
+    fn check_effect(&self) -> Result<()> {
+        if self.changes_services() || self.changes_routes() {
+            return Ok(());
+        }
+        Err(Error::new(
+            ResultCode::BadIntent,
+            "the intent changes nothing",
+            "compare it with the present configuration in `carobshore status`; there is nothing to \
+             confirm",
+        ))
+    }
+
+    fn changes_services(&self) -> bool {
+        self.after.iter().any(|(id, after)| {
+            let before = self.before.get(id);
+            match (before, after) {
+                (Some(before), Some(after)) => {
+                    before.targets != after.targets
+                        || before.measuring != after.measuring
+                        || before.connections != after.connections
+                }
+                (before, after) => before.is_some() || after.is_some(),
+            }
+        })
     }
 
-    /// Returns the services after the plan, consuming it.
-    pub(crate) fn into_after(self) -> BTreeMap<ServiceId, Option<Service>> {
-        self.after
+    fn changes_routes(&self) -> bool {
+        self.routes_after.iter().any(|(id, after)| {
+            let before = self.routes_before.get(id).map(|route| &route.rule);
+            before != after.as_ref().map(|route| &route.rule)
+        })
+    }
+
+    /// Returns the digest. Routes stand at the end and only if there are any, so that the plans of
+    /// services have the digests that releases without routes compute.
+    fn compute_digest(&self, intent: &Intent) -> PlanDigest {
+        let mut canonical = Canonical::new(DIGEST_FORMAT);
+        canonical.number(self.after.len() as u64);
+        for (id, after) in &self.after {
+            canonical.text(id.as_str());
+            canonical.number(self.bases[&id.into()].0);
+            canonical.service(self.before.get(id));
+            canonical.service(after.as_ref());
+        }
+        canonical.number(intent.changes.len() as u64);
+        for change in &intent.changes {
+            canonical.change(change);
+        }
+        for (id, after) in &self.routes_after {
+            canonical.text(id.as_str());
+            canonical.number(self.bases[&id.into()].0);
+            canonical.route(self.routes_before.get(id));
+            canonical.route(after.as_ref());
+        }
+        canonical.finish()
     }
 }
 
@@ -119,50 +206,3 @@
     }
     Ok(())
 }
-
-fn check_effect(
-    before: &BTreeMap<ServiceId, Service>,
-    after: &BTreeMap<ServiceId, Option<Service>>,
-) -> Result<()> {
-    let changed = after.iter().any(|(id, after)| {
-        let before = before.get(id);
-        match (before, after) {
-            (Some(before), Some(after)) => {
-                before.targets != after.targets
-                    || before.measuring != after.measuring
-                    || before.connections != after.connections
-            }
-            (before, after) => before.is_some() || after.is_some(),
-        }
-    });
-    if changed {
-        return Ok(());
-    }
-    Err(Error::new(
-        ResultCode::BadIntent,
-        "the intent changes nothing",
-        "compare it with the present configuration in `carobshore status`; there is nothing to \
-         confirm",
-    ))
-}
-
-fn digest(
-    intent: &Intent,
-    bases: &BTreeMap<ServiceId, Version>,
-    before: &BTreeMap<ServiceId, Service>,
-    after: &BTreeMap<ServiceId, Option<Service>>,
-) -> PlanDigest {
-    let mut canonical = Canonical::new(DIGEST_FORMAT);
-    canonical.number(bases.len() as u64);
-    for (id, base) in bases {
-        canonical.text(id.as_str());
-        canonical.number(base.0);
-        canonical.service(before.get(id));
-        canonical.service(after[id].as_ref());
-    }
-    canonical.number(intent.changes.len() as u64);
-    for change in &intent.changes {
-        canonical.change(change);
-    }
-    canonical.finish()
-}
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The types that nearly every module uses.
 
 pub use crate::byte_size::ByteSize;
+pub use crate::call_kind::CallKind;
 pub use crate::change::Change;
 pub use crate::clock::Clock;
 pub use crate::clock::SystemClock;
@@ -22,6 +23,7 @@
 pub use crate::homes::Homes;
 pub use crate::homes::HomesSettings;
 pub use crate::intent::Intent;
+pub use crate::item_id::ItemId;
 pub use crate::key_history::Handover;
 pub use crate::key_history::KeyHistory;
 pub use crate::key_history::Ownership;
@@ -68,6 +70,9 @@
 pub use crate::result_code::ResultCode;
 pub use crate::roster::Member;
 pub use crate::roster::Roster;
+pub use crate::route_id::RouteId;
+pub use crate::route_part::RoutePart;
+pub use crate::route_rule::RouteRule;
 pub use crate::router::Call;
 pub use crate::router::Route;
 pub use crate::router::Router;
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -10,12 +10,12 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::intent::Intent;
+use crate::item_id::ItemId;
 use crate::offset::Offset;
 use crate::operator_id::OperatorId;
 use crate::plan_digest::PlanDigest;
 use crate::record_id::RecordId;
 use crate::result_code::ResultCode;
-use crate::service_id::ServiceId;
 use crate::version::Version;
 use crate::vm_id::VmId;
 
@@ -63,8 +63,8 @@
     pub intent: RecordId,
     /// The digest of the plan that the operator saw.
     pub digest: PlanDigest,
-    /// The version of each service that the plan touches.
-    pub bases: BTreeMap<ServiceId, Version>,
+    /// The version of each service and route that the plan touches.
+    pub bases: BTreeMap<ItemId, Version>,
 }
 
 /// One part of an encoded snapshot.
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -1,48 +1,15 @@
-//! A route: which requests go to which services, and how they are treated.
-
-use std::time::Duration;
+//! A route with its name.
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::call_kind::CallKind;
-use crate::service_id::ServiceId;
-
-/// One service of a route with its share of the requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RoutePart {
-    /// The service.
-    pub service: ServiceId,
-    /// Its share, relative to the sum over the parts.
-    pub weight: u32,
-}
+use crate::route_rule::RouteRule;
 
-/// A route as the configuration describes it.
+/// A route as the configuration in force has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The name, which is unique within a configuration.
     pub name: Box<str>,
-    /// The host of the requests.
-    pub host: Box<str>,
-    /// The start of the path; begins and ends with a slash.
-    pub prefix: Box<str>,
-    /// What may be repeated.
-    pub kind: CallKind,
-    /// The longest time until the final response.
-    pub timeout: Duration,
-    /// The time within which a response has its full worth.
-    pub latency: Duration,
-    /// The rank; 0 is the most urgent.
-    pub priority: u32,
-    /// The most targets to which one request is sent.
-    pub attempts: u32,
-    /// The services; never empty.
-    pub parts: Vec<RoutePart>,
-}
-
-impl Route {
-    /// Returns whether the route takes requests for the path on its host.
-    pub fn covers(&self, path: &str) -> bool {
-        path.starts_with(&*self.prefix)
-    }
+    /// What the route says.
+    pub rule: RouteRule,
 }
--- /dev/null
+++ b/lib/src/route_report.rs
@@ -0,0 +1,110 @@
+//! The routes of a plan in words: what changes, and what to consider.
+
+use crate::call_kind::CallKind;
+use crate::configured_route::ConfiguredRoute;
+use crate::plan::Plan;
+use crate::route_id::RouteId;
+use crate::route_rule::RouteRule;
+
+/// Returns what changes, a line each.
+pub(crate) fn lines(plan: &Plan) -> Vec<String> {
+    let mut lines = Vec::new();
+    for (id, after) in plan.routes_after() {
+        match (plan.routes_before().get(id), after) {
+            (None, Some(after)) => added(&mut lines, id, &after.rule),
+            (Some(before), Some(after)) => changed(&mut lines, id, before, after),
+            (Some(before), None) => {
+                lines.push(format!("- route {id} for {}", place(&before.rule)));
+            }
+            (None, None) => {}
+        }
+    }
+    lines
+}
+
+/// Returns what the operator should consider before confirming.
+pub(crate) fn warnings(plan: &Plan) -> Vec<String> {
+    let mut warnings = Vec::new();
+    for (id, after) in plan.routes_after() {
+        let before = plan.routes_before().get(id);
+        match after {
+            Some(after) => {
+                kind_warning(&mut warnings, id, before, after);
+                empty_warnings(&mut warnings, plan, id, after);
+            }
+            None if before.is_some() => warnings.push(format!(
+                "requests of route {id} go to the service that they name, or are refused"
+            )),
+            None => {}
+        }
+    }
+    warnings
+}
+
+fn added(lines: &mut Vec<String>, id: &RouteId, rule: &RouteRule) {
+    lines.push(format!("+ route {id} for {}", place(rule)));
+    for (name, value) in values(rule) {
+        lines.push(format!("  + {name} {value}"));
+    }
+}
+
+fn changed(
+    lines: &mut Vec<String>,
+    id: &RouteId,
+    before: &ConfiguredRoute,
+    after: &ConfiguredRoute,
+) {
+    lines.push(format!(
+        "~ route {id}, version {} -> {}",
+        before.version, after.version
+    ));
+    let (old, new) = (place(&before.rule), place(&after.rule));
+    if old != new {
+        lines.push(format!("  ~ for {old} -> {new}"));
+    }
+    for ((name, old), (_, new)) in values(&before.rule).into_iter().zip(values(&after.rule)) {
+        if old != new {
+            lines.push(format!("  ~ {name} {old} -> {new}"));
+        }
+    }
+}
+
+fn place(rule: &RouteRule) -> String {
+    format!("{}{}", rule.host, rule.prefix)
+}
+
+fn values(rule: &RouteRule) -> [(&'static str, String); 4] {
+    [
+        ("services", rule.services()),
+        ("kind", rule.kind.as_str().to_owned()),
+        ("timeout", format!("{:?}", rule.timeout)),
+        ("attempts", rule.attempts.to_string()),
+    ]
+}
+
+fn kind_warning(
+    warnings: &mut Vec<String>,
+    id: &RouteId,
+    before: Option<&ConfiguredRoute>,
+    after: &ConfiguredRoute,
+) {
+    let was_once = before.is_some_and(|before| !before.rule.kind.is_repeatable());
+    if was_once && after.rule.kind == CallKind::Safe {
+        warnings.push(format!(
+            "requests of route {id} ran at most once so far and may run more than once then"
+        ));
+    }
+}
+
+fn empty_warnings(warnings: &mut Vec<String>, plan: &Plan, id: &RouteId, after: &ConfiguredRoute) {
+    let total: u32 = after.rule.parts.iter().map(|part| part.weight).sum();
+    for part in &after.rule.parts {
+        let planned = plan.after().get(&part.service).and_then(Option::as_ref);
+        if planned.is_some_and(|service| service.serving_slots() == 0) {
+            warnings.push(format!(
+                "route {id} sends {} of {total} requests to {}, which has no serving target",
+                part.weight, part.service
+            ));
+        }
+    }
+}
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::route::Route;
-use crate::route::RoutePart;
+use crate::route_part::RoutePart;
 use crate::routing_config::RoutingConfig;
 use crate::service_id::ServiceId;
 use crate::version::Version;
@@ -50,16 +50,16 @@
         }
         let mut hosts: HashMap<Box<str>, Vec<Rc<Route>>> = HashMap::new();
         for route in &config.routes {
-            let host = route.host.to_ascii_lowercase().into();
+            let host = route.rule.host.to_ascii_lowercase().into();
             hosts.entry(host).or_default().push(Rc::new(route.clone()));
         }
         for routes in hosts.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.rule.prefix.len()));
         }
         let parts: HashMap<&str, &[RoutePart]> = config
             .routes
             .iter()
-            .map(|route| (&*route.name, &*route.parts))
+            .map(|route| (&*route.name, &*route.rule.parts))
             .collect();
         self.splits
             .retain(|name, split| parts.get(&**name).is_some_and(|parts| split.fits(parts)));
@@ -86,18 +86,19 @@
         let routes = self.hosts.get(&*host).or_else(|| self.hosts.get(name))?;
         routes
             .iter()
-            .find(|route| route.covers(path))
+            .find(|route| route.rule.covers(path))
             .map(Rc::clone)
     }
 
     /// Returns the service that gets the next request of the route.
     pub fn assign(&mut self, route: &Route) -> ServiceId {
-        let [part] = &*route.parts else {
+        let parts = &route.rule.parts;
+        let [part] = &**parts else {
             let skip = self.skip;
             let split = self.splits.entry(route.name.clone());
-            let split = split.or_insert_with(|| WeightedSplit::new(&route.parts, skip));
-            let at = split.assign().min(route.parts.len() - 1);
-            return route.parts[at].service.clone();
+            let split = split.or_insert_with(|| WeightedSplit::new(parts, skip));
+            let at = split.assign().min(parts.len() - 1);
+            return parts[at].service.clone();
         };
         part.service.clone()
     }
--- a/lib/src/routing_config.rs
+++ b/lib/src/routing_config.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::call_limits::CallLimits;
+use crate::config::Config;
 use crate::route::Route;
 use crate::service_id::ServiceId;
 use crate::version::Version;
@@ -31,3 +32,19 @@
     /// The limits of callers.
     pub limits: CallLimits,
 }
+
+impl RoutingConfig {
+    /// Returns the routes of the confirmed configuration. `version` has to grow with each of its
+    /// changes.
+    pub fn confirmed(config: &Config, version: Version) -> Self {
+        let routes = config.routes.iter().map(|(id, route)| Route {
+            name: id.clone().into(),
+            rule: route.rule.clone(),
+        });
+        Self {
+            version,
+            routes: routes.collect(),
+            ..Self::default()
+        }
+    }
+}
--- a/lib/src/weighted_split.rs
+++ b/lib/src/weighted_split.rs
@@ -1,6 +1,6 @@
 //! Divides requests among the parts of a route by their weights.
 
-use crate::route::RoutePart;
+use crate::route_part::RoutePart;
 
 /// Smooth weighted round-robin: after any number of requests each part has had its share, give or
 /// take one request. A random choice would need thousands of requests for the same precision.
--- a/lib/tests/test_exchange.rs
+++ b/lib/tests/test_exchange.rs
@@ -25,6 +25,7 @@
     fn new(repeatable: bool, keyed: bool) -> Self {
         let clock = ManualClock::default();
         let exchange = Exchange::new(CallSpec {
+            attempts: MAX_ATTEMPTS,
             repeatable,
             key: keyed.then(|| key_at(clock.wall(), 1)),
             deadline: clock.now() + DEADLINE,
--- a/lib/tests/test_key_ownership.rs
+++ b/lib/tests/test_key_ownership.rs
@@ -39,6 +39,7 @@
         services: services
             .map(|id| (id.parse().unwrap(), service.clone()))
             .collect(),
+        ..Config::default()
     }
 }
 
--- a/lib/tests/test_leaving.rs
+++ b/lib/tests/test_leaving.rs
@@ -39,7 +39,10 @@
             connections: 220,
         };
         let services = [(self.service.clone(), service)].into();
-        self.leaving.configured(&Config { services });
+        self.leaving.configured(&Config {
+            services,
+            ..Config::default()
+        });
     }
 
     fn sign(&self, generation: u64) -> LeavingTarget {
--- a/lib/tests/test_route_table.rs
+++ b/lib/tests/test_route_table.rs
@@ -6,7 +6,8 @@
 use carobshore_lib::call_kind::CallKind;
 use carobshore_lib::prelude::Version;
 use carobshore_lib::route::Route;
-use carobshore_lib::route::RoutePart;
+use carobshore_lib::route_part::RoutePart;
+use carobshore_lib::route_rule::RouteRule;
 use carobshore_lib::route_table::RouteTable;
 use carobshore_lib::route_table::Taken;
 use carobshore_lib::routing_config::RoutingConfig;
@@ -19,14 +20,16 @@
     };
     Route {
         name: name.into(),
-        host: host.into(),
-        prefix: prefix.into(),
-        kind: CallKind::Safe,
-        timeout: Duration::from_secs(1),
-        latency: Duration::from_millis(600),
-        priority: 0,
-        attempts: 2,
-        parts: parts.iter().map(part).collect(),
+        rule: RouteRule {
+            host: host.into(),
+            prefix: prefix.into(),
+            kind: CallKind::Safe,
+            timeout: Duration::from_secs(1),
+            latency: Duration::from_millis(600),
+            priority: 0,
+            attempts: 2,
+            parts: parts.iter().map(part).collect(),
+        },
     }
 }
 
@@ -94,7 +97,7 @@
 fn a_split_has_its_shares_after_few_requests() {
     let route = route("r", "a", "/", &[("one", 70), ("two", 25), ("three", 5)]);
     for skip in 0..40 {
-        let mut split = WeightedSplit::new(&route.parts, skip);
+        let mut split = WeightedSplit::new(&route.rule.parts, skip);
         let mut counts = [0_u32; 3];
         for _ in 0..40 {
             counts[split.assign()] += 1;
--- a/testutils/src/sim_data.rs
+++ b/testutils/src/sim_data.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use carobshore_lib::exchange::MAX_ATTEMPTS;
 use carobshore_lib::key_table::MAX_WAITERS;
 use carobshore_lib::prelude::*;
 use rand::RngExt;
@@ -239,6 +240,7 @@
         let deadline = record.deadline;
         let sent_key = (call.kind == Kind::Keyed).then_some(call.key);
         let exchange = Exchange::new(CallSpec {
+            attempts: MAX_ATTEMPTS,
             repeatable: !once,
             key: sent_key,
             deadline: self.instant(vm, deadline),
