check_budget: health checks come with the requests, not with the VMs alone

Cause: the budget of health checks was divided equally among the VMs.

Change: half of the budget is divided as before; 0.4 comes with the requests: each brings as many checks as its service's budget has for a request. The number of requests of all VMs follows from how many requests targets hold and for how long (Little's law), so no VM needs to know the others.

--- a/cli/tests/test_routes.rs
+++ b/cli/tests/test_routes.rs
@@ -24,8 +24,20 @@
     let (intent, digest) = session.intent("gwen", &[change]);
     session.run("gwen", &["confirm", &intent, "--digest", &digest]);
     session.run("gwen", &["intent", "remove-service gallery"]);
-    session.run("gwen", &["intent", "set-route seats host=desk.example to=booking kind=unsafe"]);
-    session.run("gwen", &["intent", "set-route a host=x prefix=/a/ to=booking kind=once"]);
+    session.run(
+        "gwen",
+        &[
+            "intent",
+            "set-route seats host=desk.example to=booking kind=unsafe",
+        ],
+    );
+    session.run(
+        "gwen",
+        &[
+            "intent",
+            "set-route a host=x prefix=/a/ to=booking kind=once",
+        ],
+    );
     session.run("gwen", &["history"]);
     expect![[r#"
         carys$ carobshore intent 'set-route seats host=desk.example prefix=/seats/ to=booking:9,gallery:1 kind=unsafe timeout=1500 attempts=2'
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -76,7 +76,7 @@
         return Some(refuse(&gateway, &route.name, id, arrived.at, &failed, &[]));
     }
     let service = gateway.routes.borrow_mut().assign(&route);
-    gateway.count_request(Instant::now(), &service);
+    gateway.count_request(Instant::now(), &service, work);
     let mut passed = arrived.head.fields;
     passed.keep_end_to_end();
     let sending = Sending {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -188,6 +188,9 @@
         let took = started.elapsed().as_secs_f64();
         gateway.observe_work(&sending.route, took / sending.work.as_secs_f64());
     }
+    if matches!(end, AttemptEnd::Answered(_)) {
+        gateway.observe_time(&service, started.elapsed());
+    }
     let verdict = match &end {
         AttemptEnd::Answered(response) if response.head.status >= 500 => Verdict::Failed,
         AttemptEnd::Answered(_) => Verdict::Answered { ratio },
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -245,9 +245,26 @@
         links.values().for_each(|links| links.sweep(now));
     }
 
-    /// Counts a request for a service.
-    pub fn count_request(&self, now: Instant, service: &ServiceId) {
+    /// Counts a request for a service that is expected to take `work`, and adds the health checks
+    /// that it brings to the budget.
+    pub fn count_request(&self, now: Instant, service: &ServiceId, work: Duration) {
         self.with_allowance(service, |allowance| allowance.request(now));
+        let load = self
+            .loads
+            .borrow()
+            .get(service)
+            .copied()
+            .unwrap_or_default();
+        let took = load.took().unwrap_or(work);
+        let per_target = self.boot.borrow().checks;
+        let checks = CheckBudget::per_request(per_target, load.per_target(now), took);
+        self.with_checks(|budget| budget.earn(now, checks));
+    }
+
+    /// Takes in how long a target of a service has held a request that it answered.
+    pub fn observe_time(&self, service: &ServiceId, took: Duration) {
+        let mut loads = self.loads.borrow_mut();
+        loads.entry(service.clone()).or_default().served(took);
     }
 
     /// Takes a repeat of a request for a service from this VM's allowance.
--- a/lib/src/check_budget.rs
+++ b/lib/src/check_budget.rs
@@ -1,12 +1,22 @@
-//! One VM's share of the health checks that all VMs may send together.
+//! One VM's part of the health checks that all VMs may send together.
+//!
+//! A part of the common budget is divided equally among the VMs. The rest comes with the requests:
+//! each one brings as many checks as the budget of its service has for a request. The number of
+//! requests that all VMs have is not known to any of them, but it follows from how busy the targets
+//! are. So a VM that gets more requests than others may ask more, and no message is needed for it.
 
 use std::time::Duration;
 use std::time::Instant;
 
 /// Seconds of unused budget that are kept for a burst.
 const SAVED: f64 = 3.0;
-/// Part of the common budget that is shared out; the rest is for VMs that are not known yet.
-const SHARED_OUT: f64 = 0.7;
+/// Part of the common budget that is divided equally. The sum with the next one is below 1 because
+/// of VMs that are not known yet, and because the load of targets is not known exactly.
+const DIVIDED: f64 = 0.5;
+/// Part of the common budget that comes with requests.
+const WITH_REQUESTS: f64 = 0.4;
+/// The most checks that one request brings: a look around asks no more targets.
+const MOST_PER_REQUEST: f64 = 16.0;
 
 /// A token bucket of health checks.
 #[derive(Clone, Debug)]
@@ -29,7 +39,16 @@
     /// Returns the share of one of `vms` VMs in the checks of `targets` targets, each of which
     /// may get `per_target` checks a second.
     pub fn share(per_target: f64, targets: usize, vms: usize) -> f64 {
-        SHARED_OUT * per_target * targets as f64 / vms.max(1) as f64
+        DIVIDED * per_target * targets as f64 / vms.max(1) as f64
+    }
+
+    /// Returns how many checks a request brings. Targets that hold `held` requests each, for the time
+    /// `took`, serve `held / took` of them a second (Little's law), and each target may get
+    /// `per_target` checks a second.
+    pub fn per_request(per_target: f64, held: f64, took: Duration) -> f64 {
+        let served = held / took.as_secs_f64().max(f64::EPSILON);
+        let checks = WITH_REQUESTS * per_target / served.max(f64::EPSILON);
+        checks.min(MOST_PER_REQUEST)
     }
 
     /// Changes the rate.
@@ -37,7 +56,13 @@
         self.per_second = per_second;
     }
 
-    /// Returns whether less than half of a full bucket is left.
+    /// Adds what a request brings.
+    pub fn earn(&mut self, now: Instant, checks: f64) {
+        self.refill(now);
+        self.tokens += checks;
+    }
+
+    /// Returns whether less than half of what is kept for a burst is left.
     pub fn is_short(&mut self, now: Instant) -> bool {
         self.refill(now);
         self.tokens < self.per_second * SAVED / 2.0
--- /dev/null
+++ b/lib/tests/test_uneven_load.rs
@@ -0,0 +1,86 @@
+//! The load pattern of failure domains with more callers than others: the VMs of one get several times
+//! the requests of the rest, while all of them together may send so many health checks a second.
+//! Guards against VMs that choose targets half blind while others leave their share unused, and
+//! against more health checks than the targets' owners allow.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::check_budget::CheckBudget;
+
+const TARGETS: usize = 378;
+const VMS: usize = 116;
+/// VMs of the failure domain with the most callers.
+const BUSY_VMS: usize = 30;
+/// Health checks that a target may get from all VMs together, in a second.
+const PER_TARGET: f64 = 42.0;
+/// How long targets hold a request.
+const TOOK: Duration = Duration::from_millis(440);
+/// Health checks that a look around would like to send.
+const WANTED: u32 = 12;
+const SECONDS: u64 = 20;
+
+/// What the VMs sent.
+struct Sent {
+    /// For each request of a busy VM, and of another one.
+    busy: f64,
+    other: f64,
+    /// For each target and second.
+    rate: f64,
+}
+
+/// Plays requests at a steady pace; every VM gets so many a second.
+fn play(busy: u64, other: u64) -> Sent {
+    let start = Instant::now();
+    let requests = BUSY_VMS as u64 * busy + (VMS - BUSY_VMS) as u64 * other;
+    let held = requests as f64 / TARGETS as f64 * TOOK.as_secs_f64();
+    let share = CheckBudget::share(PER_TARGET, TARGETS, VMS);
+    let per_request = CheckBudget::per_request(PER_TARGET, held, TOOK);
+    let mut counts = [0_u32; 2];
+    for vm in 0..VMS {
+        let (rate, count) = match vm < BUSY_VMS {
+            true => (busy, &mut counts[0]),
+            false => (other, &mut counts[1]),
+        };
+        let mut budget = CheckBudget::new(start, share);
+        for request in 0..rate * SECONDS {
+            let now = start + Duration::from_secs(request) / rate as u32;
+            budget.earn(now, per_request);
+            *count += (0..WANTED)
+                .map(|_| u32::from(budget.take(now)))
+                .sum::<u32>();
+        }
+    }
+    let per =
+        |count: u32, vms: usize, rate: u64| f64::from(count) / (vms as u64 * rate * SECONDS) as f64;
+    Sent {
+        busy: per(counts[0], BUSY_VMS, busy),
+        other: per(counts[1], VMS - BUSY_VMS, other),
+        rate: f64::from(counts[0] + counts[1]) / (TARGETS as u64 * SECONDS) as f64,
+    }
+}
+
+/// With the budget divided equally, a busy VM had 5 health checks for a request.
+#[test]
+fn vms_with_more_requests_may_ask_more() {
+    let sent = play(18, 5);
+    assert!(
+        sent.busy >= 0.75 * sent.other,
+        "{} and {}",
+        sent.busy,
+        sent.other
+    );
+    assert!(sent.rate <= PER_TARGET, "{} a target and second", sent.rate);
+}
+
+#[test]
+fn however_many_requests_there_are_the_budget_holds() {
+    for (busy, other) in [(5, 5), (40, 5), (60, 60), (200, 1)] {
+        let sent = play(busy, other);
+        assert!(
+            sent.rate <= PER_TARGET,
+            "{busy} and {other} requests: {} checks a target and second",
+            sent.rate
+        );
+    }
+}
