gateway tests: wait for the end of the log, not only of the process

Change: Gateway::ended joins the reader, which ends with the pipe. The check is the same.

Conclusion: the gateway writes the line; the test looked too early.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,6 +61,8 @@
     pub(crate) admin: SocketAddr,
     pub(crate) settings: PathBuf,
     lines: Lines,
+    /// Reads the log until the process has ended.
+    reader: Option<JoinHandle<()>>,
 }
 
 /// A whole response.
@@ -139,9 +142,10 @@
         });
         std::fs::write(&settings, text).expect("a settings file");
         let lines = Lines::default();
-        let child = spawn(&settings, &lines);
+        let (child, reader) = spawn(&settings, &lines);
         Gateway {
             child,
+            reader,
             callers,
             readiness,
             admin,
@@ -167,7 +171,7 @@
 
     /// Starts the process again after it has ended.
     pub(crate) fn start_again(&mut self) {
-        self.child = spawn(&self.settings, &self.lines);
+        (self.child, self.reader) = spawn(&self.settings, &self.lines);
     }
 
     /// Returns whether the process has ended.
@@ -204,19 +208,22 @@
         assert!(status.is_ok_and(|status| status.success()));
     }
 
-    /// Waits until the process has ended, and returns whether it ended well.
+    /// Waits until the process has ended and its log is read, and returns whether it ended well.
     pub(crate) fn ended(&mut self) -> bool {
         let mut status = None;
         wait("the gateway ends", || {
             status = self.child.try_wait().ok().flatten();
             status.is_some()
         });
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("the reader of the log");
+        }
         status.is_some_and(|status| status.success())
     }
 
     /// Reads the log from now on.
     pub(crate) fn read_log(&mut self) {
-        collect(&mut self.child, &self.lines);
+        self.reader = Some(collect(&mut self.child, &self.lines));
     }
 
     /// Returns the lines of the log.
@@ -251,14 +258,15 @@
 }
 
 type Lines = Arc<Mutex<Vec<String>>>;
-type Spawn = fn(&Path, &Lines) -> Child;
+type Spawn = fn(&Path, &Lines) -> (Child, Option<JoinHandle<()>>);
 
 /// Starts a process that logs every request, and whose log stays in the pipe.
-fn spawn_unread(settings: &Path, _: &Lines) -> Child {
-    command(settings)
+fn spawn_unread(settings: &Path, _: &Lines) -> (Child, Option<JoinHandle<()>>) {
+    let child = command(settings)
         .args(["--log-rate", "1000000"])
         .spawn()
-        .expect("a process")
+        .expect("a process");
+    (child, None)
 }
 
 fn command(settings: &Path) -> Command {
@@ -271,7 +279,7 @@
 }
 
 /// Collects the log of a process.
-fn collect(child: &mut Child, lines: &Lines) {
+fn collect(child: &mut Child, lines: &Lines) -> JoinHandle<()> {
     let out = child.stdout.take().expect("its output");
     let sink = Arc::clone(lines);
     thread::spawn(move || {
@@ -280,14 +288,14 @@
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(line);
         }
-    });
+    })
 }
 
 /// Starts a process and collects its log.
-fn spawn(settings: &Path, lines: &Lines) -> Child {
+fn spawn(settings: &Path, lines: &Lines) -> (Child, Option<JoinHandle<()>>) {
     let mut child = command(settings).spawn().expect("a process");
-    collect(&mut child, lines);
-    child
+    let reader = collect(&mut child, lines);
+    (child, Some(reader))
 }
 
 /// Sends bytes on a new connection and reads one response.
