check_budget: requests bring no health checks when all targets are full

VMs asked more targets while nearly all slots were taken, and each check at a target without an open connection opened one: 37,336 connections instead of 25,859, 761 of them reset by targets beyond their limit; stage-complete 0.502 -> 0.469 and inspect-upload 0.692 -> 0.603.

Change: from half of the slots in use on, a request brings fewer checks, and none when all are.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -256,8 +256,9 @@
             .copied()
             .unwrap_or_default();
         let took = load.took().unwrap_or(work);
+        let (held, full) = (load.per_target(now), load.per_slot(now));
         let per_target = self.boot.borrow().checks;
-        let checks = CheckBudget::per_request(per_target, load.per_target(now), took);
+        let checks = CheckBudget::per_request(per_target, held, took, full);
         self.with_checks(|budget| budget.earn(now, checks));
     }
 
--- a/lib/src/check_budget.rs
+++ b/lib/src/check_budget.rs
@@ -17,6 +17,9 @@
 const WITH_REQUESTS: f64 = 0.4;
 /// The most checks that one request brings: a look around asks no more targets.
 const MOST_PER_REQUEST: f64 = 16.0;
+/// Part of the slots in use from which requests bring fewer checks. Where few targets have room, more
+/// checks find little, and each one at a target without an open connection opens one.
+const CROWDED: f64 = 0.5;
 
 /// A token bucket of health checks.
 #[derive(Clone, Debug)]
@@ -44,11 +47,12 @@
 
     /// Returns how many checks a request brings. Targets that hold `held` requests each, for the time
     /// `took`, serve `held / took` of them a second (Little's law), and each target may get
-    /// `per_target` checks a second.
-    pub fn per_request(per_target: f64, held: f64, took: Duration) -> f64 {
+    /// `per_target` checks a second. `full` is the part of the slots in use.
+    pub fn per_request(per_target: f64, held: f64, took: Duration, full: f64) -> f64 {
+        let fruitful = ((1.0 - full) / (1.0 - CROWDED)).clamp(0.0, 1.0);
         let served = held / took.as_secs_f64().max(f64::EPSILON);
         let checks = WITH_REQUESTS * per_target / served.max(f64::EPSILON);
-        checks.min(MOST_PER_REQUEST)
+        checks.min(MOST_PER_REQUEST) * fruitful
     }
 
     /// Changes the rate.
--- a/lib/tests/test_uneven_load.rs
+++ b/lib/tests/test_uneven_load.rs
@@ -16,6 +16,8 @@
 const PER_TARGET: f64 = 42.0;
 /// How long targets hold a request.
 const TOOK: Duration = Duration::from_millis(440);
+/// The slots of a target.
+const SLOTS: f64 = 2.0;
 /// Health checks that a look around would like to send.
 const WANTED: u32 = 12;
 const SECONDS: u64 = 20;
@@ -35,7 +37,8 @@
     let requests = BUSY_VMS as u64 * busy + (VMS - BUSY_VMS) as u64 * other;
     let held = requests as f64 / TARGETS as f64 * TOOK.as_secs_f64();
     let share = CheckBudget::share(PER_TARGET, TARGETS, VMS);
-    let per_request = CheckBudget::per_request(PER_TARGET, held, TOOK);
+    let full = (held / SLOTS).min(1.0);
+    let per_request = CheckBudget::per_request(PER_TARGET, held, TOOK, full);
     let mut counts = [0_u32; 2];
     for vm in 0..VMS {
         let (rate, count) = match vm < BUSY_VMS {
@@ -84,3 +87,15 @@
         );
     }
 }
+
+/// In a burst beyond what the targets can serve, more health checks opened connections to targets
+/// without room, which reset those beyond their limit. On a site of 101 VMs, 11,500 more connections
+/// went with 13 in 100 fewer uploads and 7 in 100 fewer completions in time.
+#[test]
+fn requests_bring_no_health_checks_when_all_targets_are_full() {
+    let brings = |full| CheckBudget::per_request(PER_TARGET, full * SLOTS, TOOK, full);
+    assert_eq!(brings(1.0), 0.0);
+    assert_eq!(brings(1.7), 0.0);
+    assert!(brings(0.9) < brings(0.7));
+    assert_eq!(brings(0.05), 16.0);
+}
