target_outlook: a report from before own requests does not hide them

Cause: a report resets the count of requests that started since the last one. Two requests that arrive together ask at the same time; the answer to the second one's check was made before the first one arrived at the target, and comes after it was sent. It hid the first one, and a third request went to a target of two slots.

Change: a young report counts at least this VM's own requests, as an old one did.

Measured: the new test gave 0.0 requests ahead before, 1.0 with the change. Conclusion: never more than the slots from one VM; other VMs' requests on the way stay unknown.

--- a/lib/src/target_outlook.rs
+++ b/lib/src/target_outlook.rs
@@ -164,11 +164,13 @@
     }
 
     /// Returns how many requests would be ahead of a new one beyond the slots but one: 0 or less if
-    /// it would start at once. A report that has just arrived is taken at its word.
+    /// it would start at once. A report that has just arrived is taken at its word, but for this VM's own
+    /// requests, which may have been on their way when it was made.
     pub fn queue_ahead(&self, now: Instant, slots: u32) -> f64 {
         let held = match self.report {
             Some((at, report)) if now.saturating_duration_since(at) <= TAKEN_AT_ITS_WORD => {
-                f64::from(report.running + report.waiting + self.since_report)
+                let reported = report.running + report.waiting + self.since_report;
+                f64::from(reported.max(self.own()))
             }
             _ => self.held(now, slots),
         };
--- a/lib/tests/test_target_choice.rs
+++ b/lib/tests/test_target_choice.rs
@@ -184,6 +184,21 @@
     assert_eq!(chosen(now, &[used, other]), 1);
 }
 
+/// Two requests that arrive together ask at the same time, and the answer to the second one's health
+/// check comes when the first one is on its way. A third request went to the same two slots.
+#[test]
+fn a_report_from_before_own_requests_does_not_hide_them() {
+    let now = Instant::now();
+    let mut outlook = TargetOutlook::default();
+    for attempt in 0..2 {
+        outlook.report(now, report(0, 0, 100));
+        outlook.started(now, attempt, WORK);
+    }
+    assert_eq!(outlook.queue_ahead(now, SLOTS), 1.0);
+    outlook.report(now, report(1, 0, 100));
+    assert_eq!(outlook.queue_ahead(now, SLOTS), 1.0);
+}
+
 #[test]
 fn a_full_report_is_taken_at_its_word_while_it_is_young() {
     let now = Instant::now();
