target_search: a request that waits takes the slot that another one leaves

Cause: a request that waits for room asks targets again each 20 ms. When a request of the same VM ends, its response tells that a slot is free, but the one that waits looks up to 20 ms later, asks again first, and spends health checks on it; meanwhile other VMs take the slot.

Change: the end of an attempt wakes the request that has waited longest for the service. It looks at what is known, without asking, and takes the slot or waits on. The stand-in target can say by its health checks that it is full, and by its responses how it is.

The new test fails without it, 5 runs of 5 (503 after its patience), and passes 5 of 5.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -205,6 +205,7 @@
         verdict,
     });
     drop(counted);
+    gateway.freed(&service).notify_one();
     (usable, end)
 }
 
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use carobshore_lib::work_estimate::WorkEstimate;
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_platform::store_client::Topic;
+use tokio::sync::Notify;
 
 use crate::body_memory::BodyMemory;
 use crate::body_memory::ReservedBody;
@@ -76,6 +77,8 @@
     allowances: RefCell<HashMap<ServiceId, RepeatAllowance>>,
     work: RefCell<HashMap<Box<str>, WorkEstimate>>,
     loads: RefCell<HashMap<ServiceId, ServiceLoad>>,
+    /// Rings when an attempt of this VM has ended at a target of the service.
+    freed: RefCell<HashMap<ServiceId, Rc<Notify>>>,
     /// Services whose health checks tell no load, so that asking is of no use.
     silent: RefCell<HashMap<ServiceId, bool>>,
     good_lines: RefCell<LineBudget>,
@@ -128,6 +131,7 @@
             allowances: RefCell::default(),
             work: RefCell::default(),
             loads: RefCell::default(),
+            freed: RefCell::default(),
             silent: RefCell::default(),
             good_lines: RefCell::new(LineBudget::new(now, log_rate)),
             failed_lines: RefCell::new(LineBudget::new(now, log_rate * FAILED_LINES)),
@@ -304,6 +308,13 @@
             .observe(now, report);
     }
 
+    /// Returns what rings when an attempt of this VM has ended at a target of the service, so that a
+    /// slot is free there. It wakes the request that has waited longest.
+    pub fn freed(&self, service: &ServiceId) -> Rc<Notify> {
+        let mut freed = self.freed.borrow_mut();
+        Rc::clone(freed.entry(service.clone()).or_default())
+    }
+
     /// Returns how many requests the targets of a service hold for each slot.
     fn load(&self, now: Instant, service: &ServiceId) -> f64 {
         let loads = self.loads.borrow();
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -91,12 +91,15 @@
 
 /// Looks for the best target, but for those in `except`.
 pub async fn find(gateway: &Rc<Gateway>, search: Search<'_>, except: &[Rc<TargetLinks>]) -> Found {
+    let freed = gateway.freed(search.service);
+    // Whether an attempt of this VM has just ended: its response told the load of its target.
+    let mut told = false;
     loop {
         let usable = untried(gateway, search.service, except);
         if usable.is_empty() {
             return Found::NoTarget;
         }
-        if let Some(ideal) = ask_around(gateway, &search, &usable).await {
+        if !told && let Some(ideal) = ask_around(gateway, &search, &usable).await {
             return Found::Target(ideal);
         }
         let now = Instant::now();
@@ -119,7 +122,7 @@
                 });
             }
         }
-        tokio::time::sleep(SEARCH_PAUSE).await;
+        told = timeout(SEARCH_PAUSE, freed.notified()).await.is_ok();
     }
 }
 
--- a/gateway/tests/test_calls.rs
+++ b/gateway/tests/test_calls.rs
@@ -244,6 +244,30 @@
     }
 }
 
+/// The load pattern of a burst: all slots are taken, and the health checks of those that wait only tell
+/// that. Guards against a slot that stays idle, or goes to another VM, although this VM has just seen its
+/// own request leave it.
+#[test]
+fn a_request_that_waits_takes_the_slot_that_another_one_leaves() {
+    let site = site("freed", 1);
+    let gateway = site.gateway("edge-1");
+    let target = &site.targets[0];
+    target.set_work(Duration::from_millis(150));
+    let send = |id: &str| {
+        let mut stream = connect(gateway.callers).expect("a connection");
+        let text = request("unsafe", id, 1_500, "x");
+        stream.write_all(text.as_bytes()).expect("a write");
+        stream
+    };
+    let running: Vec<_> = ["id-1", "id-2"].into_iter().map(&send).collect();
+    wait("both slots are taken", || target.runs().len() == 2);
+    target.set(Behaviour::FullChecks);
+    let mut waiting = send("id-3");
+    let response = read_response(&mut waiting, &mut BytesMut::new()).expect("a response");
+    assert_eq!(response.head.status, 200);
+    drop(running);
+}
+
 /// A caller that has left can do nothing with an answer, so no other target is given its request.
 #[test]
 fn a_request_that_was_refused_after_its_caller_left_goes_nowhere_else() {
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -19,6 +19,8 @@
 use crate::site_store::SiteStore;
 use crate::site_store::TARGETS;
 
+/// How many requests a target works on at the same time.
+const SLOTS: u32 = 2;
 /// How often a target that works looks whether its caller has left.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -38,6 +40,8 @@
     Lose,
     /// It never answers, on this connection.
     Hang,
+    /// Its health checks say that all slots are taken, and its responses how it is.
+    FullChecks,
     /// It answers twice; the second answer comes with the next response.
     AnswerTwice,
     /// It answers without a length and closes.
@@ -134,7 +138,7 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let entry = serde_json::json!({
             "Address": addr.to_string(),
-            "Info": {"Service": self.service, "Version": "v1", "Zone": self.domain, "Slots": 2},
+            "Info": {"Service": self.service, "Version": "v1", "Zone": self.domain, "Slots": SLOTS},
             "Status": {"State": state, "SeqNo": sequence, "WarmupLeft": "0ms"},
             "born": 1_800_000_000_000_u64,
         });
@@ -182,11 +186,11 @@
         return Answer::Bytes(response("421 Misdirected", "Instance-Id: i-other\r\n", b""));
     }
     if &*call.head.target == "/health" {
-        let running = state.running.load(Ordering::SeqCst);
-        let fields = format!(
-            "Instance-Id: {}\r\nBackend-Load: {running},0,2,100\r\n",
-            state.id
-        );
+        let running = match behaviour {
+            Behaviour::FullChecks => SLOTS,
+            _ => state.running.load(Ordering::SeqCst),
+        };
+        let fields = format!("Instance-Id: {}\r\n{}", state.id, load(running));
         return Answer::Bytes(response("200 OK", &fields, b""));
     }
     state.arrivals.fetch_add(1, Ordering::SeqCst);
@@ -207,8 +211,11 @@
     if left {
         return Answer::Silence;
     }
-    let signature =
+    let mut signature =
         format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\nKeep-Alive: timeout=10\r\n");
+    if *lock(&state.behaviour) == Behaviour::FullChecks {
+        signature += &load(state.running.load(Ordering::SeqCst));
+    }
     let whole = response("200 OK", &signature, format!("body of {id}").as_bytes());
     match behaviour {
         Behaviour::Truncate => Answer::Last(whole[..whole.len() - 5].to_vec()),
@@ -230,6 +237,10 @@
     }
 }
 
+fn load(running: u32) -> String {
+    format!("Backend-Load: {running},0,{SLOTS},100\r\n")
+}
+
 fn refusal(id: &str) -> Answer {
     let fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
     Answer::Bytes(response("503 Full", &fields, b""))
