draft, gateway: one match for all changes; plainer words

Read-through: the draft matched a change twice and had an arm for routes in the services' half. Now one match covers every change, on the place of its service or route.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -77,7 +77,7 @@
     allowances: RefCell<HashMap<ServiceId, RepeatAllowance>>,
     work: RefCell<HashMap<Box<str>, WorkEstimate>>,
     loads: RefCell<HashMap<ServiceId, ServiceLoad>>,
-    /// Rings when an attempt of this VM has ended at a target of the service.
+    /// Notified when an attempt of this VM has ended at a target of the service.
     freed: RefCell<HashMap<ServiceId, Rc<Notify>>>,
     /// Services whose health checks tell no load, so that asking is of no use.
     silent: RefCell<HashMap<ServiceId, bool>>,
@@ -308,8 +308,8 @@
             .observe(now, report);
     }
 
-    /// Returns what rings when an attempt of this VM has ended at a target of the service, so that a
-    /// slot is free there. It wakes the request that has waited longest.
+    /// Returns what is notified when an attempt of this VM has ended at a target of the service, so
+    /// that a slot is free there. It wakes the request that has waited longest.
     pub fn freed(&self, service: &ServiceId) -> Rc<Notify> {
         let mut freed = self.freed.borrow_mut();
         Rc::clone(freed.entry(service.clone()).or_default())
--- a/lib/src/draft.rs
+++ b/lib/src/draft.rs
@@ -41,79 +41,84 @@
     pub(crate) fn apply(&mut self, config: &Config, change: &Change) -> Result<()> {
         let item = change.item();
         let base = config.version(&item);
-        match &item {
-            ItemId::Service(id) => self.apply_to_service(config, id, base, change)?,
-            ItemId::Route(id) => self.apply_to_route(config, id, change)?,
-        }
         self.bases.insert(item, base);
-        Ok(())
-    }
-
-    fn apply_to_route(&mut self, config: &Config, id: &RouteId, change: &Change) -> Result<()> {
-        let slot = self
-            .routes
-            .entry(id.clone())
-            .or_insert_with(|| config.routes.get(id).cloned());
-        match change {
-            Change::SetRoute { rule, .. } => set_route(slot, id, rule),
-            _ => remove_route(slot, id),
-        }
-    }
-
-    fn apply_to_service(
-        &mut self,
-        config: &Config,
-        id: &ServiceId,
-        base: Version,
-        change: &Change,
-    ) -> Result<()> {
-        let slot = self
-            .services
-            .entry(id.clone())
-            .or_insert_with(|| config.service(id).cloned());
         match change {
             Change::AddService {
+                service: id,
                 measuring,
                 connections,
-                ..
-            } => add_service(slot, id, *measuring, *connections)?,
-            Change::RemoveService { .. } => {
+            } => add_service(self.service(config, id), id, *measuring, *connections)?,
+            Change::RemoveService { service: id } => {
+                let slot = self.service(config, id);
                 existing(slot, id)?;
                 *slot = None;
             }
-            Change::SetMeasuring { measuring, .. } => {
-                existing(slot, id)?.measuring = checked_measuring(*measuring)?;
+            Change::SetMeasuring {
+                service: id,
+                measuring,
+            } => {
+                let service = existing(self.service(config, id), id)?;
+                service.measuring = checked_measuring(*measuring)?;
             }
-            Change::SetConnections { connections, .. } => {
-                existing(slot, id)?.connections = checked_connections(*connections)?;
+            Change::SetConnections {
+                service: id,
+                connections,
+            } => {
+                let service = existing(self.service(config, id), id)?;
+                service.connections = checked_connections(*connections)?;
             }
-            Change::SetRoute { .. } | Change::RemoveRoute { .. } => {}
             Change::AddTarget {
+                service: id,
                 target,
                 addr,
                 domain,
                 slots,
-                ..
             } => {
-                let service = existing(slot, id)?;
+                let service = existing(self.service(config, id), id)?;
                 let new = new_target(*addr, domain, *slots, base.next());
                 add_target(service, id, target, new)?;
             }
-            Change::RemoveTarget { target, .. } => {
-                let service = existing(slot, id)?;
+            Change::RemoveTarget {
+                service: id,
+                target,
+            } => {
+                let service = existing(self.service(config, id), id)?;
                 existing_target(service, id, target)?;
                 service.targets.remove(target);
             }
-            Change::MarkLeaving { target, .. } => {
-                existing_target(existing(slot, id)?, id, target)?.state = TargetState::Leaving;
+            Change::MarkLeaving {
+                service: id,
+                target,
+            } => {
+                let service = existing(self.service(config, id), id)?;
+                existing_target(service, id, target)?.state = TargetState::Leaving;
             }
-            Change::SetSlots { target, slots, .. } => {
-                existing_target(existing(slot, id)?, id, target)?.slots = *slots;
+            Change::SetSlots {
+                service: id,
+                target,
+                slots,
+            } => {
+                let service = existing(self.service(config, id), id)?;
+                existing_target(service, id, target)?.slots = *slots;
             }
+            Change::SetRoute { route: id, rule } => set_route(self.route(config, id), id, rule)?,
+            Change::RemoveRoute { route: id } => remove_route(self.route(config, id), id)?,
         }
         Ok(())
     }
 
+    /// Returns the place of a service.
+    fn service(&mut self, config: &Config, id: &ServiceId) -> &mut Option<Service> {
+        let services = self.services.entry(id.clone());
+        services.or_insert_with(|| config.service(id).cloned())
+    }
+
+    /// Returns the place of a route.
+    fn route(&mut self, config: &Config, id: &RouteId) -> &mut Option<ConfiguredRoute> {
+        let routes = self.routes.entry(id.clone());
+        routes.or_insert_with(|| config.routes.get(id).cloned())
+    }
+
     /// Gives what was touched its new versions, and checks that the routes fit.
     pub(crate) fn finish(mut self, config: &Config) -> Result<Self> {
         for (id, service) in &mut self.services {
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -73,6 +73,7 @@
             bases,
             after,
             routes_after,
+            // Computed below, because it covers the other fields.
             digest: PlanDigest([0; 32]),
         };
         plan.check_effect()?;
