entry: a repeated refusal reaches no other request, a broken body holds up no stop

Cause: a target that writes an earlier refusal once more on a kept connection answered the next request with it, so a caller was told 'not run' for a request that ran. And a response that broke off in its body counted as in flight for good: the body stayed pending after its connection was ended, so a planned stop never ended.

Change: the connection of a refusal by a target is closed. The body of a response that breaks off ends with an error after its connection is aborted, and no longer counts.

--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -56,7 +56,6 @@
 use crate::service_state::ServiceState;
 use crate::target_report;
 use crate::upstream_response::UpstreamResponse;
-use crate::vm_response;
 
 /// One request in flight.
 pub(crate) struct Driver {
@@ -446,7 +445,12 @@
                 let refused =
                     target_report::apply(&self.plane, &self.service, target, kind, fields);
                 match refused {
-                    Some(by) => self.on_refused(id, by, guard, response),
+                    Some(by) => {
+                        // A faulty target may send a refusal again, and nothing would tell it from
+                        // that of the next request. So the connection is closed.
+                        drop((response, guard));
+                        self.on_refused(id, by);
+                    }
                     None => self.on_head(id, guard, response),
                 }
             }
@@ -457,14 +461,7 @@
         }
     }
 
-    pub(crate) fn on_refused(
-        &mut self,
-        id: AttemptId,
-        by: RefusedBy,
-        guard: ConnectionGuard,
-        response: UpstreamResponse,
-    ) {
-        vm_response::discard(guard, response);
+    pub(crate) fn on_refused(&mut self, id: AttemptId, by: RefusedBy) {
         self.end(id, target_report::result_of(by));
         self.handle(ExchangeEvent::Refused { attempt: id, by });
     }
--- a/entry/src/relay_body.rs
+++ b/entry/src/relay_body.rs
@@ -33,7 +33,9 @@
     parts: mpsc::Receiver<Part>,
     io: Option<IoRef>,
     ended: bool,
-    _in_flight: Rc<InFlightGuard>,
+    /// Counts the request until the body has ended or is given up. The server may keep the body of
+    /// a connection that was ended.
+    in_flight: Option<Rc<InFlightGuard>>,
 }
 
 impl RelayBody {
@@ -50,7 +52,7 @@
             parts,
             io,
             ended: false,
-            _in_flight: in_flight,
+            in_flight: Some(in_flight),
         };
         (sender, body)
     }
@@ -74,14 +76,19 @@
                 self.ended = true;
                 Poll::Ready(None)
             }
-            // The connection is aborted, because on an error the server would write an error
-            // response into the middle of the body, and the caller would take its bytes for the
-            // body's rest.
+            // The connection is aborted before the error is returned. On an open connection the server
+            // would write an error response into the middle of the body, and the caller would take
+            // its bytes for the body's rest. Without the error, the server would wait for the body
+            // even when it stops.
             Poll::Ready(None) => {
-                if let Some(io) = &self.io {
-                    io.terminate();
-                }
-                Poll::Pending
+                self.in_flight = None;
+                let Some(io) = &self.io else {
+                    return Poll::Pending;
+                };
+                io.terminate();
+                Poll::Ready(Some(Err(Rc::new(std::io::Error::other(
+                    "the body broke off",
+                )))))
             }
             Poll::Pending => Poll::Pending,
         }
--- a/entry/src/vm_response.rs
+++ b/entry/src/vm_response.rs
@@ -45,7 +45,8 @@
                     self.plane.vm_unreachable(&self.service, vm);
                 }
                 let retry = headers::single(&response.headers, field::RETRY) != Ok(Some("no"));
-                self.on_refused(id, RefusedBy::Vm { code, retry }, guard, response);
+                discard(guard, response);
+                self.on_refused(id, RefusedBy::Vm { code, retry });
             }
             Some(Outcome::MayHaveRun) => {
                 discard(guard, response);
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -226,3 +226,47 @@
         );
     }
 }
+
+/// How a target goes on after a part of the body.
+#[derive(Clone, Copy, Debug)]
+enum BodyEnd {
+    Silent,
+    Closed,
+    Reset,
+}
+
+/// Starts a target that announces 1,000 bytes, sends 600, and then does as `end` says.
+fn breaking_target(end: BodyEnd) -> SocketAddr {
+    raw_server(move |mut stream| {
+        thread::spawn(move || {
+            if read_head(&mut stream).starts_with("POST") {
+                let _ = stream.read_exact(&mut [0; 10]);
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n");
+            let _ = stream.write_all(&[b'x'; 600]);
+            match end {
+                BodyEnd::Silent => thread::sleep(MAX_WAIT * 3),
+                BodyEnd::Closed => {}
+                BodyEnd::Reset => common::reset(stream),
+            }
+        });
+    })
+}
+
+/// Guards against a stop that never ends because a response that was given up counts as in flight for
+/// good.
+#[test]
+fn a_response_that_breaks_off_in_its_body_does_not_delay_the_stop() {
+    let get = "GET / HTTP/1.1\r\nhost: status\r\ncarobshore-deadline-ms: 500\r\n\r\n";
+    let post = "POST / HTTP/1.1\r\nhost: status\r\ncarobshore-deadline-ms: 500\r\ncontent-length: 10\r\n\r\n0123456789";
+    for end in [BodyEnd::Silent, BodyEnd::Closed, BodyEnd::Reset] {
+        for text in [get, post] {
+            let mut vm = Vm::alone(&[breaking_target(end)], &["--drain-notice-ms=200"]);
+            let response = raw_call(vm.listen, text.as_bytes(), MAX_WAIT);
+            assert!(response.len() < 1_000, "{end:?}: {response}");
+            vm.stop.request();
+            leave_when_asked(&mut vm);
+            wait_for_end(&vm);
+        }
+    }
+}
