--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use carobshore_http::client::ExchangeFailure;
 use carobshore_http::client::Response;
 use carobshore_http::fields::Fields;
+use carobshore_http::head::ResponseHead;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::RequestRate;
 use carobshore_lib::prelude::ServiceId;
@@ -20,6 +21,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limits;
+use crate::target_connections::Purpose;
+use crate::target_notices;
 use crate::target_search;
 
 /// A request as it is forwarded to targets.
@@ -234,15 +237,22 @@
 ) -> AttemptEnd {
     let connections = &usable.connections;
     let started = Instant::now();
-    let Ok(mut connection) = connections.checkout(!forwarded.is_repeatable()).await else {
+    let purpose = Purpose::Request {
+        id: forwarded.id.as_deref(),
+        repeatable: forwarded.is_repeatable(),
+    };
+    let Ok(mut connection) = connections.checkout(purpose).await else {
         return AttemptEnd::NotSent;
     };
-    if connection.new {
-        gateway.metrics.connection_opened();
+    if let Some(reason) = connection.opened {
+        gateway.metrics.connection_opened(reason);
     }
-    let remaining = forwarded.deadline.saturating_duration_since(Instant::now());
-    if remaining.is_zero() {
-        connections.checkin(Instant::now(), connection.client, None);
+    let now = Instant::now();
+    let deadline = gateway.exit.borrow().limit(forwarded.deadline);
+    let remaining = deadline.saturating_duration_since(now);
+    // Another answer of the target may have arrived while the connection was opened.
+    if remaining.is_zero() || !target_notices::is_available(gateway, connections) {
+        connections.checkin(now, connection, None);
         return AttemptEnd::NotSent;
     }
     let mut fields = forwarded.fields.clone();
@@ -253,15 +263,19 @@
         &fields,
         &forwarded.body,
     );
-    let belongs = |head: &_| header_fields::decode_response(head).request_id == forwarded.id;
+    let belongs = |head: &ResponseHead| {
+        let response_fields = header_fields::decode_response(head);
+        let belongs = response_fields.request_id == forwarded.id;
+        target_notices::hear(gateway, connections, &response_fields, belongs);
+        belongs
+    };
     match connection.client.exchange(&request, belongs).await {
         Ok(response) => {
             let response_fields = header_fields::decode_response(&response.head);
-            connections.checkin(
-                Instant::now(),
-                connection.client,
-                response_fields.keep_alive,
-            );
+            // Nothing tells a late response from that to the next request without an id.
+            if forwarded.id.is_some() {
+                connections.checkin(Instant::now(), connection, response_fields.keep_alive);
+            }
             if !response_fields.misdirected {
                 limits::hear(gateway, connections, started, &response_fields);
             }
@@ -294,8 +308,9 @@
     }
     let success = (200..300).contains(&response.head.status);
     let encoded = response.head.fields.count("content-encoding") > 0;
-    // A successful response that is unsigned or has a content coding is not the target's own.
-    if success && (!response_fields.signed || encoded) {
+    // A successful response that is unsigned or has a content coding is not the target's own. One
+    // that states no length and has no body may have been cut off after its head.
+    if success && (!response_fields.signed || encoded || response.is_unproven()) {
         return AttemptEnd::Unknown;
     }
     AttemptEnd::Answered(response)
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -10,6 +10,7 @@
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::search_step::SearchDeadlines;
 use carobshore_lib::target_selector::Demand;
+use carobshore_lib::target_signals::Unavailable;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
@@ -104,6 +105,7 @@
                     biased;
                     () = wait_for_disconnect(&mut caller_gone) => break None,
                     found = self.search() => found,
+                    () = self.gateway.stop_deadline_passed() => Err(self.unserved(Refusal::Stopping)),
                 };
                 match found {
                     Ok(usable) => self.start(&mut running, usable),
@@ -124,7 +126,7 @@
                         break None;
                     }
                 }
-                () = sleep_until((self.forwarded.deadline + DEADLINE_GRACE).into()) => break Some(Err(FailedCall::retry_soon(Refusal::TimedOut))),
+                () = self.gateway.deadline_passed(self.forwarded.deadline, DEADLINE_GRACE) => break Some(Err(FailedCall::retry_soon(Refusal::TimedOut))),
                 () = sleep_until(hedge.unwrap_or(self.forwarded.deadline).into()), if hedge.is_some() && running.len() == 1 => {
                     self.hedge(&mut running).await;
                 }
@@ -233,19 +235,26 @@
         let search = self.search_for(wait_end);
         match target_search::find(&self.gateway, search, &self.tried).await {
             SearchResult::Target(usable) => Ok(usable),
-            _ if self.unknown => Err(FailedCall::retry_soon(Refusal::Broken)),
-            SearchResult::NoTarget if self.refused => {
-                Err(FailedCall::retry_soon(Refusal::TargetsRefused))
-            }
-            SearchResult::NoTarget => Err(FailedCall::retry_soon(Refusal::NoTarget)),
-            SearchResult::NoRoom(found) => Err(FailedCall {
+            SearchResult::NoRoom(found) if !self.unknown => Err(FailedCall {
                 refusal: Refusal::NoRoom,
                 retry: Some(found.retry),
                 why: Some(found.to_string().into()),
             }),
+            SearchResult::Unavailable(reason) if !self.unknown => Err(unavailable(reason)),
+            _ if self.refused => Err(self.unserved(Refusal::TargetsRefused)),
+            _ => Err(self.unserved(Refusal::NoTarget)),
         }
     }
 
+    /// Returns the failure of a call that gets no target: `refusal`, unless an earlier attempt may
+    /// have run.
+    fn unserved(&self, refusal: Refusal) -> FailedCall {
+        FailedCall::retry_soon(match self.unknown {
+            true => Refusal::Broken,
+            false => refusal,
+        })
+    }
+
     fn start(&mut self, running: &mut Running, usable: UsableTarget) {
         self.arrivals += 1;
         self.tried.push(Rc::clone(&usable.connections));
@@ -341,6 +350,19 @@
     }
 }
 
+/// Returns the failure of a call for a service whose targets want no requests.
+fn unavailable(reason: Unavailable) -> FailedCall {
+    let soon = FailedCall::retry_soon(Refusal::TargetsUnavailable);
+    FailedCall {
+        retry: match reason {
+            Unavailable::Paused(left) => Some(left),
+            Unavailable::Leaving => soon.retry,
+        },
+        why: Some(format!("all targets want no requests; the first one is {reason}").into()),
+        ..soon
+    }
+}
+
 /// Waits until the caller has disconnected.
 async fn wait_for_disconnect(caller_gone: &mut watch::Receiver<bool>) {
     // An error means that the sender was dropped with the connection.
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -143,6 +143,26 @@
     End,
 }
 
+/// Why a request was not read completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unread {
+    /// It is refused for this reason.
+    Refused(Refusal),
+    /// The connection has ended, so that no response can reach the caller.
+    Ended,
+}
+
+impl From<MessageError> for Unread {
+    fn from(error: MessageError) -> Self {
+        match error {
+            MessageError::Malformed(_) => Self::Refused(Refusal::BadRequest),
+            MessageError::HeadTooLarge => Self::Refused(Refusal::HeadTooLarge),
+            MessageError::BodyTooLarge => Self::Refused(Refusal::BodyTooLarge),
+            MessageError::Closed | MessageError::NoMessage | MessageError::Broken(_) => Self::Ended,
+        }
+    }
+}
+
 impl Reader {
     async fn run(&mut self) {
         let mut next = NextStep::Request;
@@ -162,32 +182,35 @@
             return self.after_idle();
         }
         let at = Instant::now();
-        let in_flight = self.shared.gateway.in_flight.enter();
-        let head = match timeout(limits.header_time, self.head(&limits)).await {
-            Ok(Ok(head)) => head,
-            Ok(Err(error)) => return self.fail(&error, in_flight).await,
-            Err(_) => return self.refuse(Refusal::TooSlow, in_flight).await,
-        };
-        let reserved = match head.fields.text("content-length").map(str::parse::<u64>) {
-            Some(Ok(length)) => length,
-            _ => 0,
-        };
-        let Some(reserved) = self.shared.gateway.reserve_body(reserved) else {
-            return self.refuse(Refusal::NoMemory, in_flight).await;
+        let gateway = Rc::clone(&self.shared.gateway);
+        let in_flight = gateway.in_flight.enter();
+        let read = tokio::select! {
+            read = self.read_request(at, &limits) => read,
+            () = gateway.stop_deadline_passed() => Err(Unread::Refused(Refusal::Stopping)),
         };
-        let body = self.body(&head, &limits).await;
-        match body {
-            Ok(body) => {
-                self.start(ReceivedRequest { head, body, at }, in_flight, reserved)
-                    .await
-            }
-            Err(error) => {
-                drop(reserved);
-                self.fail(&error, in_flight).await
-            }
+        match read {
+            Ok((received, reserved)) => self.start(received, in_flight, reserved).await,
+            Err(Unread::Refused(refusal)) => self.refuse(refusal, in_flight).await,
+            Err(Unread::Ended) => NextStep::End,
         }
     }
 
+    /// Reads one request, whose first byte arrived at `at`.
+    async fn read_request(
+        &mut self,
+        at: Instant,
+        limits: &CallLimits,
+    ) -> Result<(ReceivedRequest, ReservedBody), Unread> {
+        let head = timeout(limits.header_time, self.head(limits)).await;
+        let head = head.map_err(|_| Unread::Refused(Refusal::TooSlow))??;
+        let length = head.fields.text("content-length");
+        let length = length.and_then(|length| length.parse::<u64>().ok());
+        let reserved = self.shared.gateway.reserve_body(length.unwrap_or(0));
+        let reserved = reserved.ok_or(Unread::Refused(Refusal::NoMemory))?;
+        let body = self.body(&head, limits).await?;
+        Ok((ReceivedRequest { head, body, at }, reserved))
+    }
+
     /// Waits for the first bytes of a request. Returns whether any arrived. The idle limit does not
     /// apply while earlier requests are served.
     async fn first_bytes(&mut self, idle: Duration) -> bool {
@@ -295,19 +318,6 @@
         !self.shared.closing.get()
     }
 
-    /// Responds to a read error, or ends the connection if no response can reach the caller.
-    async fn fail(&mut self, error: &MessageError, in_flight: InFlightGuard) -> NextStep {
-        let refusal = match error {
-            MessageError::Malformed(_) => Refusal::BadRequest,
-            MessageError::HeadTooLarge => Refusal::HeadTooLarge,
-            MessageError::BodyTooLarge => Refusal::BodyTooLarge,
-            MessageError::Closed | MessageError::NoMessage | MessageError::Broken(_) => {
-                return NextStep::End;
-            }
-        };
-        self.refuse(refusal, in_flight).await
-    }
-
     /// Refuses a request that was not read completely, and ends the connection.
     async fn refuse(&mut self, refusal: Refusal, in_flight: InFlightGuard) -> NextStep {
         let now = Instant::now();
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -25,6 +25,8 @@
 
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
+/// Interval at which a planned stop checks whether it is complete.
+const STOP_TICK: Duration = Duration::from_millis(20);
 /// Ticks between two sweeps of idle connections and checks of the settings file.
 const SWEEP_TICKS: u32 = 10;
 /// Length of the accept queue of a listener.
@@ -100,16 +102,19 @@
         let mut tick = tokio::time::interval(TICK);
         let mut ticks = 0_u32;
         loop {
+            let stopping = self.gateway.exit.borrow().is_stopping();
             tokio::select! {
                 _ = terminate.recv() => self.stop(),
                 _ = interrupt.recv() => self.stop(),
                 _ = hangup.recv() => self.reload("signal"),
                 _ = tick.tick() => {
                     ticks = ticks.wrapping_add(1);
-                    if self.on_tick(ticks) {
-                        break;
-                    }
+                    self.on_tick(ticks);
                 }
+                () = tokio::time::sleep(STOP_TICK), if stopping => {}
+            }
+            if self.may_exit() {
+                break;
             }
         }
         // Nothing may run between the last check of the requests in flight and the exit: a request
@@ -118,8 +123,8 @@
         Ok(())
     }
 
-    /// Does periodic work. Returns whether the process may exit.
-    fn on_tick(&mut self, ticks: u32) -> bool {
+    /// Does periodic work.
+    fn on_tick(&mut self, ticks: u32) {
         let now = Instant::now();
         apply_records::expire_targets(&self.gateway, now);
         if ticks.is_multiple_of(SWEEP_TICKS) {
@@ -128,14 +133,23 @@
                 self.reload("change");
             }
         }
+    }
+
+    /// Returns whether a planned stop is complete.
+    fn may_exit(&self) -> bool {
+        let now = Instant::now();
         let in_flight = self.gateway.in_flight.count();
-        self.gateway.exit.borrow().may_exit(now, in_flight)
+        let exit = self.gateway.exit.borrow();
+        if in_flight > 0 && exit.is_over(now) {
+            log::warn!(in_flight; "the grace period is over; requests are cut off");
+        }
+        exit.may_exit(now, in_flight)
     }
 
     fn stop(&self) {
         let in_flight = self.gateway.in_flight.count();
         log::info!(in_flight; "planned stop");
-        self.gateway.exit.borrow_mut().signal(Instant::now());
+        self.gateway.begin_stop();
     }
 
     /// Reloads the settings file. Listener addresses change only at the next start.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -34,12 +34,14 @@
 use carobshore_lib::service_load::ServiceLoad;
 use carobshore_lib::target_directory::TargetDirectory;
 use carobshore_lib::target_selector::TargetSelector;
+use carobshore_lib::target_signals::TargetSignals;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_lib::work_estimate::WorkEstimate;
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_platform::store_client::Topic;
 use tokio::sync::Notify;
+use tokio::time::sleep_until;
 
 use crate::body_memory::BodyMemory;
 use crate::body_memory::ReservedBody;
@@ -71,6 +73,10 @@
     pub choice: RefCell<TargetSelector>,
     /// The state of the planned stop.
     pub exit: RefCell<GracefulExit>,
+    /// Notified when a planned stop begins.
+    stop_begun: Notify,
+    /// What targets say of themselves in their answers.
+    pub(crate) signals: RefCell<TargetSignals>,
     /// The number of requests in flight.
     pub in_flight: InFlight,
     /// When the process started.
@@ -137,6 +143,8 @@
             targets_known: Cell::new(false),
             choice: RefCell::new(TargetSelector::new(seed)),
             exit: RefCell::new(GracefulExit::new(boot.grace)),
+            stop_begun: Notify::new(),
+            signals: RefCell::default(),
             in_flight: InFlight::default(),
             started: now,
             metrics: Metrics::new()?,
@@ -169,6 +177,35 @@
         loaded && !self.exit.borrow().is_stopping()
     }
 
+    /// Begins a planned stop. Calls in progress learn of their new deadline.
+    pub fn begin_stop(&self) {
+        self.exit.borrow_mut().signal(Instant::now());
+        self.stop_begun.notify_waiters();
+    }
+
+    /// Waits until a deadline, or that of a planned stop if it is earlier, has passed by `extra`.
+    pub(crate) async fn deadline_passed(&self, deadline: Instant, extra: Duration) {
+        loop {
+            let (end, stopping) = {
+                let exit = self.exit.borrow();
+                (exit.limit(deadline) + extra, exit.is_stopping())
+            };
+            tokio::select! {
+                () = sleep_until(end.into()) => return,
+                () = self.stop_begun.notified(), if !stopping => {}
+            }
+        }
+    }
+
+    /// Waits until the last moment at which a response can be sent in a planned stop.
+    pub(crate) async fn stop_deadline_passed(&self) {
+        if self.exit.borrow().deadline().is_none() {
+            self.stop_begun.notified().await;
+        }
+        let deadline = self.exit.borrow().deadline();
+        sleep_until(deadline.unwrap_or_else(Instant::now).into()).await;
+    }
+
     /// Returns the targets of a service that may receive requests.
     pub fn usable_targets(&self, service: &ServiceId) -> Vec<UsableTarget> {
         let directory = self.directory.borrow();
@@ -176,8 +213,13 @@
         let now = Instant::now();
         let usual_load = self.load_per_slot(now, service);
         let crowding = self.crowding.borrow().get(now, service);
+        let signals = self.signals.borrow();
         let serving = |target: &&AnnouncedTarget| {
-            target.service == *service && target.state == TargetState::Serving
+            target.service == *service
+                && target.state == TargetState::Serving
+                && signals
+                    .unavailable(now, &target.id, target.generation())
+                    .is_none()
         };
         let targets = directory.iter().filter(serving);
         let mut usable: Vec<UsableTarget> = targets
@@ -491,6 +533,7 @@
                     "addr": target.addr.to_string(),
                     "state": target.state,
                     "limit": limits::dump(now, &connections),
+                    "unavailable": unavailable_text(&self.signals.borrow(), now, target),
                     "displaced": connections.displaced.get(),
                     "own_in_flight": outlook.own_in_flight(),
                     "held": outlook.held(now, target.slots.get()),
@@ -528,7 +571,7 @@
         let mut connections = self.connections.borrow_mut();
         let found = connections.entry(target.id.clone()).or_insert_with(|| {
             let rank = preferred_targets::rank(&self.boot.borrow().vm_name, target.id.as_str());
-            let created = TargetConnections::new(target.id.clone(), target.addr, rank);
+            let created = TargetConnections::new(target, rank);
             limits::apply_news(self, &created);
             Rc::new(created)
         });
@@ -554,3 +597,13 @@
         act(retry_budget.or_insert_with(|| RetryAllowance::new(limits(), self.started)))
     }
 }
+
+/// Returns what the state dump shows of a target that wants no requests.
+fn unavailable_text(
+    signals: &TargetSignals,
+    now: Instant,
+    target: &AnnouncedTarget,
+) -> Option<Box<str>> {
+    let reason = signals.unavailable(now, &target.id, target.generation())?;
+    Some(reason.to_string().into())
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod store_probes;
 pub mod store_watch;
 pub mod target_connections;
+mod target_notices;
 pub mod target_search;
 pub mod vm_registration;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     feed_bytes: Counter<u64>,
+    target_signals: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -63,12 +64,19 @@
             ),
             attempts: counter("carobshore.attempts", "Attempts at targets by their end"),
             checks: counter("carobshore.health_checks", "Health checks by their end"),
-            connections: counter("carobshore.connections_opened", "Connections to targets"),
+            connections: counter(
+                "carobshore.connections_opened",
+                "Connections to targets by the reason to open them",
+            ),
             store_calls: counter("carobshore.store_calls", "Calls to the store by their end"),
             feed_bytes: counter(
                 "carobshore.feed_bytes",
                 "Bytes of changes exchanged with other VMs, by direction",
             ),
+            target_signals: counter(
+                "carobshore.target_signals",
+                "Targets that started to leave, and requests for a pause, by kind",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -104,9 +112,9 @@
         self.checks.add(1, &[KeyValue::new("end", end)]);
     }
 
-    /// Counts a new connection to a target.
-    pub fn connection_opened(&self) {
-        self.connections.add(1, &[]);
+    /// Counts a new connection to a target, and why no other one was used.
+    pub fn connection_opened(&self, reason: &'static str) {
+        self.connections.add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// Counts a call to the store.
@@ -120,6 +128,11 @@
         self.feed_bytes.add(bytes as u64, &[direction]);
     }
 
+    /// Counts what a target says of itself. `kind` is `leaving`, `pause` or `malformed-pause`.
+    pub fn target_signal(&self, kind: &'static str) {
+        self.target_signals.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -23,6 +23,8 @@
     TooSlow,
     /// No target of the service is known.
     NoTarget,
+    /// All targets of the service are leaving or want a pause.
+    TargetsUnavailable,
     /// No target has capacity in time.
     NoRoom,
     /// The targets that were tried refused the request.
@@ -50,6 +52,7 @@
             Self::TimedOut => 504,
             Self::NotReady
             | Self::NoTarget
+            | Self::TargetsUnavailable
             | Self::NoRoom
             | Self::TargetsRefused
             | Self::NoMemory
@@ -67,6 +70,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::TooSlow => "too-slow",
             Self::NoTarget => "no-target",
+            Self::TargetsUnavailable => "targets-unavailable",
             Self::NoRoom => "no-room",
             Self::TargetsRefused => "targets-refused",
             Self::NoMemory => "no-memory",
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -9,6 +9,8 @@
 
 use carobshore_http::client::Client;
 use carobshore_http::socket::KeepAliveOptions;
+use carobshore_lib::announced_target::AnnouncedTarget;
+use carobshore_lib::carried_ids::CarriedIds;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_estimator::TargetEstimator;
 use carobshore_lib::target_limit::TargetLimit;
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     client: Client,
+    carried: CarriedIds,
     last_response: Instant,
 }
 
@@ -38,8 +41,24 @@
 pub struct Connection {
     /// The connection.
     pub client: Client,
-    /// Whether it was opened for this exchange.
-    pub new: bool,
+    /// Why it was opened for this exchange; nothing if it was idle.
+    pub opened: Option<&'static str>,
+    carried: CarriedIds,
+}
+
+/// What a connection is checked out for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose<'a> {
+    /// A health check.
+    HealthCheck,
+    /// A request of a caller.
+    Request {
+        /// The request id. Responses to a request without one cannot be told from others, so it gets
+        /// a connection of its own.
+        id: Option<&'a str>,
+        /// Whether the request may run more than once.
+        repeatable: bool,
+    },
 }
 
 /// The connections to one target instance, and what is known about it.
@@ -49,6 +68,8 @@
     pub id: TargetId,
     /// Address on which the target accepts connections.
     pub addr: SocketAddr,
+    /// The generation of the target that was announced when this was created.
+    pub generation: u64,
     /// The target's rank in this VM's order of preference.
     pub rank: u64,
     /// What is known about the target's load and failures.
@@ -57,20 +78,24 @@
     pub limit: RefCell<Option<TargetLimit>>,
     /// Whether a different target instance has answered at the address.
     pub displaced: Cell<bool>,
+    /// Whether the target has asked for a pause that could not be read.
+    pub malformed_pause: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     keep_alive: Cell<Duration>,
 }
 
 impl TargetConnections {
     /// Creates the state of a target without connections.
-    pub fn new(id: TargetId, addr: SocketAddr, rank: u64) -> Self {
+    pub fn new(target: &AnnouncedTarget, rank: u64) -> Self {
         Self {
-            id,
-            addr,
+            id: target.id.clone(),
+            addr: target.addr,
+            generation: target.generation(),
             rank,
             outlook: RefCell::default(),
             limit: RefCell::default(),
             displaced: Cell::new(false),
+            malformed_pause: Cell::new(false),
             idle: RefCell::default(),
             keep_alive: Cell::new(DEFAULT_KEEP_ALIVE),
         }
@@ -81,13 +106,18 @@
         !self.idle.borrow().is_empty()
     }
 
-    /// Takes an idle connection or opens one. With `fresh`, an idle one must have had a response
-    /// within [`FRESH_TIME`].
-    pub async fn checkout(&self, fresh: bool) -> io::Result<Connection> {
+    /// Takes an idle connection or opens one. For a request that must not run twice, an idle one
+    /// must have had a response within [`FRESH_TIME`].
+    pub async fn checkout(&self, purpose: Purpose<'_>) -> io::Result<Connection> {
         let now = Instant::now();
-        if let Some(client) = self.take_idle(now, fresh) {
-            return Ok(Connection { client, new: false });
+        if let Some(connection) = self.take_idle(now, purpose) {
+            return Ok(connection);
         }
+        let reason = match purpose {
+            Purpose::HealthCheck => "health-check",
+            Purpose::Request { .. } if self.is_connected() => "idle-too-long",
+            Purpose::Request { .. } => "none-idle",
+        };
         let client = Client::open(
             self.addr,
             CONNECT_TIMEOUT,
@@ -95,20 +125,33 @@
             MAX_RESPONSE,
         )
         .await?;
-        Ok(Connection { client, new: true })
+        let mut carried = CarriedIds::default();
+        if let Purpose::Request { id: Some(id), .. } = purpose {
+            carried.add(id);
+        }
+        Ok(Connection {
+            client,
+            opened: Some(reason),
+            carried,
+        })
     }
 
     /// Puts a connection back after an exchange, or closes it if it cannot be reused. `keep_alive`
     /// is the time that the response named, if any.
-    pub fn checkin(&self, now: Instant, mut client: Client, keep_alive: Option<Duration>) {
+    pub fn checkin(&self, now: Instant, connection: Connection, keep_alive: Option<Duration>) {
+        let Connection {
+            mut client,
+            carried,
+            ..
+        } = connection;
         if let Some(keep_alive) = keep_alive {
             self.keep_alive.set(keep_alive);
         }
-        if client.is_idle() && !self.displaced.get() {
-            let last_response = now;
+        if client.is_idle() && !carried.is_full() && !self.displaced.get() {
             self.idle.borrow_mut().push(IdleConnection {
                 client,
-                last_response,
+                carried,
+                last_response: now,
             });
         }
     }
@@ -125,18 +168,33 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take_idle(&self, now: Instant, fresh: bool) -> Option<Client> {
-        let longest = match fresh {
-            true => FRESH_TIME,
-            false => self.longest_idle(),
+    /// Takes the idle connection that was used last, so that surplus ones time out.
+    fn take_idle(&self, now: Instant, purpose: Purpose<'_>) -> Option<Connection> {
+        let (id, longest) = match purpose {
+            Purpose::HealthCheck => (None, self.longest_idle()),
+            Purpose::Request { id: None, .. } => return None,
+            Purpose::Request { id, repeatable } if repeatable => (id, self.longest_idle()),
+            Purpose::Request { id, .. } => (id, FRESH_TIME),
+        };
+        self.sweep(now);
+        let mut idle = self.idle.borrow_mut();
+        let is_suitable = |idle: &IdleConnection| {
+            idle.last_response + longest > now && id.is_none_or(|id| !idle.carried.has(id))
         };
-        // The most recently used connection is last, so that surplus ones time out.
-        while let Some(mut idle) = self.idle.borrow_mut().pop() {
-            if idle.last_response + longest > now && idle.client.is_idle() {
-                return Some(idle.client);
-            }
+        let index = idle.iter().rposition(is_suitable)?;
+        let IdleConnection {
+            client,
+            mut carried,
+            ..
+        } = idle.remove(index);
+        if let Some(id) = id {
+            carried.add(id);
         }
-        None
+        Some(Connection {
+            client,
+            opened: None,
+            carried,
+        })
     }
 
     fn longest_idle(&self) -> Duration {
--- /dev/null
+++ b/gateway/src/target_notices.rs
@@ -0,0 +1,70 @@
+//! What targets say of themselves in their answers: that they are leaving, or want a pause.
+
+use std::time::Instant;
+
+use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::TargetState;
+use carobshore_lib::target_signals::Unavailable;
+use carobshore_platform::header_fields::AskedPause;
+use carobshore_platform::header_fields::ResponseFields;
+
+use crate::gateway::Gateway;
+use crate::target_connections::TargetConnections;
+
+/// Records what the head of a target's answer says. `belongs` is whether it answers the request that
+/// was sent last: a pause that an earlier answer asked for may be over.
+pub(crate) fn hear(
+    gateway: &Gateway,
+    connections: &TargetConnections,
+    fields: &ResponseFields,
+    belongs: bool,
+) {
+    if fields.misdirected {
+        return;
+    }
+    let now = Instant::now();
+    let (id, generation) = (&connections.id, connections.generation);
+    let mut signals = gateway.signals.borrow_mut();
+    if fields.leaving && signals.leaving(now, id, generation) {
+        gateway.metrics.target_signal("leaving");
+        log::info!(target = id.as_str(), reason = "it says so"; "target is leaving");
+    }
+    match fields.pause {
+        AskedPause::For(pause) if belongs => {
+            gateway.metrics.target_signal("pause");
+            let position = connections.rank as f64 / u64::MAX as f64;
+            if signals.paused(now, id, generation, pause, position) {
+                log::info!(target = id.as_str(), pause:% = pause; "target wants a pause");
+            }
+        }
+        AskedPause::Malformed if belongs => {
+            gateway.metrics.target_signal("malformed-pause");
+            if !connections.malformed_pause.replace(true) {
+                log::warn!(target = id.as_str(); "a malformed pause is ignored");
+            }
+        }
+        AskedPause::None | AskedPause::For(_) | AskedPause::Malformed => {}
+    }
+}
+
+/// Returns whether a target may get a request, as far as its answers say.
+pub(crate) fn is_available(gateway: &Gateway, connections: &TargetConnections) -> bool {
+    let signals = gateway.signals.borrow();
+    let (id, generation) = (&connections.id, connections.generation);
+    signals
+        .unavailable(Instant::now(), id, generation)
+        .is_none()
+}
+
+/// Returns which target of a service may get requests first, if all that serve it are leaving or
+/// want a pause.
+pub(crate) fn all_unavailable(gateway: &Gateway, service: &ServiceId) -> Option<Unavailable> {
+    let (directory, signals) = (gateway.directory.borrow(), gateway.signals.borrow());
+    let now = Instant::now();
+    let serving = directory
+        .iter()
+        .filter(|target| target.service == *service && target.state == TargetState::Serving);
+    let reasons = serving.map(|target| signals.unavailable(now, &target.id, target.generation()));
+    let reasons: Option<Vec<Unavailable>> = reasons.collect();
+    reasons?.into_iter().min()
+}
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use carobshore_http::client::EncodedRequest;
+use carobshore_http::head::ResponseHead;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
@@ -18,6 +19,7 @@
 use carobshore_lib::target_selector::Candidate;
 use carobshore_lib::target_selector::Demand;
 use carobshore_lib::target_selector::PARALLEL_CHECKS;
+use carobshore_lib::target_signals::Unavailable;
 use carobshore_platform::header_fields;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -31,7 +33,9 @@
 use crate::limited_targets::wait_for_limit;
 use crate::limited_targets::within_limits;
 use crate::limits;
+use crate::target_connections::Purpose;
 use crate::target_connections::TargetConnections;
+use crate::target_notices;
 
 /// Time limit for the responses of one round of health checks. Targets that take longer are
 /// skipped.
@@ -64,6 +68,8 @@
     Target(UsableTarget),
     /// There is no target that has not been tried.
     NoTarget,
+    /// All targets are leaving or want a pause.
+    Unavailable(Unavailable),
     /// No target has capacity in time.
     NoRoom(NoRoom),
 }
@@ -114,7 +120,10 @@
     loop {
         let usable = untried(gateway, search.service, excluded);
         if usable.is_empty() {
-            return SearchResult::NoTarget;
+            return match target_notices::all_unavailable(gateway, search.service) {
+                Some(reason) => SearchResult::Unavailable(reason),
+                None => SearchResult::NoTarget,
+            };
         }
         let usable = match within_limits(usable) {
             Ok(open) => open,
@@ -351,14 +360,23 @@
     connections: &TargetConnections,
     path: &str,
 ) -> Option<Option<LoadReport>> {
-    let mut connection = connections.checkout(false).await.ok()?;
-    if connection.new {
-        gateway.metrics.connection_opened();
+    let mut connection = connections.checkout(Purpose::HealthCheck).await.ok()?;
+    if let Some(reason) = connection.opened {
+        gateway.metrics.connection_opened(reason);
+    }
+    if !target_notices::is_available(gateway, connections) {
+        connections.checkin(Instant::now(), connection, None);
+        return None;
     }
     let fields = header_fields::health_check_fields(&connections.id, &connections.addr.to_string());
     let request = EncodedRequest::new("GET", path, &fields, &[]);
     // A late response to an earlier request carries the id of that request.
-    let belongs = |head: &_| header_fields::decode_response(head).request_id.is_none();
+    let belongs = |head: &ResponseHead| {
+        let response_fields = header_fields::decode_response(head);
+        let belongs = response_fields.request_id.is_none();
+        target_notices::hear(gateway, connections, &response_fields, belongs);
+        belongs
+    };
     let response = connection.client.exchange(&request, belongs).await.ok()?;
     let response_fields = header_fields::decode_response(&response.head);
     let other = header_fields::answering_target(&response.head);
@@ -366,11 +384,7 @@
         mark_displaced(connections);
         return None;
     }
-    connections.checkin(
-        Instant::now(),
-        connection.client,
-        response_fields.keep_alive,
-    );
+    connections.checkin(Instant::now(), connection, response_fields.keep_alive);
     Some(response_fields.load)
 }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -171,9 +171,14 @@
 impl Gateway {
     /// Kills the process and starts it again with the same settings.
     pub(crate) fn restart(&mut self) {
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.start_again();
     }
 
     /// Starts the process again after it has exited.
@@ -365,7 +370,7 @@
 ///
 /// The kernel takes ports for outgoing connections and for [`ANY_PORT`] from 32768 on. So a port
 /// below that stays free until the gateway listens on it, also between two starts of a process.
-fn free_port() -> SocketAddr {
+pub(crate) fn free_port() -> SocketAddr {
     static TAKEN: AtomicU32 = AtomicU32::new(0);
     // Test processes that run concurrently start at different ports.
     let first = std::process::id() * 64;
--- /dev/null
+++ b/gateway/tests/test_faulty_targets.rs
@@ -0,0 +1,98 @@
+//! Guards against callers that are told what a faulty target has only seemed to say: a refusal of an
+//! earlier request, or a response that has been cut off.
+
+mod common;
+
+use carobshore_standin::site_target::Behaviour;
+use carobshore_standin::site_wire::REQUEST_ID;
+
+use crate::common::call;
+use crate::common::request;
+use crate::common::site;
+
+#[test]
+fn a_repeated_refusal_of_an_earlier_request_is_not_taken_for_that_of_the_next() {
+    let site = site("repeated-refusal", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::RepeatRefusal);
+    for (index, kind) in ["unsafe", "upload", "safe", "unsafe"].iter().enumerate() {
+        let id = format!("id-{index}");
+        let response = gateway.call(kind, &id, "x");
+        let runs = site.runs_of(&id);
+        match response.head.status {
+            503 => assert_eq!(runs, 0, "{kind}"),
+            200 => assert_eq!((runs, &*response.body), (1, &*format!("body of {id}"))),
+            status => panic!("{kind}: {status}"),
+        }
+    }
+}
+
+/// The id does not tell the responses apart, so the connection must.
+#[test]
+fn a_repeated_refusal_is_not_taken_for_that_of_a_request_with_the_same_id() {
+    for kind in ["unsafe", "upload"] {
+        let site = site(&format!("repeated-refusal-{kind}"), 1);
+        let gateway = site.gateway("edge-1");
+        site.targets[0].set(Behaviour::RepeatRefusal);
+        let refused = gateway.call(kind, kind, "x");
+        assert_eq!(refused.head.status, 503);
+        let again = gateway.call(kind, kind, "x");
+        let (status, runs) = (again.head.status, site.runs_of(kind));
+        assert!(status == 200 || runs == 0, "{kind}: {status}, {runs} runs");
+    }
+}
+
+#[test]
+fn a_repeated_refusal_is_not_taken_for_that_of_a_request_without_an_id() {
+    let site = site("repeated-refusal-no-id", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::RepeatRefusal);
+    let text = request("unsafe", "x", 1_500, "x").replace(&format!("{REQUEST_ID}: x\r\n"), "");
+    for _ in 0..4 {
+        let before = site.targets[0].runs().len();
+        let response = call(gateway.callers, &text);
+        let runs = site.targets[0].runs().len() - before;
+        let status = response.head.status;
+        assert!(status == 200 || runs == 0, "{status}, {runs} runs");
+    }
+}
+
+#[test]
+fn a_response_that_is_cut_anywhere_is_no_success() {
+    let site = site("cut-anywhere", 1);
+    let gateway = site.gateway("edge-1");
+    let whole = gateway.call("unsafe", "whole-000", "x");
+    let mut cut = 0;
+    loop {
+        site.targets[0].set(Behaviour::CutAfter(cut));
+        let id = format!("cut-{cut:05}");
+        let response = gateway.call("unsafe", &id, "x");
+        assert_eq!(site.runs_of(&id), 1);
+        if response.head.status == 200 {
+            assert_eq!(response.body, format!("body of {id}"));
+            break;
+        }
+        assert_eq!(response.head.status, 502, "{cut} bytes");
+        cut += 1;
+    }
+    assert!(
+        cut > whole.body.len() + 80,
+        "{cut} bytes are a whole response"
+    );
+}
+
+/// A target may end a response without a length with its connection, but then there is something to
+/// end.
+#[test]
+fn a_success_without_a_length_and_a_body_is_no_success() {
+    let site = site("unframed-empty", 2);
+    let gateway = site.gateway("edge-1");
+    site.targets
+        .iter()
+        .for_each(|target| target.set(Behaviour::UnframedEmpty));
+    assert_eq!(gateway.call("unsafe", "id-1", "x").head.status, 502);
+    assert_eq!(site.runs_of("id-1"), 1);
+    site.targets[0].set(Behaviour::Serve);
+    let response = gateway.call("safe", "id-2", "");
+    assert_eq!(response.body, "body of id-2");
+}
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -28,6 +28,8 @@
     pub method: Box<str>,
     /// The encoded head and body.
     pub bytes: Vec<u8>,
+    /// The length of the head, in bytes.
+    pub head_len: usize,
 }
 
 /// A complete response.
@@ -39,6 +41,17 @@
     pub body: Vec<u8>,
 }
 
+impl Response {
+    /// Returns whether the body is empty although the head does not say so, because the connection
+    /// ended directly after it.
+    pub fn is_unproven(&self) -> bool {
+        let fields = &self.head.fields;
+        let framed = fields.count("content-length") + fields.count("transfer-encoding") > 0;
+        let bodiless = matches!(self.head.status, 204 | 304);
+        self.body.is_empty() && !framed && !bodiless
+    }
+}
+
 /// An exchange that ended without a response.
 #[derive(Debug)]
 pub struct ExchangeFailure {
@@ -72,10 +85,12 @@
             bytes.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
         }
         bytes.extend_from_slice(b"\r\n");
+        let head_len = bytes.len();
         bytes.extend_from_slice(body);
         Self {
             method: method.into(),
             bytes,
+            head_len,
         }
     }
 }
@@ -108,14 +123,17 @@
         self.reusable
     }
 
-    /// Sends a request and reads the first complete response for which `belongs` returns `true`.
+    /// Sends a request and reads the first complete response that belongs to it.
     ///
-    /// Other responses are skipped, and the connection is then not reused. Dropping the future also
-    /// makes the connection unusable.
+    /// `belongs` gets the head of each response as soon as it is read, and returns whether it is of
+    /// the response to this request. Other responses are skipped, and the connection is then not
+    /// reused. So is a response whose head was read before the head of the request was sent: the
+    /// server cannot know the request yet. Bytes that arrive before anything was sent end the
+    /// exchange. Dropping the future also makes the connection unusable.
     pub async fn exchange(
         &mut self,
         request: &EncodedRequest,
-        belongs: impl Fn(&ResponseHead) -> bool,
+        mut belongs: impl FnMut(&ResponseHead) -> bool,
     ) -> Result<Response, ExchangeFailure> {
         // The connection becomes reusable again only after a complete response.
         let reusable = std::mem::replace(&mut self.reusable, false);
@@ -125,8 +143,10 @@
         let mut write_error = None;
         let mut reader = ResponseReader::new(&request.method, self.max_body);
         let response = loop {
-            match reader.advance(&mut self.buffer) {
-                Ok(Some(response)) if belongs(&response.head) => break response,
+            let is_sent = written >= request.head_len;
+            let is_response = |head: &ResponseHead| belongs(head) && is_sent;
+            match reader.advance(&mut self.buffer, is_response) {
+                Ok(Some(answer)) if answer.belongs => break answer.response,
                 Ok(Some(_)) => {
                     skipped += 1;
                     reader = ResponseReader::new(&request.method, self.max_body);
@@ -138,19 +158,24 @@
             self.buffer.reserve(READ_SIZE);
             let unsent = &request.bytes[written..];
             tokio::select! {
-                result = write.write(unsent), if !unsent.is_empty() && write_error.is_none() => match result {
-                    Ok(count) => written += count,
-                    // The server may have responded before it stopped reading.
-                    Err(error) => write_error = Some(error),
-                },
+                // Bytes that have arrived already are read before more is sent.
+                biased;
                 result = read.read_buf(&mut self.buffer) => match result {
                     Ok(0) => match reader.on_close() {
-                        Some(response) if belongs(&response.head) => break response,
+                        Some(answer) if answer.belongs => break answer.response,
                         _ => return Err(failure(written, close_error(write_error))),
                     },
+                    Ok(_) if written == 0 => {
+                        return Err(failure(written, MessageError::Malformed("unsolicited bytes")));
+                    }
                     Ok(_) => {}
                     Err(error) => return Err(failure(written, error.into())),
                 },
+                result = write.write(unsent), if !unsent.is_empty() && write_error.is_none() => match result {
+                    Ok(count) => written += count,
+                    // The server may have responded before it stopped reading.
+                    Err(error) => write_error = Some(error),
+                },
             }
         };
         let fully_sent = written == request.bytes.len();
@@ -170,11 +195,25 @@
     }
 }
 
+/// A complete response on a connection.
+struct Answer {
+    response: Response,
+    /// Whether it is the response to the current request.
+    belongs: bool,
+}
+
 /// Decoder of one response.
 struct ResponseReader<'a> {
     method: &'a str,
     max_body: usize,
-    started: Option<(ResponseHead, BodyReader)>,
+    started: Option<StartedResponse>,
+}
+
+/// A response whose head has been read.
+struct StartedResponse {
+    head: ResponseHead,
+    body: BodyReader,
+    belongs: bool,
 }
 
 impl<'a> ResponseReader<'a> {
@@ -186,20 +225,29 @@
         }
     }
 
-    /// Consumes buffered bytes. Returns the response once it is complete.
-    fn advance(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, MessageError> {
+    /// Consumes buffered bytes. Returns the response once it is complete. `belongs` gets its head,
+    /// once, and returns whether it is the response to the current request.
+    fn advance(
+        &mut self,
+        buffer: &mut BytesMut,
+        belongs: impl FnOnce(&ResponseHead) -> bool,
+    ) -> Result<Option<Answer>, MessageError> {
         if self.started.is_none() {
             let Some(mut head) = ResponseHead::take(buffer, MAX_HEAD)? else {
                 return Ok(None);
             };
             let framing = head.framing(self.method)?;
             head.keep_alive &= framing != crate::body::Framing::UntilClose;
-            self.started = Some((head, BodyReader::new(framing, self.max_body)?));
+            self.started = Some(StartedResponse {
+                belongs: belongs(&head),
+                body: BodyReader::new(framing, self.max_body)?,
+                head,
+            });
         }
-        let Some((_, body)) = &mut self.started else {
+        let Some(started) = &mut self.started else {
             return Ok(None);
         };
-        match body.advance(buffer)? {
+        match started.body.advance(buffer)? {
             true => Ok(self.finish()),
             false => Ok(None),
         }
@@ -207,14 +255,21 @@
 
     /// Records that the server closed the connection without a reset, which may complete the
     /// response.
-    fn on_close(&mut self) -> Option<Response> {
-        let (_, body) = self.started.as_mut()?;
-        body.on_close().then(|| self.finish())?
+    fn on_close(&mut self) -> Option<Answer> {
+        let started = self.started.as_mut()?;
+        started.body.on_close().then(|| self.finish())?
     }
 
-    fn finish(&mut self) -> Option<Response> {
-        let (head, body) = self.started.take()?;
+    fn finish(&mut self) -> Option<Answer> {
+        let StartedResponse {
+            head,
+            body,
+            belongs,
+        } = self.started.take()?;
         let body = body.into_body();
-        Some(Response { head, body })
+        Some(Answer {
+            response: Response { head, body },
+            belongs,
+        })
     }
 }
--- a/http/tests/test_client.rs
+++ b/http/tests/test_client.rs
@@ -185,3 +185,39 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert!(!client.is_idle());
 }
+
+/// Guards against an earlier response that is repeated on a connection in use again.
+#[tokio::test]
+async fn bytes_that_arrive_before_the_request_are_no_response_to_it() {
+    let addr = server(|mut stream| {
+        let text = "HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(text.as_bytes()).expect("a write");
+        thread::sleep(TIMEOUT);
+    });
+    let mut client = open(addr).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let failure = client.exchange(&get(), has_id("a")).await;
+    assert!(!failure.expect_err("no response").sent);
+    assert!(!client.is_idle());
+}
+
+/// What a server says in the head of a response counts from then on, not from the end of its body.
+#[tokio::test]
+async fn a_head_is_reported_before_the_body_has_arrived() {
+    let addr = server(|mut stream| {
+        read_head(&mut stream);
+        let text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no";
+        stream.write_all(text.as_bytes()).expect("a write");
+        thread::sleep(TIMEOUT);
+    });
+    let mut client = open(addr).await;
+    let mut heads = 0;
+    let request = get();
+    let exchange = client.exchange(&request, |_| {
+        heads += 1;
+        true
+    });
+    let ended = tokio::time::timeout(Duration::from_millis(300), exchange).await;
+    assert!(ended.is_err(), "the body is incomplete");
+    assert_eq!(heads, 1);
+}
--- a/lib/src/graceful_exit.rs
+++ b/lib/src/graceful_exit.rs
@@ -9,6 +9,8 @@
 const READINESS_FAILURES: u32 = 2;
 /// The time before the end of the grace period at which the last responses have to be sent.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+/// The time before the end of the grace period at which the process exits, whatever is in flight.
+const EXIT_MARGIN: Duration = Duration::from_millis(30);
 
 /// A planned stop. Readiness fails at once. New work is accepted until the platform's load balancer
 /// has noticed, and the process exits when nothing is in flight, before the platform would kill it.
@@ -46,13 +48,30 @@
 
     /// Returns the time left for work that starts now, or `None` if no stop has begun.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
-        let end = self.signalled? + self.grace.saturating_sub(RESPONSE_MARGIN);
-        Some(end.saturating_duration_since(now))
+        Some(self.deadline()?.saturating_duration_since(now))
     }
 
-    /// Returns whether the process may exit now.
+    /// Returns when all requests have to be answered, or `None` if no stop has begun.
+    pub fn deadline(&self) -> Option<Instant> {
+        Some(self.signalled? + self.grace.saturating_sub(RESPONSE_MARGIN))
+    }
+
+    /// Returns the given deadline, or that of the stop if it is earlier.
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        self.deadline().map_or(deadline, |end| end.min(deadline))
+    }
+
+    /// Returns whether the process may exit now: nothing is in flight, or the platform is about to
+    /// kill it.
     pub fn may_exit(&self, now: Instant, in_flight: usize) -> bool {
-        self.signalled.is_some() && !self.takes_work(now) && in_flight == 0
+        let is_idle = !self.takes_work(now) && in_flight == 0;
+        is_idle || self.is_over(now)
+    }
+
+    /// Returns whether the grace period is over.
+    pub fn is_over(&self, now: Instant) -> bool {
+        self.signalled
+            .is_some_and(|at| now >= at + self.grace.saturating_sub(EXIT_MARGIN))
     }
 
     fn notice_time(&self) -> Duration {
--- a/lib/src/leaving_targets.rs
+++ b/lib/src/leaving_targets.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::config::Config;
+use crate::drain_signal::DrainSignal;
 use crate::service_id::ServiceId;
 use crate::target::Target;
 use crate::target_id::TargetId;
@@ -56,11 +57,10 @@
 #[derive(Clone, Debug)]
 struct TargetStatus {
     addr: SocketAddr,
-    generation: u64,
-    /// Whether the target itself or a peer reported that it leaves. Stays set until a newer
-    /// generation is configured.
-    signalled: bool,
-    /// Whether the confirmed configuration says that it leaves. Stays set as long as `signalled`.
+    /// What the target itself or a peer reported.
+    drain: DrainSignal,
+    /// Whether the confirmed configuration says that it leaves. Stays set until a newer generation
+    /// is configured.
     confirmed: bool,
     list: Option<ListEvidence>,
 }
@@ -87,7 +87,7 @@
             for (id, target) in &spec.targets {
                 let key = (service.clone(), id.clone());
                 let mut status = match self.statuses.remove(&key) {
-                    Some(old) if old.generation >= target.generation => old,
+                    Some(old) if old.drain.generation() >= target.generation => old,
                     old => self.new_status(target, old.and_then(|old| old.list)),
                 };
                 status.addr = target.addr;
@@ -117,8 +117,7 @@
         });
         TargetStatus {
             addr: target.addr,
-            generation: target.generation,
-            signalled: false,
+            drain: DrainSignal::new(target.generation),
             confirmed: false,
             list: overruled.or(first),
         }
@@ -131,14 +130,11 @@
         let Some(status) = self.statuses.get_mut(&key) else {
             return false;
         };
-        let is_new = signal.generation > status.generation || !status.signalled;
-        if signal.generation < status.generation || !is_new {
-            return false;
+        let is_new = status.drain.receive(signal.generation);
+        if is_new {
+            self.with_evidence.insert(key);
         }
-        status.generation = signal.generation;
-        status.signalled = true;
-        self.with_evidence.insert(key);
-        true
+        is_new
     }
 
     /// Applies the platform's list. Targets that are not on it keep their state.
@@ -184,7 +180,7 @@
             let doubtful = status
                 .list
                 .is_some_and(|evidence| evidence.may_be_wrong(now));
-            status.leaves() && !status.signalled && !status.confirmed && doubtful
+            status.leaves() && !status.drain.is_received() && !status.confirmed && doubtful
         })
     }
 
@@ -198,7 +194,7 @@
     /// is left out, because each VM reads the list itself, and its errors must not persist in
     /// heartbeats between VMs.
     pub fn signalled(&self) -> impl Iterator<Item = LeavingTarget> {
-        self.select(|status| status.signalled && !status.confirmed)
+        self.select(|status| status.drain.is_received() && !status.confirmed)
     }
 
     fn select(
@@ -211,18 +207,19 @@
         selected.map(|((service, target), status)| LeavingTarget {
             service: service.clone(),
             target: target.clone(),
-            generation: status.generation,
+            generation: status.drain.generation(),
         })
     }
 }
 
 impl TargetStatus {
     fn has_evidence(&self) -> bool {
-        self.signalled || self.confirmed || self.list.is_some()
+        self.drain.is_received() || self.confirmed || self.list.is_some()
     }
 
     fn leaves(&self) -> bool {
-        self.signalled || self.confirmed || self.list.is_some_and(|evidence| !evidence.contradicted)
+        let listed = self.list.is_some_and(|evidence| !evidence.contradicted);
+        self.drain.is_received() || self.confirmed || listed
     }
 }
 
--- a/lib/tests/test_graceful_exit.rs
+++ b/lib/tests/test_graceful_exit.rs
@@ -52,6 +52,28 @@
     );
 }
 
+#[test]
+fn no_deadline_lies_behind_the_end_of_the_grace_period() {
+    let start = Instant::now();
+    let mut exit = GracefulExit::new(GRACE);
+    let [near, far] = [at(start, 2_000), at(start, 60_000)];
+    assert_eq!((exit.deadline(), exit.limit(far)), (None, far));
+    exit.signal(start);
+    let end = exit.deadline().expect("a deadline");
+    assert!(end < start + GRACE);
+    assert_eq!((exit.limit(near), exit.limit(far)), (near, end));
+}
+
+#[test]
+fn the_process_ends_before_it_is_killed_whatever_is_in_flight() {
+    let start = Instant::now();
+    let mut exit = GracefulExit::new(GRACE);
+    exit.signal(start);
+    let end = exit.deadline().expect("a deadline");
+    assert!(!exit.may_exit(end, 1), "the last answers are on their way");
+    assert!(exit.may_exit(at(start, 5_999), 1));
+}
+
 #[test]
 fn half_of_a_short_grace_period_is_left_for_requests_in_flight() {
     let start = Instant::now();
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -1,10 +1,13 @@
 //! A simulator of a target that announces itself in the platform's store.
 
+use std::collections::HashMap;
 use std::io;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -18,10 +21,14 @@
 use crate::raw_server::lock;
 use crate::site_store::SiteStore;
 use crate::site_store::TARGETS;
+use crate::site_wire::LEAVING_FIELD;
 use crate::site_wire::LIMIT;
+use crate::site_wire::RETRY_AFTER;
 
 /// How many requests a target runs concurrently.
 const SLOTS: u32 = 2;
+/// When a target was started for the first time, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_800_000_000_000;
 /// Interval at which a busy target checks whether its caller has disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -45,8 +52,16 @@
     HealthReportsFull,
     /// Sends each response twice; the second copy precedes the next response.
     AnswerTwice,
+    /// Reports that it did not run the request, and sends the same report once more when the next
+    /// request arrives on the connection, which it runs.
+    RepeatRefusal,
+    /// Runs the request, sends this many bytes of the response, and closes the connection.
+    CutAfter(usize),
     /// Responds without `Content-Length` and closes the connection.
     Unframed,
+    /// Responds with a head without `Content-Length`, and closes the connection instead of sending
+    /// the body.
+    UnframedEmpty,
     /// Responds with an error before reading the body.
     RejectEarly,
     /// Responds without a signature.
@@ -80,10 +95,16 @@
     running: AtomicU32,
     /// The limits that the target names, as they stand in its answers.
     limits: Mutex<Vec<Box<str>>>,
+    /// Whether the target says in its answers that it is leaving.
+    leaving: AtomicBool,
+    /// The pauses for which the target asks in its refusals.
+    pauses: Mutex<Vec<Box<str>>>,
     /// When each request arrived.
     arrived: Mutex<Vec<Instant>>,
     /// The duplicate response to send before the next one.
     duplicate: Mutex<Vec<u8>>,
+    /// The last refusal on each connection, by the caller's address.
+    refusals: Mutex<HashMap<SocketAddr, Vec<u8>>>,
 }
 
 /// A running target.
@@ -94,6 +115,8 @@
     service: Box<str>,
     domain: Box<str>,
     sequence: AtomicU64,
+    /// When the target was started, as it announces it.
+    started_ms: AtomicU64,
 }
 
 impl SiteTarget {
@@ -107,8 +130,11 @@
             arrivals: AtomicU32::new(0),
             running: AtomicU32::new(0),
             limits: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            pauses: Mutex::default(),
             arrived: Mutex::default(),
             duplicate: Mutex::default(),
+            refusals: Mutex::default(),
         });
         let (shared, early) = (Arc::clone(&state), Arc::clone(&state));
         let server = RawServer::start(
@@ -122,6 +148,7 @@
             service: service.into(),
             domain: domain.into(),
             sequence: AtomicU64::new(0),
+            started_ms: AtomicU64::new(FIRST_START_MS),
         })
     }
 
@@ -147,7 +174,7 @@
             "Address": addr.to_string(),
             "Info": {"Service": self.service, "Version": "v1", "Zone": self.domain, "Slots": SLOTS},
             "Status": {"State": state, "SeqNo": sequence, "WarmupLeft": "0ms"},
-            "born": 1_800_000_000_000_u64,
+            "born": self.started_ms.load(Ordering::SeqCst),
         });
         store.put(TARGETS, self.id(), Some(entry.to_string().as_bytes()));
     }
@@ -187,6 +214,23 @@
         *lock(&self.state.limits) = limits.iter().map(|limit| Box::from(*limit)).collect();
     }
 
+    /// Changes whether the target says in its answers that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.leaving.store(leaving, Ordering::SeqCst);
+    }
+
+    /// Changes the pauses for which the target asks in its refusals, each in a header field of its
+    /// own.
+    pub fn set_pauses(&self, pauses: &[&str]) {
+        *lock(&self.state.pauses) = pauses.iter().map(|pause| Box::from(*pause)).collect();
+    }
+
+    /// Counts as started again: later announcements have a later start.
+    pub fn start_again(&self) {
+        self.started_ms.fetch_add(1_000, Ordering::SeqCst);
+        self.sequence.store(0, Ordering::SeqCst);
+    }
+
     /// Resets all connections, as a network device does after losing its connection state.
     pub fn reset_connections(&self) {
         self.server.reset_connections();
@@ -207,16 +251,24 @@
             Behaviour::HealthReportsFull => SLOTS,
             _ => state.running.load(Ordering::SeqCst),
         };
-        let fields = format!("Instance-Id: {}\r\n{}", state.id, load_field(running));
+        let mut fields = format!("Instance-Id: {}\r\n{}", state.id, load_field(running));
+        fields += leaving_field(state);
         return ServerAction::Send(response("200 OK", &fields, b""));
     }
     state.arrivals.fetch_add(1, Ordering::SeqCst);
     lock(&state.arrived).push(Instant::now());
     match behaviour {
-        Behaviour::Refuse => return refusal(&id),
+        Behaviour::Refuse => return refusal(state, &id),
         Behaviour::RefuseLate => {
             thread::sleep(*lock(&state.work));
-            return refusal(&id);
+            return refusal(state, &id);
+        }
+        Behaviour::RepeatRefusal if !repeat_refusal(state, call) => {
+            let bytes = refusal_bytes(state, &id);
+            if let Ok(caller) = call.stream.peer_addr() {
+                lock(&state.refusals).insert(caller, bytes.clone());
+            }
+            return ServerAction::Send(bytes);
         }
         Behaviour::Hang => return ServerAction::Hang,
         Behaviour::RejectEarly => {
@@ -231,6 +283,7 @@
     }
     let mut signature =
         format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\nKeep-Alive: timeout=10\r\n");
+    signature += leaving_field(state);
     for limit in &*lock(&state.limits) {
         signature += &format!("{LIMIT}: {limit}\r\n");
     }
@@ -240,6 +293,9 @@
     let whole = response("200 OK", &signature, format!("body of {id}").as_bytes());
     match behaviour {
         Behaviour::Truncate => ServerAction::SendAndClose(whole[..whole.len() - 5].to_vec()),
+        Behaviour::CutAfter(count) => {
+            ServerAction::SendAndClose(whole[..count.min(whole.len())].to_vec())
+        }
         Behaviour::Lose => ServerAction::SendAndReset(Vec::new()),
         Behaviour::Unsigned => {
             let fields = format!("Attempt-Id: {id}\r\n");
@@ -249,6 +305,10 @@
             let head = format!("HTTP/1.1 200 OK\r\n{signature}\r\nbody of {id}");
             ServerAction::SendAndClose(head.into_bytes())
         }
+        Behaviour::UnframedEmpty => {
+            let head = format!("HTTP/1.1 200 OK\r\n{signature}\r\n");
+            ServerAction::SendAndClose(head.into_bytes())
+        }
         Behaviour::AnswerTwice => {
             let mut bytes = std::mem::replace(&mut *lock(&state.duplicate), whole.clone());
             bytes.extend_from_slice(&whole);
@@ -262,9 +322,34 @@
     format!("Backend-Load: {running},0,{SLOTS},100\r\n")
 }
 
-fn refusal(id: &str) -> ServerAction {
-    let fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
-    ServerAction::Send(response("503 Full", &fields, b""))
+/// Returns the field by which a target says that it is leaving; nothing if it does not.
+fn leaving_field(state: &State) -> &'static str {
+    match state.leaving.load(Ordering::SeqCst) {
+        true => LEAVING_FIELD,
+        false => "",
+    }
+}
+
+/// Sends the refusal of an earlier request of the connection once more. Returns whether there was
+/// one.
+fn repeat_refusal(state: &State, call: &ReceivedRequest) -> bool {
+    let caller = call.stream.peer_addr().ok();
+    let earlier = caller.and_then(|caller| lock(&state.refusals).get(&caller).cloned());
+    let sent = earlier.map(|bytes| (&call.stream).write_all(&bytes));
+    sent.is_some_and(|sent| sent.is_ok())
+}
+
+fn refusal(state: &State, id: &str) -> ServerAction {
+    ServerAction::Send(refusal_bytes(state, id))
+}
+
+fn refusal_bytes(state: &State, id: &str) -> Vec<u8> {
+    let mut fields = format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n");
+    fields += leaving_field(state);
+    for pause in &*lock(&state.pauses) {
+        fields += &format!("{RETRY_AFTER}: {pause}\r\n");
+    }
+    response("503 Full", &fields, b"")
 }
 
 /// Runs a request. Returns whether the caller disconnected meanwhile.
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -12,6 +12,10 @@
 
 /// The header field in which a target names its limit.
 pub const LIMIT: &str = "Server-Limit";
+/// The header field by which a target says that it is leaving, with the end of its line.
+pub const LEAVING_FIELD: &str = "Server-Leaving: 1\r\n";
+/// The header field in which a target that refuses a request asks for a pause.
+pub const RETRY_AFTER: &str = "Retry-After";
 
 /// The settings that differ between gateway VMs.
 #[derive(Clone, Copy, Debug)]
