gateway: VMs join through others, one VM reads the store for all domains

Cause: each start cost a call to register, one for the list of VMs and three first reads, and until a VM knew its peers it read the store by itself, for good if the list could not be read. The first VM of each of five domains read the store as well.

Change: a VM asks one that its settings name; that one registers many with one call (lib::join_queue). The first VM of a domain polls that of another one (VmRoster::remote_sources). A VM that starts waits for the VMs before it, by its place in the order, before it calls the store (record_age); meanwhile it asks the first three in turn, and a VM that has no records yet holds polls longer. A VM without the list asks again. A caller of a VM that is not ready is told to return when it will be. Calls count by purpose, connections by reason.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -21,6 +21,7 @@
 use crate::limit_client;
 use crate::limits;
 use crate::limits::NEWS_FIELD;
+use crate::registrar;
 use crate::reply::Reply;
 
 /// Largest request head, in bytes.
@@ -75,6 +76,9 @@
         gateway.metrics.feed_bytes("sent", reply.body_len());
         return reply;
     }
+    if let Some(reply) = registrar::answer(gateway, head).await {
+        return reply;
+    }
     if let Some(reply) = limit_client::answer(gateway, &head.method, &head.target) {
         return reply;
     }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -53,7 +53,10 @@
     let route = match route(&gateway, &received.head) {
         Ok(route) => route,
         Err(refusal) => {
-            let failed = FailedCall::retry_soon(refusal);
+            let failed = match refusal {
+                Refusal::NotReady => FailedCall::not_ready(gateway.uptime()),
+                refusal => FailedCall::retry_soon(refusal),
+            };
             return Some(refuse(
                 &gateway,
                 "",
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::apply_records;
 use crate::caller_connection;
 use crate::gateway::Gateway;
+use crate::registrar;
 use crate::store_watch;
 use crate::vm_registration;
 
@@ -29,6 +30,8 @@
 const STOP_TICK: Duration = Duration::from_millis(20);
 /// Ticks between two sweeps of idle connections and checks of the settings file.
 const SWEEP_TICKS: u32 = 10;
+/// Pause after a failed registration.
+const REGISTRATION_PAUSE: Duration = Duration::from_secs(2);
 /// Length of the accept queue of a listener.
 const BACKLOG: u32 = 1_024;
 
@@ -165,20 +168,31 @@
     }
 }
 
-/// Registers this VM, loads the list of VMs and follows the store. On the first start of the whole
-/// system the list is loaded before the store is followed. On later starts it is loaded afterwards:
-/// callers are waiting, and all VMs may have restarted at the same time, so that none could forward
-/// changes yet.
+/// Registers this VM, loads the list of VMs and follows the store.
+///
+/// A VM asks one that its settings name for the list, and then follows the store through a VM of its
+/// failure domain. One that others ask reads the list in the store, and so does one that can ask no
+/// other. On the first start of the whole system it follows the store after that. On later starts
+/// it does so at once: callers are waiting, and all VMs may have restarted at the same time.
 async fn follow_store(gateway: Rc<Gateway>) -> eyre::Result<()> {
     let first_start = gateway.boot.borrow().first_start;
-    if first_start {
-        vm_registration::register(&gateway).await;
+    let asks = !gateway.is_seed() && !gateway.seeds().is_empty();
+    let mut registered = asks && vm_registration::ask_others(&gateway).await;
+    if first_start && !registered {
+        registered = vm_registration::register(&gateway).await;
     }
     for topic in [Topic::Operators, Topic::Targets] {
         spawn("store", store_watch::follow(Rc::clone(&gateway), topic));
     }
-    if !first_start {
-        vm_registration::register(&gateway).await;
+    if !registered {
+        registered = vm_registration::register(&gateway).await;
+    }
+    spawn("registrar", registrar::serve(Rc::clone(&gateway)));
+    // Without the list, this VM would read the store on its own for good.
+    while !registered {
+        tokio::time::sleep(REGISTRATION_PAUSE).await;
+        registered = asks && vm_registration::ask_others(&gateway).await
+            || vm_registration::register(&gateway).await;
     }
     Ok(())
 }
--- a/gateway/src/failed_call.rs
+++ b/gateway/src/failed_call.rs
@@ -9,6 +9,9 @@
 
 /// Suggested delay before a retry if nothing is known about when a target can serve the request.
 const RETRY_SOON: Duration = Duration::from_millis(250);
+/// How long after its start a VM has the configuration and the targets, as a rule, also if all VMs
+/// have started at once. A caller may return only once.
+const START_TIME: Duration = Duration::from_millis(1_000);
 
 /// Why a call ended without a response from a target.
 pub(crate) struct FailedCall {
@@ -20,6 +23,15 @@
 }
 
 impl FailedCall {
+    /// Creates the failure of a call before this VM can serve any. `uptime` is the time since its
+    /// start.
+    pub(crate) fn not_ready(uptime: Duration) -> Self {
+        Self {
+            retry: Some(START_TIME.saturating_sub(uptime).max(RETRY_SOON)),
+            ..Self::retry_soon(Refusal::NotReady)
+        }
+    }
+
     /// Creates a failure. The caller may retry soon if the status says that the request has not
     /// run.
     pub(crate) fn retry_soon(refusal: Refusal) -> Self {
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -18,7 +18,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
-use crate::feed_format::EncodedChanges;
+use crate::compressed_body::CompressedBody;
+use crate::feed_format;
 use crate::feed_format::FeedFormat;
 use crate::reply::Reply;
 
@@ -28,6 +29,8 @@
 /// fails, the next VM in line turns to the store, and the others must wait for it instead of
 /// calling the store as well.
 const SEARCH_HOLD: Duration = Duration::from_millis(300);
+/// The same for a VM that has started and has no records yet. A whole failure domain may be starting.
+const START_HOLD: Duration = Duration::from_millis(800);
 /// Path prefix of a poll; the topic and the offset follow.
 const PATH: &str = "/feed/";
 
@@ -67,7 +70,7 @@
     /// When the store last confirmed the records, to this VM or to one that they came through.
     confirmed: Cell<Option<Instant>>,
     /// Answers since the last change of the records, most of which are asked for by many VMs.
-    encoded: RefCell<Vec<(u64, FeedFormat, EncodedChanges)>>,
+    encoded: RefCell<Vec<(u64, FeedFormat, CompressedBody)>>,
 }
 
 impl Default for Feed {
@@ -139,7 +142,7 @@
             FeedFormat::Plain => mirror.since(poll.from),
             FeedFormat::Compact => mirror.patches_since(poll.from),
         };
-        let new = EncodedChanges::new(&changes, poll.format)?;
+        let new = feed_format::encode(&changes, poll.format)?;
         let reply = new.reply();
         if encoded.len() == MAX_ENCODED {
             encoded.remove(0);
@@ -171,6 +174,9 @@
             let end = match state {
                 SourceState::Found if is_current => started + POLL_HOLD,
                 SourceState::Lost if poll.patient => started + POLL_HOLD,
+                SourceState::Searching if self.mirror.borrow().next().is_none() => {
+                    state_since + START_HOLD
+                }
                 SourceState::Searching => state_since + SEARCH_HOLD,
                 SourceState::Found | SourceState::Lost => return,
             };
--- a/gateway/src/feed_format.rs
+++ b/gateway/src/feed_format.rs
@@ -5,27 +5,16 @@
 //! for this with a header field, because older VMs read whole records only.
 
 use std::io;
-use std::io::Read;
-use std::io::Write;
 
 use carobshore_http::fields::Fields;
 use carobshore_lib::store_mirror::Changes;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 
-use crate::reply::Reply;
+use crate::compressed_body;
+use crate::compressed_body::CompressedBody;
 
 /// Header field of a poll that asks for [`FeedFormat::Compact`].
 const FORMAT_FIELD: &str = "Feed-Format";
 const COMPACT: &str = "compact";
-/// Header field of an answer with a compressed body.
-const ENCODING_FIELD: &str = "Content-Encoding";
-const DEFLATE: &str = "deflate";
-/// Length from which on a body is compressed, in bytes.
-const MIN_COMPRESSED: usize = 1 << 10;
-/// Largest length of an uncompressed body, in bytes.
-const MAX_BODY: u64 = 64 << 20;
 
 /// The format of the answer to a poll.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -56,48 +45,17 @@
     }
 }
 
-/// An encoded answer.
-#[derive(Clone, Debug)]
-pub struct EncodedChanges {
-    body: Vec<u8>,
-    compressed: bool,
-}
-
-impl EncodedChanges {
-    /// Encodes changes.
-    pub fn new(changes: &Changes, format: FeedFormat) -> io::Result<Self> {
-        let body = serde_json::to_vec(changes)?;
-        if format == FeedFormat::Plain || body.len() < MIN_COMPRESSED {
-            return Ok(Self {
-                body,
-                compressed: false,
-            });
-        }
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        encoder.write_all(&body)?;
-        Ok(Self {
-            body: encoder.finish()?,
-            compressed: true,
-        })
-    }
-
-    /// Returns the response with the changes.
-    pub fn reply(&self) -> Reply {
-        let reply = Reply::text(200, self.body.clone());
-        match self.compressed {
-            true => reply.with_field(ENCODING_FIELD, DEFLATE),
-            false => reply,
-        }
+/// Encodes changes.
+pub fn encode(changes: &Changes, format: FeedFormat) -> io::Result<CompressedBody> {
+    let body = serde_json::to_vec(changes)?;
+    match format {
+        FeedFormat::Plain => Ok(CompressedBody::plain(body)),
+        FeedFormat::Compact => CompressedBody::new(body),
     }
 }
 
 /// Decodes the body of an answer with these header fields.
 pub fn decode(fields: &Fields, body: &[u8]) -> io::Result<Changes> {
-    if fields.text(ENCODING_FIELD) != Some(DEFLATE) {
-        return Ok(serde_json::from_slice(body)?);
-    }
-    let mut text = Vec::new();
-    let mut decoder = DeflateDecoder::new(body).take(MAX_BODY);
-    decoder.read_to_end(&mut text)?;
+    let text = compressed_body::decode(fields, body)?;
     Ok(serde_json::from_slice(&text)?)
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a process.
 
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -49,6 +50,7 @@
 use crate::in_flight::InFlight;
 use crate::limits;
 use crate::metrics::Metrics;
+use crate::registrar::Registrar;
 use crate::target_connections::TargetConnections;
 
 /// Number of VMs that is assumed while the list of VMs is not known.
@@ -90,6 +92,7 @@
     pub(crate) limit_news: RefCell<LimitNews>,
     limit_queues: RefCell<HashMap<ServiceId, LimitQueue>>,
     limit_lenders: RefCell<LimitLenders>,
+    registrar: Registrar,
     operators: Feed,
     announcements: Feed,
     checks: RefCell<CheckBudget>,
@@ -153,6 +156,7 @@
             limit_news: RefCell::default(),
             limit_queues: RefCell::default(),
             limit_lenders: RefCell::default(),
+            registrar: Registrar::default(),
             operators: Feed::default(),
             announcements: Feed::default(),
             checks: RefCell::new(CheckBudget::new(now, boot.check_rate)),
@@ -177,6 +181,11 @@
         loaded && !self.exit.borrow().is_stopping()
     }
 
+    /// Returns the time since the process started.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Begins a planned stop. Calls in progress learn of their new deadline.
     pub fn begin_stop(&self) {
         self.exit.borrow_mut().signal(Instant::now());
@@ -245,15 +254,37 @@
         usable
     }
 
-    /// Replaces the list of VMs. `is_new` says whether the other VMs may not know this one yet.
+    /// Sets the list of VMs. `is_new` says whether the other VMs may not know this one yet.
     pub fn set_roster(&self, roster: VmRoster, is_new: bool) {
-        *self.roster.borrow_mut() = roster;
         self.is_new.set(is_new);
+        self.replace_roster(roster);
+    }
+
+    /// Replaces the list of VMs by a later one.
+    pub(crate) fn replace_roster(&self, roster: VmRoster) {
+        *self.roster.borrow_mut() = roster;
+        self.registrar.list_changed();
         for connections in self.connections.borrow().values() {
             limits::divide_again(self, connections);
         }
     }
 
+    /// Returns the list of VMs, which is empty while it is not known.
+    pub(crate) fn roster(&self) -> Ref<'_, VmRoster> {
+        self.roster.borrow()
+    }
+
+    /// Returns what registers other VMs.
+    pub(crate) fn registrar(&self) -> &Registrar {
+        &self.registrar
+    }
+
+    /// Returns whether the settings name this VM as one that others ask first.
+    pub fn is_seed(&self) -> bool {
+        let boot = self.boot.borrow();
+        boot.control.is_some_and(|addr| boot.seeds.contains(&addr))
+    }
+
     /// Returns this VM's part of a limit that a target names.
     pub fn limit_share(&self, target: &TargetId, rate: RequestRate) -> LimitShare {
         let roster = self.roster.borrow();
@@ -304,9 +335,19 @@
         self.roster.borrow().len().unwrap_or(ASSUMED_VMS)
     }
 
-    /// Returns the addresses of the VMs from which this VM may read changes.
+    /// Returns the addresses of the VMs from which this VM may read changes: those before it in its
+    /// failure domain, or else the first ones of other domains.
     pub fn sources(&self) -> Vec<SocketAddr> {
-        self.feed_addrs(VmRoster::sources)
+        let sources = self.feed_addrs(VmRoster::sources);
+        match sources.is_empty() {
+            true => self.feed_addrs(VmRoster::remote_sources),
+            false => sources,
+        }
+    }
+
+    /// Returns the number of VMs before this one in its failure domain.
+    pub fn preceding_vms(&self) -> usize {
+        self.feed_addrs(VmRoster::sources).len()
     }
 
     /// Returns the addresses of the VMs that may read changes from this VM.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -68,7 +68,10 @@
                 "carobshore.connections_opened",
                 "Connections to targets by the reason to open them",
             ),
-            store_calls: counter("carobshore.store_calls", "Calls to the store by their end"),
+            store_calls: counter(
+                "carobshore.store_calls",
+                "Calls to the store by their purpose and end",
+            ),
             feed_bytes: counter(
                 "carobshore.feed_bytes",
                 "Bytes of changes exchanged with other VMs, by direction",
@@ -117,9 +120,14 @@
         self.connections.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Counts a call to the store.
-    pub fn store_call(&self, end: &'static str) {
-        self.store_calls.add(1, &[KeyValue::new("end", end)]);
+    /// Counts a call to the store, by its purpose and its end.
+    pub fn store_call<T, E>(&self, purpose: &'static str, result: &Result<T, E>) {
+        let end = match result {
+            Ok(_) => "answered",
+            Err(_) => "failed",
+        };
+        let labels = [KeyValue::new("purpose", purpose), KeyValue::new("end", end)];
+        self.store_calls.add(1, &labels);
     }
 
     /// Counts bytes of a feed answer. `direction` is `sent` or `received`.
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -45,10 +45,11 @@
 /// How long the store and another VM are both queried without a response before another VM is
 /// chosen.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long after the start of this VM a poll is retried, because the other VM may be starting too,
-/// and the pause before each retry.
-const START_TIME: Duration = Duration::from_millis(600);
-const START_PAUSE: Duration = Duration::from_millis(150);
+/// How long after the start of this VM failed polls are retried, because the other VMs may be
+/// starting too, the number of VMs that are polled in turn, and the pause before each retry.
+const START_TIME: Duration = Duration::from_millis(1_500);
+const START_SOURCES: usize = 3;
+const START_PAUSE: Duration = Duration::from_millis(100);
 
 /// The follower of one topic.
 struct Watch {
@@ -72,6 +73,8 @@
     lost_since: Option<Instant>,
     /// Until when a failed poll is retried; nothing after the first response of another VM.
     start_end: Option<Instant>,
+    /// The number of polls that have failed since the start.
+    start_failures: usize,
 }
 
 /// Another VM that is polled.
@@ -101,6 +104,7 @@
         next: None,
         lost_since: None,
         start_end: Some(Instant::now() + START_TIME),
+        start_failures: 0,
     };
     loop {
         watch.step().await;
@@ -121,12 +125,17 @@
     fn store_due(&self, peer: Option<&Peer>) -> Instant {
         match peer {
             Some(_) if self.lost_since.is_none() => {
-                self.record_age.store_due(self.gateway.sources().len())
+                self.record_age.store_due(self.gateway.preceding_vms())
             }
             _ => Instant::now(),
         }
     }
 
+    /// Returns whether this VM has just started and got no response of another VM yet.
+    fn is_starting(&self) -> bool {
+        self.start_end.is_some_and(|end| Instant::now() < end)
+    }
+
     fn new_probes(&self) -> StoreProbes {
         let addr = self.gateway.boot.borrow().store;
         StoreProbes::new(addr, self.topic)
@@ -145,6 +154,10 @@
         if self.lost_since.is_some() && self.next.is_none() {
             sources.extend(self.gateway.seeds());
         }
+        if self.is_starting() && direct_count > 0 {
+            let first = self.start_failures % direct_count.min(START_SOURCES);
+            sources[..direct_count].rotate_left(first);
+        }
         let now = Instant::now();
         let Some(source) = self.choice.choose(now, &sources, self.lost_since.is_some()) else {
             return;
@@ -186,7 +199,7 @@
             self.record_age.confirm(confirmed);
         }
         // An answer that is older than the limit is no reason not to call the store.
-        let is_fresh = self.record_age.store_due(self.gateway.sources().len()) > Instant::now();
+        let is_fresh = self.record_age.store_due(self.gateway.preceding_vms()) > Instant::now();
         if !peer.indirect && is_fresh {
             self.probes = None;
             self.on_response();
@@ -255,13 +268,14 @@
                 probes.next_answer(from, waiting).await
             };
             tokio::select! {
-                response = probing, if calls_store => match response {
-                    Ok(answer) => return self.on_probe_answer(answer, asked),
-                    Err(failure) => {
-                        self.gateway.metrics.store_call("failed");
-                        self.mark_lost(&failure.to_string());
+                response = probing, if calls_store => {
+                    let purpose = if from.is_some() { "probe" } else { "first-read" };
+                    self.gateway.metrics.store_call(purpose, &response);
+                    match response {
+                        Ok(answer) => return self.on_probe_answer(answer, asked),
+                        Err(failure) => self.mark_lost(&failure.to_string()),
                     }
-                },
+                }
                 () = &mut call_store, if !calls_store => {
                     let addr = self.gateway.boot.borrow().store;
                     let probes = probes.get_or_insert_with(|| StoreProbes::new(addr, self.topic));
@@ -296,16 +310,15 @@
 
     /// Processes the result of a poll.
     async fn on_polled(&mut self, peer: Peer, polled: Result<PolledChanges, PollFailure>) {
-        let is_starting = self.start_end.is_some_and(|end| Instant::now() < end);
         match polled {
             Ok(polled) => {
                 let from = self.next.unwrap_or(FULL_SNAPSHOT);
                 self.apply_polled(peer, from, polled);
             }
-            Err(failure) if is_starting => {
+            Err(failure) if self.is_starting() => {
                 log::debug!(topic:? = self.topic, reason = &*failure.reason; "another VM is not ready yet");
+                self.start_failures += 1;
                 sleep(START_PAUSE).await;
-                self.peer = Some(peer);
             }
             Err(failure) => self.on_poll_failure(&peer, &failure),
         }
@@ -313,7 +326,7 @@
 
     /// Processes the response of the store to a probe.
     fn on_probe_result(&mut self, result: ProbeResult) {
-        self.on_store_response();
+        self.on_response();
         match result {
             // Another VM may have sent later records since the call began.
             ProbeResult::Everything(newest) if self.next.is_some_and(|next| newest.end < next) => {}
@@ -349,14 +362,16 @@
             self.wait.wait(self.record_age.age(started)),
             self.wait.slack(),
         );
-        match self.store.read(from, wait, slack).await {
+        let page = self.store.read(from, wait, slack).await;
+        self.gateway.metrics.store_call("wait", &page);
+        match page {
             Ok(page) if page.next == from => {
                 self.wait.observe(started.elapsed(), wait);
-                self.on_store_response();
+                self.on_response();
                 self.confirm();
             }
             Ok(page) => {
-                self.on_store_response();
+                self.on_response();
                 self.apply_page(page);
                 self.confirm();
                 sleep(self.pause()).await;
@@ -373,11 +388,6 @@
         }
     }
 
-    fn on_store_response(&mut self) {
-        self.gateway.metrics.store_call("answered");
-        self.on_response();
-    }
-
     /// Records that the store has just confirmed the records of this VM.
     fn confirm(&mut self) {
         let now = Instant::now();
@@ -401,7 +411,6 @@
 
     /// Records that a read failed.
     fn on_read_failure(&mut self, failure: &StoreFailure) {
-        self.gateway.metrics.store_call("failed");
         self.probes = Some(self.new_probes());
         if *failure == StoreFailure::Closed {
             // The store closes connections when it drops records, and may respond again at once.
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -1,74 +1,186 @@
-//! Registers this VM in the store, and reads the list of VMs.
+//! Registers this VM, and reads the list of VMs: through another VM that the settings name, or else
+//! in the store.
 
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::preferred_targets;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
 use carobshore_platform::store_client::Topic;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::registrar;
+use crate::registrar::Registration;
 
-/// How long a VM waits for the others to register when the whole system starts for the first time.
-const REGISTRATION_WAIT: Duration = Duration::from_millis(1_000);
-/// How long the start waits for the store. After that the VM starts without the list of VMs.
-const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// When the whole system starts for the first time: how long the VMs that register others wait for
+/// these, and then for each other's registrations.
+const FIRST_ASKED_TIME: Duration = Duration::from_millis(800);
+const FIRST_OTHERS_TIME: Duration = Duration::from_millis(600);
+/// How long the registration in the store may take. After that the VM starts without the list.
+const STORE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long other VMs are asked before the store is called: when the whole system starts for the
+/// first time, and later, when callers are waiting.
+const FIRST_ASK_TIMEOUT: Duration = Duration::from_millis(3_000);
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The VMs that could ask no other one call the store within this time, one after the other.
+const ASK_SPREAD: Duration = Duration::from_millis(1_500);
+/// Pause between two rounds of questions.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Registers this VM and stores the list of VMs in the gateway. A failure is only logged.
-pub async fn register(gateway: &Rc<Gateway>) {
+/// Asks other VMs to register this one and to tell the list of VMs. Returns whether one has.
+pub async fn ask_others(gateway: &Rc<Gateway>) -> bool {
     let started = Instant::now();
-    let result = timeout(REGISTRATION_TIMEOUT, register_and_read(gateway)).await;
+    let record = own_record(gateway);
+    let limit = ask_limit(gateway, &record.name);
+    let asked = timeout(limit, ask_in_turn(gateway, &record)).await;
+    let ms = started.elapsed().as_millis() as u64;
+    match asked {
+        Ok(registration) => {
+            accept(gateway, registration, ms, "another VM");
+            true
+        }
+        Err(_) => {
+            log::warn!(reason = "no other VM knows it", ms; "cannot read the list of VMs");
+            false
+        }
+    }
+}
+
+/// Registers this VM in the store and reads the list of VMs there. Returns whether it was read.
+pub async fn register(gateway: &Rc<Gateway>) -> bool {
+    let started = Instant::now();
+    let result = timeout(STORE_TIMEOUT, register_and_read(gateway)).await;
     let ms = started.elapsed().as_millis() as u64;
     match result {
-        Ok(Ok((roster, is_new))) => {
-            log::info!(vms = roster.len().unwrap_or(0), ms; "list of VMs read");
-            gateway.set_roster(roster, is_new);
+        Ok(Ok(registration)) => {
+            accept(gateway, registration, ms, "the store");
+            return true;
         }
         Ok(Err(failure)) => log::warn!(reason:% = failure, ms; "cannot read the list of VMs"),
         Err(_) => log::warn!(reason = "time-out", ms; "cannot read the list of VMs"),
     }
+    false
+}
+
+/// Registers the VMs that have asked this one to.
+pub(crate) async fn register_others(gateway: &Gateway) {
+    let records = gateway.registrar().take(&gateway.roster());
+    if records.is_empty() {
+        return gateway.registrar().list_changed();
+    }
+    let mut client = StoreClient::new(gateway.boot.borrow().store, Topic::Vms);
+    let registered = async {
+        append(gateway, &mut client, &records).await?;
+        read(gateway, &mut client).await
+    };
+    let vms = records.len();
+    match registered.await {
+        Ok(mut roster) => {
+            roster.merge(&gateway.roster());
+            records.into_iter().for_each(|vm| roster.add(vm));
+            log::info!(vms; "other VMs registered");
+            gateway.replace_roster(roster);
+        }
+        Err(failure) => log::warn!(vms, reason:% = failure; "cannot register other VMs"),
+    }
 }
 
-/// Returns the list of VMs, and whether others may have read it before this VM was in it.
-async fn register_and_read(gateway: &Gateway) -> Result<(VmRoster, bool), StoreFailure> {
-    let (record, first_start, store) = {
+fn accept(gateway: &Gateway, registration: Registration, ms: u64, from: &str) {
+    let Registration { roster, is_new } = registration;
+    log::info!(vms = roster.len().unwrap_or(0), is_new, from, ms; "list of VMs read");
+    gateway.set_roster(roster, is_new);
+}
+
+/// Returns how long other VMs are asked. The VMs give up at different times, so that they do not
+/// all call the store at once.
+fn ask_limit(gateway: &Gateway, name: &str) -> Duration {
+    if gateway.boot.borrow().first_start {
+        return FIRST_ASK_TIMEOUT;
+    }
+    let position = preferred_targets::rank(name, "") as f64 / u64::MAX as f64;
+    ASK_TIMEOUT + ASK_SPREAD.mul_f64(position)
+}
+
+/// Asks the VMs that the settings name, one after the other, until one answers. Each VM begins with
+/// another one.
+async fn ask_in_turn(gateway: &Gateway, record: &VmRecord) -> Registration {
+    let mut seeds = gateway.seeds();
+    let first = preferred_targets::rank(&record.name, "") as usize % seeds.len().max(1);
+    seeds.rotate_left(first);
+    loop {
+        for seed in &seeds {
+            if let Some(registration) = registrar::ask(*seed, record).await {
+                return registration;
+            }
+        }
+        sleep(ASK_PAUSE).await;
+    }
+}
+
+async fn register_and_read(gateway: &Gateway) -> Result<Registration, StoreFailure> {
+    let record = own_record(gateway);
+    let (first_start, store) = {
         let boot = gateway.boot.borrow();
-        let record = VmRecord {
-            name: boot.vm_name.clone(),
-            domain: boot.domain.clone(),
-            feed: boot.admin(),
-            link: boot.link,
-        };
-        (record, boot.first_start, boot.store)
+        (boot.first_start, boot.store)
     };
     let mut client = StoreClient::new(store, Topic::Vms);
     if first_start {
-        append(&mut client, &record).await?;
-        tokio::time::sleep(REGISTRATION_WAIT).await;
-        let mut roster = read(&mut client).await?;
+        sleep(FIRST_ASKED_TIME).await;
+        let mut records = gateway.registrar().take(&VmRoster::default());
+        records.push(record.clone());
+        append(gateway, &mut client, &records).await?;
+        sleep(FIRST_OTHERS_TIME).await;
+        let mut roster = read(gateway, &mut client).await?;
         roster.add(record);
-        return Ok((roster, false));
+        return Ok(Registration {
+            roster,
+            is_new: false,
+        });
     }
-    let mut roster = read(&mut client).await?;
+    let mut roster = read(gateway, &mut client).await?;
     let is_new = !roster.has(&record);
     if is_new {
-        append(&mut client, &record).await?;
+        append(gateway, &mut client, std::slice::from_ref(&record)).await?;
         roster.add(record);
     }
-    Ok((roster, is_new))
+    Ok(Registration { roster, is_new })
+}
+
+fn own_record(gateway: &Gateway) -> VmRecord {
+    let boot = gateway.boot.borrow();
+    VmRecord {
+        name: boot.vm_name.clone(),
+        domain: boot.domain.clone(),
+        feed: boot.admin(),
+        link: boot.link,
+    }
 }
 
-async fn append(client: &mut StoreClient, record: &VmRecord) -> Result<(), StoreFailure> {
-    let value = serde_json::to_vec(record).map_err(|_| StoreFailure::Malformed("own VM record"))?;
-    client.append(&record.name, &value).await
+async fn append(
+    gateway: &Gateway,
+    client: &mut StoreClient,
+    vms: &[VmRecord],
+) -> Result<(), StoreFailure> {
+    let encoded = vms
+        .iter()
+        .map(|vm| Ok((&*vm.name, serde_json::to_vec(vm)?)));
+    let records: Result<Vec<_>, serde_json::Error> = encoded.collect();
+    let records = records.map_err(|_| StoreFailure::Malformed("VM record"))?;
+    let result = client.append(&records).await;
+    gateway.metrics.store_call("register", &result);
+    result
 }
 
-async fn read(client: &mut StoreClient) -> Result<VmRoster, StoreFailure> {
-    let newest = client.newest().await?;
+async fn read(gateway: &Gateway, client: &mut StoreClient) -> Result<VmRoster, StoreFailure> {
+    let newest = client.newest().await;
+    gateway.metrics.store_call("list", &newest);
+    let newest = newest?;
     let values = newest
         .records
         .iter()
--- a/gateway/tests/test_log.rs
+++ b/gateway/tests/test_log.rs
@@ -103,7 +103,7 @@
     });
     expect![[r#"
         INFO attempt end="answered" id="id-served" left_out=0 limit=null local=true missing=false preferred=true target="i-0"
-        INFO list of VMs read vms=1
+        INFO list of VMs read is_new=true vms=1
         INFO planned stop in_flight=0
         INFO request attempts="" id="id-denied" left_out=0 outcome="no-route" route="" status=404 version=1
         INFO request attempts="" id="id-nobody" left_out=0 outcome="no-target" route="r-safe" status=503 version=2
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod homes;
 pub mod intent;
 pub mod item_id;
+pub mod join_queue;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_ownership;
--- a/lib/src/record_age.rs
+++ b/lib/src/record_age.rs
@@ -15,34 +15,53 @@
 /// second one has become the source, so that not all of them call the store.
 const OTHERS_LIMIT: Duration = Duration::from_millis(1_400);
 
+/// How long a VM that has just started waits for the VMs before it: the first one of a failure
+/// domain, the next one, and each further one in addition. If a failure domain starts as a whole and
+/// its first VMs do not, the others call the store one after the other.
+const FIRST_START_WAIT: Duration = Duration::from_millis(300);
+const START_WAIT: Duration = Duration::from_millis(1_000);
+const START_STEP: Duration = Duration::from_millis(50);
+/// The number of VMs that wait for different times.
+const MAX_START_STEPS: u32 = 60;
+
 /// The age of the records of one topic.
 #[derive(Clone, Copy, Debug)]
 pub struct RecordAge {
-    confirmed: Instant,
+    started: Instant,
+    /// When the store last confirmed the records; nothing if this VM has none.
+    confirmed: Option<Instant>,
 }
 
 impl RecordAge {
     /// Creates the age of a VM that has just started, which may first ask others.
     pub fn new(now: Instant) -> Self {
-        Self { confirmed: now }
+        Self {
+            started: now,
+            confirmed: None,
+        }
     }
 
     /// Records that the records were current at `at`, according to the store.
     pub fn confirm(&mut self, at: Instant) {
-        self.confirmed = self.confirmed.max(at);
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
-    /// Returns the time since the records were current.
+    /// Returns the time since the records were current, or since the start.
     pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.confirmed)
+        now.saturating_duration_since(self.confirmed.unwrap_or(self.started))
     }
 
-    /// Returns when a VM that has `sources` VMs before it calls the store itself.
-    pub fn store_due(&self, sources: usize) -> Instant {
-        let limit = match sources {
-            0 | 1 => FIRST_LIMIT,
-            _ => OTHERS_LIMIT,
-        };
-        self.confirmed + limit
+    /// Returns when a VM that has `preceding` VMs of its failure domain before it calls the store
+    /// itself.
+    pub fn store_due(&self, preceding: usize) -> Instant {
+        match (self.confirmed, preceding) {
+            (Some(confirmed), 0 | 1) => confirmed + FIRST_LIMIT,
+            (Some(confirmed), _) => confirmed + OTHERS_LIMIT,
+            (None, 0) => self.started + FIRST_START_WAIT,
+            (None, preceding) => {
+                let steps = u32::try_from(preceding - 1).unwrap_or(MAX_START_STEPS);
+                self.started + START_WAIT + START_STEP * steps.min(MAX_START_STEPS)
+            }
+        }
     }
 }
--- a/lib/src/vm_roster.rs
+++ b/lib/src/vm_roster.rs
@@ -1,6 +1,7 @@
 //! The VMs that have registered in the store, and from which VMs each one takes changes.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -25,7 +26,8 @@
 
 /// All VMs that have ever registered. Some may be gone, so their number is an upper bound, which is
 /// what shares of a common budget require.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct VmRoster {
     vms: Vec<VmRecord>,
 }
@@ -47,6 +49,15 @@
         Some(self.vms.len()).filter(|count| *count > 0)
     }
 
+    /// Adds all VMs of another list that this one lacks.
+    pub fn merge(&mut self, other: &Self) {
+        for vm in &other.vms {
+            if !self.vms.iter().any(|known| known.name == vm.name) {
+                self.vms.push(vm.clone());
+            }
+        }
+    }
+
     /// Returns all VMs.
     pub fn iter(&self) -> impl Iterator<Item = &VmRecord> {
         self.vms.iter()
@@ -71,6 +82,23 @@
         preceding
     }
 
+    /// Returns the VMs of other failure domains from which `me` may take changes if it is the first
+    /// one of its own: the first one of each domain, if it precedes `me` in the order of all VMs. So
+    /// one VM reads the store for all domains.
+    pub fn remote_sources(&self, me: &str, domain: &DomainId) -> Vec<&VmRecord> {
+        let mut firsts: BTreeMap<&str, &VmRecord> = BTreeMap::new();
+        for vm in self.vms.iter().filter(|vm| vm.domain != *domain) {
+            let first = firsts.entry(vm.domain.as_str()).or_insert(vm);
+            if order_key(vm.link, &vm.name) < order_key(first.link, &first.name) {
+                *first = vm;
+            }
+        }
+        let mut preceding: Vec<_> = firsts.into_values().collect();
+        preceding.retain(|vm| order_key(vm.link, &vm.name) < self.order_key_of(me));
+        preceding.sort_by_key(|vm| order_key(vm.link, &vm.name));
+        preceding
+    }
+
     /// Returns the VMs of the failure domain that may take changes from `me`. While it has no other
     /// source, `me` may learn from them, but it must not pass that on as if it had a source.
     pub fn followers(&self, me: &str, domain: &DomainId) -> Vec<&VmRecord> {
