gateway: responses without end, fewer connections for questions

Cause: a response could take 64 MiB and was counted nowhere. Change: what exceeds 128 KiB is reserved in the account of the bodies, a quarter of it at most for one response; what does not fit ends that attempt alone, with a log line. The stand-in target sends eight parts without end.

Cause: a search asked three targets at once, and with 472 VMs most of the connections that were opened for it served no request before the target closed them. Change: targets without a connection are asked one by one, and preferred ones with a connection first.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limits;
+use crate::response_memory::ResponseMemory;
 use crate::target_connections::Purpose;
 use crate::target_notices;
 use crate::target_search;
@@ -269,7 +270,12 @@
         target_notices::hear(gateway, connections, &response_fields, belongs);
         belongs
     };
-    match connection.client.exchange(&request, belongs).await {
+    let mut memory = ResponseMemory::new(gateway, connections);
+    let may_use = |bytes| memory.may_use(bytes);
+    let response = connection
+        .client
+        .exchange_within(&request, belongs, may_use);
+    match response.await {
         Ok(response) => {
             let response_fields = header_fields::decode_response(&response.head);
             // Nothing tells a late response from that to the next request without an id.
--- a/gateway/src/body_memory.rs
+++ b/gateway/src/body_memory.rs
@@ -1,4 +1,4 @@
-//! Accounting of the memory that request bodies use.
+//! Accounting of the memory that the bodies of requests and responses use.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -32,6 +32,20 @@
     }
 }
 
+impl ReservedBody {
+    /// Changes the reserved memory. Returns false if more than `limit` bytes would be in use.
+    pub fn resize(&mut self, bytes: u64, limit: u64) -> bool {
+        let others = self.memory.0.get() - self.bytes;
+        let used = others.saturating_add(bytes);
+        if used > limit {
+            return false;
+        }
+        self.memory.0.set(used);
+        self.bytes = bytes;
+        true
+    }
+}
+
 impl Drop for ReservedBody {
     fn drop(&mut self) {
         let Self { memory, bytes } = self;
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -158,6 +158,7 @@
             MessageError::Malformed(_) => Self::Refused(Refusal::BadRequest),
             MessageError::HeadTooLarge => Self::Refused(Refusal::HeadTooLarge),
             MessageError::BodyTooLarge => Self::Refused(Refusal::BodyTooLarge),
+            MessageError::NoMemory => Self::Refused(Refusal::NoMemory),
             MessageError::Closed | MessageError::NoMessage | MessageError::Broken(_) => Self::Ended,
         }
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -57,7 +57,7 @@
 const ASSUMED_VMS: usize = 64;
 /// Log lines about failed requests for each line about successful ones.
 const FAILED_LINES_FACTOR: u32 = 4;
-/// Request bodies may use the memory limit of the process divided by this.
+/// Bodies may use the memory limit of the process divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// State shared by all requests of a process. All of it belongs to one thread.
@@ -555,8 +555,12 @@
 
     /// Reserves memory for a request body. Returns nothing if the limit would be exceeded.
     pub(crate) fn reserve_body(&self, bytes: u64) -> Option<ReservedBody> {
-        let limit = self.boot.borrow().memory / BODY_MEMORY_DIVISOR;
-        self.bodies.reserve(bytes, limit)
+        self.bodies.reserve(bytes, self.body_limit())
+    }
+
+    /// Returns the memory, in bytes, that all bodies together may use.
+    pub(crate) fn body_limit(&self) -> u64 {
+        self.boot.borrow().memory / BODY_MEMORY_DIVISOR
     }
 
     /// Returns the state that `/dump` shows.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod record_source;
 mod registrar;
 pub mod reply;
+mod response_memory;
 pub mod store_probes;
 pub mod store_watch;
 pub mod target_connections;
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -18,7 +18,6 @@
 use carobshore_lib::target_selector;
 use carobshore_lib::target_selector::Candidate;
 use carobshore_lib::target_selector::Demand;
-use carobshore_lib::target_selector::PARALLEL_CHECKS;
 use carobshore_lib::target_signals::Unavailable;
 use carobshore_platform::header_fields;
 use tokio::sync::mpsc;
@@ -33,6 +32,7 @@
 use crate::limited_targets::wait_for_limit;
 use crate::limited_targets::within_limits;
 use crate::limits;
+use crate::response_memory;
 use crate::target_connections::Purpose;
 use crate::target_connections::TargetConnections;
 use crate::target_notices;
@@ -233,11 +233,13 @@
             true => MAX_QUERIED_WHEN_LOW,
             false => MAX_QUERIED,
         });
-        order
+        let indices = order.into_iter().map(|(_, index)| index);
+        indices.collect::<Vec<usize>>()
     };
-    for round in order.chunks(PARALLEL_CHECKS) {
+    let is_connected = |index: usize| usable[index].connections.is_connected();
+    for round in target_selector::rounds(&order, is_connected) {
         let (sender, mut completed) = mpsc::unbounded_channel();
-        for (_, index) in round {
+        for index in round {
             let connections = &usable[*index].connections;
             if has_current_report(connections) {
                 let _ = sender.send(*index);
@@ -377,7 +379,11 @@
         target_notices::hear(gateway, connections, &response_fields, belongs);
         belongs
     };
-    let response = connection.client.exchange(&request, belongs).await.ok()?;
+    let may_use = |bytes| bytes <= response_memory::SMALL;
+    let response = connection
+        .client
+        .exchange_within(&request, belongs, may_use);
+    let response = response.await.ok()?;
     let response_fields = header_fields::decode_response(&response.head);
     let other = header_fields::answering_target(&response.head);
     if response_fields.misdirected || other.is_some_and(|other| other != connections.id.as_str()) {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -175,6 +175,11 @@
         self.start_again();
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process.
     pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
--- a/http/src/body.rs
+++ b/http/src/body.rs
@@ -77,6 +77,11 @@
         self.complete
     }
 
+    /// Returns the memory that the decoded bytes take.
+    pub fn memory(&self) -> usize {
+        self.body.capacity()
+    }
+
     /// Returns the bytes decoded so far, without chunk framing and trailers.
     pub fn into_body(self) -> Vec<u8> {
         self.body
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -131,9 +131,21 @@
     /// server cannot know the request yet. Bytes that arrive before anything was sent end the
     /// exchange. Dropping the future also makes the connection unusable.
     pub async fn exchange(
+        &mut self,
+        request: &EncodedRequest,
+        belongs: impl FnMut(&ResponseHead) -> bool,
+    ) -> Result<Response, ExchangeFailure> {
+        self.exchange_within(request, belongs, |_| true).await
+    }
+
+    /// Does the same as [`Self::exchange`]. `may_use` gets the memory in bytes that the response
+    /// takes, whenever it has grown, and returns whether there is that much. Otherwise the exchange
+    /// fails.
+    pub async fn exchange_within(
         &mut self,
         request: &EncodedRequest,
         mut belongs: impl FnMut(&ResponseHead) -> bool,
+        mut may_use: impl FnMut(usize) -> bool,
     ) -> Result<Response, ExchangeFailure> {
         // The connection becomes reusable again only after a complete response.
         let reusable = std::mem::replace(&mut self.reusable, false);
@@ -155,6 +167,9 @@
                 Ok(None) => {}
                 Err(error) => return Err(failure(written, error)),
             }
+            if !may_use(self.buffer.capacity() + reader.memory()) {
+                return Err(failure(written, MessageError::NoMemory));
+            }
             self.buffer.reserve(READ_SIZE);
             let unsent = &request.bytes[written..];
             tokio::select! {
@@ -253,6 +268,12 @@
         }
     }
 
+    /// Returns the memory that the body takes.
+    fn memory(&self) -> usize {
+        let started = self.started.as_ref();
+        started.map_or(0, |started| started.body.memory())
+    }
+
     /// Records that the server closed the connection without a reset, which may complete the
     /// response.
     fn on_close(&mut self) -> Option<Answer> {
--- a/http/src/message_error.rs
+++ b/http/src/message_error.rs
@@ -14,6 +14,9 @@
     /// The body is larger than allowed.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// The receiver has no memory for the message.
+    #[error("the message needs more memory than there is for it")]
+    NoMemory,
     /// The connection was closed before the message was complete.
     #[error("the connection was closed before the message was complete")]
     Closed,
--- a/lib/src/target_selector.rs
+++ b/lib/src/target_selector.rs
@@ -17,7 +17,9 @@
 
 /// The number of targets that are asked for their load at the same time.
 pub const PARALLEL_CHECKS: usize = 3;
-/// Extra cost of a target that the VM does not prefer and to which it has no idle connection.
+/// Extra cost of a target to which the VM has no idle connection, if it prefers the target and if it
+/// does not. The first one only sets the order: targets with a connection are asked first.
+const PREFERRED_CONNECT_COST: Duration = Duration::from_millis(20);
 const CONNECT_COST: Duration = Duration::from_millis(150);
 /// Extra cost of a target whose announcement is missing.
 const MISSING_COST: Duration = Duration::from_secs(10);
@@ -104,6 +106,22 @@
     }
 }
 
+/// Divides targets into rounds in which they are asked at the same time. Those without an idle
+/// connection are asked one by one, because most new connections that are opened for a question serve
+/// no request. `targets` are indices in the order in which to ask.
+pub fn rounds(targets: &[usize], is_connected: impl Fn(usize) -> bool) -> Vec<&[usize]> {
+    let mut rounds = Vec::new();
+    let mut rest = targets;
+    while !rest.is_empty() {
+        let connected = rest.iter().take_while(|index| is_connected(**index));
+        let size = connected.take(PARALLEL_CHECKS).count().max(1);
+        let (round, later) = rest.split_at(size);
+        rounds.push(round);
+        rest = later;
+    }
+    rounds
+}
+
 /// Returns whether a target that was just asked is good enough to be chosen without asking others:
 /// idle, not slowed down, and without many failures.
 pub fn is_ideal(now: Instant, estimator: &TargetEstimator) -> bool {
@@ -127,9 +145,11 @@
 /// Returns the expected duration of a request on a target plus its other costs, expressed as time.
 pub fn cost(now: Instant, demand: Demand, candidate: &Candidate<'_>) -> Duration {
     let mut cost = candidate.estimator.cost(now, demand.work, candidate.slots);
-    if !candidate.connected && !candidate.preferred {
-        cost += CONNECT_COST;
-    }
+    cost += match (candidate.connected, candidate.preferred) {
+        (true, _) => Duration::ZERO,
+        (false, true) => PREFERRED_CONNECT_COST,
+        (false, false) => CONNECT_COST,
+    };
     if candidate.missing {
         cost += MISSING_COST;
     }
--- a/lib/tests/test_target_selector.rs
+++ b/lib/tests/test_target_selector.rs
@@ -314,3 +314,47 @@
     assert!(share_of_ideal(1) < 0.6);
     assert!(share_of_ideal(6) > 0.95);
 }
+
+/// Guards against connections that are opened for a question only: with hundreds of VMs, most of them
+/// serve no request before the target closes them.
+#[test]
+fn targets_with_a_connection_are_asked_together_and_others_one_by_one() {
+    let connected = [true, true, true, true, false, false, true, true];
+    let order: Vec<usize> = (0..connected.len()).collect();
+    let rounds = target_selector::rounds(&order, |index| connected[index]);
+    let expected: [&[usize]; 5] = [&[0, 1, 2], &[3], &[4], &[5], &[6, 7]];
+    assert_eq!(rounds, expected);
+    assert!(target_selector::rounds(&[], |_| true).is_empty());
+}
+
+#[test]
+fn preferred_targets_with_a_connection_are_asked_first() {
+    let now = Instant::now();
+    let estimators: Vec<_> = (0..6).map(|_| TargetEstimator::default()).collect();
+    let mut candidates: Vec<_> = estimators.iter().map(candidate).collect();
+    candidates[0].connected = false;
+    candidates[1].connected = false;
+    candidates[1].preferred = false;
+    for seed in 0..20 {
+        let order = TargetSelector::new(seed).order(now, demand(0), &candidates);
+        let order: Vec<usize> = order.into_iter().map(|(_, index)| index).collect();
+        assert_eq!(order[4..], [0, 1]);
+    }
+}
+
+/// One that is connected and has a request is not preferred to one that is idle.
+#[test]
+fn a_preferred_target_is_connected_when_the_others_are_busy() {
+    let now = Instant::now();
+    let estimators = [
+        reported(now, report(2, 0, 100)),
+        reported(now, report(0, 0, 500)),
+        TargetEstimator::default(),
+    ];
+    let mut candidates: Vec<_> = estimators.iter().map(candidate).collect();
+    candidates[2].connected = false;
+    for seed in 0..20 {
+        let best = TargetSelector::new(seed).best(now, demand(0), &candidates);
+        assert_eq!(best, Some(2));
+    }
+}
