gateway: the age of an answer includes its way, preferred targets stay in use

Cause: the time of an answer between VMs on its way was not part of its age, so the bound of a change did not hold by construction (300 ms counted as nothing). And an answer that names another target could mark the one that was asked.

Change: answers say how long the poll was held, the rest is counted as age (record_age::confirmed_at). Answers that name another target mark nobody. The extra cost of a preferred target without a connection lies below the random cost.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -70,7 +70,7 @@
     let caller_timeout = fields.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = received.at + caller_timeout.min(route.rule.timeout);
     let deadline = gateway.exit.borrow().limit(deadline);
-    let work = gateway.work(&route);
+    let work = gateway.services.work(&route);
     if !has_time(&gateway, work) {
         let failed = FailedCall {
             refusal: Refusal::Stopping,
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -201,17 +201,21 @@
     let ratio = active.ratio();
     if was_ideal && end.is_success() {
         let took = started.elapsed().as_secs_f64();
-        gateway.observe_work(&forwarded.route, took / forwarded.work.as_secs_f64());
+        gateway
+            .services
+            .observe_work(&forwarded.route, took / forwarded.work.as_secs_f64());
     }
     if let Some(running) = running
         && end.is_success()
-        && gateway.is_work_known(&forwarded.route)
+        && gateway.services.is_work_known(&forwarded.route)
     {
         let ratio = started.elapsed().as_secs_f64() / alone.as_secs_f64().max(0.001);
-        gateway.observe_crowding(&service, running, usable.slots, ratio);
+        gateway
+            .services
+            .observe_crowding(&service, running, usable.slots, ratio);
     }
     if matches!(end, AttemptEnd::Answered(_)) {
-        gateway.observe_time(&service, started.elapsed());
+        gateway.services.observe_time(&service, started.elapsed());
     }
     let verdict = match &end {
         AttemptEnd::Answered(response) if response.head.status >= 500 => AttemptOutcome::Failed,
@@ -227,7 +231,7 @@
         verdict,
     });
     drop(active);
-    gateway.slot_freed(&service).notify_one();
+    gateway.services.slot_freed(&service).notify_one();
     (usable, end)
 }
 
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -38,6 +38,8 @@
 const MAX_ENCODED: usize = 16;
 /// Header field of an answer: milliseconds since the store confirmed the records.
 pub const AGE_FIELD: &str = "Feed-Age";
+/// Header field of an answer: milliseconds for which the poll was held.
+pub const HELD_FIELD: &str = "Feed-Held";
 
 /// Names of the topics in the path.
 const OPERATORS: &str = "operators";
@@ -112,6 +114,7 @@
 
     /// Answers a poll. `told` is what earlier answers on the same connection have said.
     pub async fn answer(&self, poll: Poll, told: &mut Told) -> Reply {
+        let started = Instant::now();
         self.hold(poll, *told).await;
         told.0 = self.confirmed.get();
         let mirror = self.mirror.borrow();
@@ -125,8 +128,11 @@
             Ok(reply) => reply,
             Err(error) => return Reply::text(500, format!("{error}\n")),
         };
-        match self.age(Instant::now()) {
-            Some(age) => reply.with_field(AGE_FIELD, &age.as_millis().to_string()),
+        let now = Instant::now();
+        match self.age(now) {
+            Some(age) => reply
+                .with_field(AGE_FIELD, &age.as_millis().to_string())
+                .with_field(HELD_FIELD, &(now - started).as_millis().to_string()),
             None => reply,
         }
     }
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -6,10 +6,12 @@
 
 use carobshore_http::persistent_client::CallFailure;
 use carobshore_http::persistent_client::PersistentClient;
+use carobshore_lib::record_age;
 use carobshore_lib::source_selector::SourceFailure;
 use carobshore_lib::store_mirror::Changes;
 
 use crate::feed::AGE_FIELD;
+use crate::feed::HELD_FIELD;
 use crate::feed::POLL_HOLD;
 use crate::feed::Poll;
 use crate::feed_format;
@@ -90,6 +92,7 @@
         if let Some(news) = news {
             fields.add(NEWS_FIELD, news);
         }
+        let sent = Instant::now();
         let response = self
             .0
             .call_with(fields, "GET", &path, &[], POLL_HOLD + RESPONSE_MARGIN)
@@ -98,12 +101,16 @@
             200 => {
                 let changes = feed_format::decode(&response.head.fields, &response.body)
                     .map_err(|error| PollFailure::silent(error.to_string()))?;
-                let age = response.head.fields.text(AGE_FIELD);
-                let age = age.and_then(|age| age.parse().ok());
+                let millis = |name| {
+                    let text = response.head.fields.text(name)?;
+                    Some(Duration::from_millis(text.parse().ok()?))
+                };
+                let age = millis(AGE_FIELD);
                 Ok(PolledChanges {
                     changes,
-                    confirmed: age
-                        .and_then(|age| Instant::now().checked_sub(Duration::from_millis(age))),
+                    confirmed: age.and_then(|age| {
+                        record_age::confirmed_at(sent, Instant::now(), millis(HELD_FIELD), age)
+                    }),
                     bytes: response.body.len(),
                     news: response.head.fields.text(NEWS_FIELD).map(Box::from),
                 })
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 use carobshore_lib::limit_queue::LimitQueue;
 use carobshore_lib::limit_queue::LimitedSupply;
 use carobshore_lib::limit_share::LimitShare;
-use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::log_rate_limiter::LogRateLimiter;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::preferred_targets::RankedTarget;
@@ -29,16 +28,12 @@
 use carobshore_lib::prelude::TargetState;
 use carobshore_lib::retry_allowance::RetryAllowance;
 use carobshore_lib::retry_allowance::RetryLimits;
-use carobshore_lib::route::Route;
 use carobshore_lib::route_table::RouteTable;
-use carobshore_lib::service_crowding::ServiceCrowding;
-use carobshore_lib::service_load::ServiceLoad;
 use carobshore_lib::target_directory::TargetDirectory;
 use carobshore_lib::target_selector::TargetSelector;
 use carobshore_lib::target_signals::TargetSignals;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
-use carobshore_lib::work_estimate::WorkEstimate;
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_platform::store_client::Topic;
 use tokio::sync::Notify;
@@ -51,6 +46,7 @@
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::registrar::Registrar;
+use crate::service_estimates::ServiceEstimates;
 use crate::target_connections::TargetConnections;
 
 /// Number of VMs that is assumed while the list of VMs is not known.
@@ -98,14 +94,8 @@
     checks: RefCell<CheckBudget>,
     connections: RefCell<HashMap<TargetId, Rc<TargetConnections>>>,
     retry_budgets: RefCell<HashMap<ServiceId, RetryAllowance>>,
-    work: RefCell<HashMap<Box<str>, WorkEstimate>>,
-    loads: RefCell<HashMap<ServiceId, ServiceLoad>>,
-    crowding: RefCell<ServiceCrowding>,
-    /// Notified when an attempt of this VM at a target of the service ends.
-    slot_freed: RefCell<HashMap<ServiceId, Rc<Notify>>>,
-    /// Whether the health checks of a service report no load, so that there is no use in sending
-    /// them.
-    without_load: RefCell<HashMap<ServiceId, bool>>,
+    /// What has been learned about services and routes.
+    pub services: ServiceEstimates,
     success_lines: RefCell<LogRateLimiter>,
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
@@ -162,11 +152,7 @@
             checks: RefCell::new(CheckBudget::new(now, boot.check_rate)),
             connections: RefCell::default(),
             retry_budgets: RefCell::default(),
-            work: RefCell::default(),
-            loads: RefCell::default(),
-            crowding: RefCell::default(),
-            slot_freed: RefCell::default(),
-            without_load: RefCell::default(),
+            services: ServiceEstimates::default(),
             success_lines: RefCell::new(LogRateLimiter::new(now, log_rate)),
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
@@ -220,8 +206,8 @@
         let directory = self.directory.borrow();
         let boot = self.boot.borrow();
         let now = Instant::now();
-        let usual_load = self.load_per_slot(now, service);
-        let crowding = self.crowding.borrow().get(now, service);
+        let usual_load = self.services.load_per_slot(now, service);
+        let crowding = self.services.crowding(now, service);
         let signals = self.signals.borrow();
         let serving = |target: &&AnnouncedTarget| {
             target.service == *service
@@ -420,12 +406,7 @@
     /// that it earns to the budget.
     pub fn count_request(&self, now: Instant, service: &ServiceId, work: Duration) {
         self.with_retry_budget(service, |retry_budget| retry_budget.request(now));
-        let load = self
-            .loads
-            .borrow()
-            .get(service)
-            .copied()
-            .unwrap_or_default();
+        let load = self.services.load(service);
         let took = load.hold_time().unwrap_or(work);
         let (target_load, slot_load) = (load.per_target(now), load.per_slot(now));
         let check_rate = self.boot.borrow().check_rate;
@@ -433,12 +414,6 @@
         self.with_checks(|budget| budget.deposit(now, checks));
     }
 
-    /// Records how long a target of a service held a request that it answered.
-    pub fn observe_time(&self, service: &ServiceId, took: Duration) {
-        let mut loads = self.loads.borrow_mut();
-        loads.entry(service.clone()).or_default().observe_hold(took);
-    }
-
     /// Takes a retry for a service from this VM's budget. Returns whether there was one.
     pub fn take_retry(&self, now: Instant, service: &ServiceId) -> bool {
         let vms = self.vm_count();
@@ -451,92 +426,6 @@
         self.with_retry_budget(service, |retry_budget| retry_budget.available(now, vms))
     }
 
-    /// Returns the expected time of a request of the route on an idle target whose machine runs no
-    /// other work.
-    pub fn work(&self, route: &Route) -> Duration {
-        let work = self.work.borrow();
-        let known = work.get(&route.name).copied();
-        known
-            .unwrap_or_else(|| WorkEstimate::new(route.rule.latency))
-            .get()
-    }
-
-    /// Records that a request of the route took `ratio` times the expected time.
-    pub fn observe_work(&self, route: &Route, ratio: f64) {
-        let mut work = self.work.borrow_mut();
-        let estimate = work.entry(route.name.clone());
-        let estimate = estimate.or_insert_with(|| WorkEstimate::new(route.rule.latency));
-        estimate.observe(ratio);
-    }
-
-    /// Returns whether the expected time of requests of the route has been measured.
-    pub fn is_work_known(&self, route: &Route) -> bool {
-        let work = self.work.borrow();
-        work.get(&route.name).is_some_and(|work| work.is_settled())
-    }
-
-    /// Records that a request, which started on a target of the service with `running` others, took
-    /// `ratio` times as long as on an idle target.
-    pub fn observe_crowding(&self, service: &ServiceId, running: u32, slots: u32, ratio: f64) {
-        let mut crowding = self.crowding.borrow_mut();
-        crowding.observe(Instant::now(), service, running, slots, ratio);
-    }
-
-    /// Returns how many slots of a target of the service to use, so that it finishes most requests:
-    /// all if the targets report no load, so that nothing can be learned.
-    pub fn slot_limit(&self, now: Instant, service: &ServiceId, slots: u32) -> u32 {
-        match self.reports_load(service) {
-            true => self.crowding.borrow().get(now, service).limit(slots),
-            false => slots,
-        }
-    }
-
-    /// Returns whether a request should use one slot more than `limit`, to learn whether that pays.
-    pub fn start_trial(&self, now: Instant, service: &ServiceId, limit: u32, slots: u32) -> bool {
-        let mut crowding = self.crowding.borrow_mut();
-        crowding.start_trial(now, service, limit, slots)
-    }
-
-    /// Records a new load report of a target of the service.
-    pub fn observe_load(&self, now: Instant, service: &ServiceId, report: LoadReport) {
-        let mut loads = self.loads.borrow_mut();
-        loads
-            .entry(service.clone())
-            .or_default()
-            .observe(now, report);
-    }
-
-    /// Returns the notifier of slots that this VM frees: it is notified when an attempt of this VM
-    /// at a target of the service ends, and wakes the request that has waited longest.
-    pub fn slot_freed(&self, service: &ServiceId) -> Rc<Notify> {
-        let mut slot_freed = self.slot_freed.borrow_mut();
-        Rc::clone(slot_freed.entry(service.clone()).or_default())
-    }
-
-    /// Returns the number of requests per slot that the targets of a service hold.
-    fn load_per_slot(&self, now: Instant, service: &ServiceId) -> f64 {
-        let loads = self.loads.borrow();
-        loads.get(service).map_or(0.0, |load| load.per_slot(now))
-    }
-
-    /// Records whether the health checks of a service report the load.
-    pub fn set_reports_load(&self, service: &ServiceId, reports: bool) {
-        self.without_load
-            .borrow_mut()
-            .insert(service.clone(), !reports);
-    }
-
-    /// Returns whether the health checks of a service report the load; `true` while it is not
-    /// known.
-    pub fn reports_load(&self, service: &ServiceId) -> bool {
-        !self
-            .without_load
-            .borrow()
-            .get(service)
-            .copied()
-            .unwrap_or(false)
-    }
-
     /// Returns a new id for an attempt, unique in this process.
     pub fn next_attempt(&self) -> u64 {
         self.attempts.set(self.attempts.get() + 1);
@@ -582,7 +471,7 @@
                     "displaced": connections.displaced.get(),
                     "own_in_flight": outlook.own_in_flight(),
                     "held": outlook.held(now, target.slots.get()),
-                    "slot_limit": self.slot_limit(now, &target.service, target.slots.get()),
+                    "slot_limit": self.services.slot_limit(now, &target.service, target.slots.get()),
                     "failure_share": outlook.failure_share(now),
                     "report": outlook.last_report().map(|(at, report)| serde_json::json!({
                         "age_ms": now.saturating_duration_since(at).as_millis() as u64,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod registrar;
 pub mod reply;
 mod response_memory;
+pub mod service_estimates;
 pub mod store_probes;
 pub mod store_watch;
 pub mod target_connections;
--- a/gateway/src/target_notices.rs
+++ b/gateway/src/target_notices.rs
@@ -19,7 +19,7 @@
     fields: &ResponseFields,
     belongs: bool,
 ) {
-    if fields.misdirected {
+    if fields.misdirected || !is_from(connections, fields) {
         return;
     }
     let now = Instant::now();
@@ -47,6 +47,12 @@
     }
 }
 
+/// Returns whether a response may come from the target: it names no other one.
+pub(crate) fn is_from(connections: &TargetConnections, fields: &ResponseFields) -> bool {
+    let named = fields.target.as_deref();
+    named.is_none_or(|named| *named == *connections.id.as_str())
+}
+
 /// Returns whether a target may get a request, as far as its answers say.
 pub(crate) fn is_available(gateway: &Gateway, connections: &TargetConnections) -> bool {
     let signals = gateway.signals.borrow();
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -113,7 +113,7 @@
     search: Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> SearchResult {
-    let slot_freed = gateway.slot_freed(search.service);
+    let slot_freed = gateway.services.slot_freed(search.service);
     // Whether an attempt of this VM has just ended. Its response reported the load of its target.
     let mut just_freed = false;
     let mut turn = None;
@@ -153,13 +153,15 @@
             return SearchResult::NoTarget;
         };
         let outlook = best.connections.outlook.borrow().clone();
-        let limit = gateway.slot_limit(now, search.service, best.slots);
+        let limit = gateway.services.slot_limit(now, search.service, best.slots);
         let queued = outlook.queue_ahead(now, best.slots);
         let mut ahead = queued + f64::from(best.slots - limit);
         let expected = outlook.expected(now, search.demand.work, best.slots);
         if ahead > 0.0
             && queued <= 0.0
-            && gateway.start_trial(now, search.service, limit, best.slots)
+            && gateway
+                .services
+                .start_trial(now, search.service, limit, best.slots)
         {
             ahead = 0.0;
         }
@@ -217,7 +219,7 @@
     search: &Search<'_>,
     usable: &[UsableTarget],
 ) -> Option<UsableTarget> {
-    if !gateway.reports_load(search.service) {
+    if !gateway.services.reports_load(search.service) {
         return None;
     }
     let order = {
@@ -336,14 +338,14 @@
         match checked {
             Ok(Some(Some(report))) => {
                 gateway.metrics.health_check("answered");
-                gateway.set_reports_load(&service, true);
+                gateway.services.set_reports_load(&service, true);
                 connections.outlook.borrow_mut().report(now, report);
-                gateway.observe_load(now, &service, report);
+                gateway.services.observe_load(now, &service, report);
                 let _ = sender.send(index);
             }
             Ok(Some(None)) => {
                 gateway.metrics.health_check("without-load");
-                gateway.set_reports_load(&service, false);
+                gateway.services.set_reports_load(&service, false);
                 let _ = sender.send(index);
             }
             Ok(None) | Err(_) => {
@@ -385,8 +387,7 @@
         .exchange_within(&request, belongs, may_use);
     let response = response.await.ok()?;
     let response_fields = header_fields::decode_response(&response.head);
-    let other = header_fields::answering_target(&response.head);
-    if response_fields.misdirected || other.is_some_and(|other| other != connections.id.as_str()) {
+    if response_fields.misdirected || !target_notices::is_from(connections, &response_fields) {
         mark_displaced(connections);
         return None;
     }
--- a/lib/src/record_age.rs
+++ b/lib/src/record_age.rs
@@ -65,3 +65,18 @@
         }
     }
 }
+
+/// Returns when the store confirmed what another VM has answered, at the earliest. The poll was sent
+/// at `sent` and answered at `received`, after the other VM had held it for `held`; at the end of that
+/// time the confirmation was `age` old. The rest of the time it was on its way, and all of that may
+/// have been the way back. VMs of earlier releases do not say how long they held a poll.
+pub fn confirmed_at(
+    sent: Instant,
+    received: Instant,
+    held: Option<Duration>,
+    age: Duration,
+) -> Option<Instant> {
+    let elapsed = received.saturating_duration_since(sent);
+    let travel = held.map_or(Duration::ZERO, |held| elapsed.saturating_sub(held));
+    received.checked_sub(age + travel)
+}
--- a/lib/src/target_selector.rs
+++ b/lib/src/target_selector.rs
@@ -18,8 +18,9 @@
 /// The number of targets that are asked for their load at the same time.
 pub const PARALLEL_CHECKS: usize = 3;
 /// Extra cost of a target to which the VM has no idle connection, if it prefers the target and if it
-/// does not. The first one only sets the order: targets with a connection are asked first.
-const PREFERRED_CONNECT_COST: Duration = Duration::from_millis(20);
+/// does not. The first one is below [`JITTER`], so that a VM with few requests asks all the targets
+/// that it prefers now and then, also those that have just joined.
+const PREFERRED_CONNECT_COST: Duration = Duration::from_millis(8);
 const CONNECT_COST: Duration = Duration::from_millis(150);
 /// Extra cost of a target whose announcement is missing.
 const MISSING_COST: Duration = Duration::from_secs(10);
--- a/lib/tests/test_store_following.rs
+++ b/lib/tests/test_store_following.rs
@@ -10,6 +10,7 @@
 use carobshore_lib::long_poll::LongPoll;
 use carobshore_lib::reconnect_pacer::ReconnectPacer;
 use carobshore_lib::record_age::RecordAge;
+use carobshore_lib::record_age::confirmed_at;
 use carobshore_lib::source_selector::Source;
 use carobshore_lib::source_selector::SourceFailure;
 use carobshore_lib::source_selector::SourceSelector;
@@ -137,6 +138,22 @@
     }
 }
 
+/// Guards against records that are older than they seem because the answer of another VM was on its
+/// way for long: 300 ms on the way counted as nothing.
+#[test]
+fn the_time_of_an_answer_on_its_way_is_part_of_its_age() {
+    let [age, held, way] = [100, 500, 300].map(Duration::from_millis);
+    let sent = Instant::now() + Duration::from_secs(10);
+    for (there, back) in [(way, Duration::ZERO), (Duration::ZERO, way), (way, way)] {
+        let answered = sent + there + held;
+        let received = answered + back;
+        let confirmed = confirmed_at(sent, received, Some(held), age);
+        assert!(confirmed.is_some_and(|at| at <= answered - age));
+    }
+    let unknown = confirmed_at(sent, sent + held, None, age);
+    assert_eq!(unknown, Some(sent + held - age));
+}
+
 /// A store that answers slowly must not count as unreachable at each read.
 #[test]
 fn the_slack_grows_with_the_latency_of_the_store() {
