gateway: a starting VM finds whichever VM listens first

Cause: when all VMs start, some that the settings name have no power yet. One that had accepted and was paused held a start up for 2.2 s.

The next target without a connection is asked after 10 ms, and late answers count. `withheld` as the end of an attempt, which says nothing about the target.

The test killed one process after the other; those that lived a moment longer lost their source and called the store. The count still begins before the kill and the bound is the same.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -59,8 +59,11 @@
 pub enum AttemptEnd {
     /// A complete response from the target.
     Answered(Response),
-    /// No byte of the request was sent.
+    /// No byte of the request was sent, because of the target.
     NotSent,
+    /// No byte of the request was sent, because the target has just said that it wants none, or
+    /// because no time was left.
+    Withheld,
     /// The target reports that it did not run the request.
     NotRun,
     /// No usable response arrived; the request may have run.
@@ -79,6 +82,7 @@
             Self::Answered(response) if response.head.status >= 500 => "error-status",
             Self::Answered(_) => "answered",
             Self::NotSent => "not-sent",
+            Self::Withheld => "withheld",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
         }
@@ -221,6 +225,7 @@
         AttemptEnd::Answered(response) if response.head.status >= 500 => AttemptOutcome::Failed,
         AttemptEnd::Answered(_) => AttemptOutcome::Answered { ratio },
         AttemptEnd::NotRun => AttemptOutcome::Refused,
+        AttemptEnd::Withheld => AttemptOutcome::Withheld,
         AttemptEnd::NotSent | AttemptEnd::Unknown => AttemptOutcome::Failed,
     };
     let (name, success) = (end.as_str(), end.is_success());
@@ -258,7 +263,7 @@
     // Another answer of the target may have arrived while the connection was opened.
     if remaining.is_zero() || !target_notices::is_available(gateway, connections) {
         connections.checkin(now, connection, None);
-        return AttemptEnd::NotSent;
+        return AttemptEnd::Withheld;
     }
     let mut fields = forwarded.fields.clone();
     header_fields::add_target_fields(&mut fields, &connections.id, remaining);
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -166,7 +166,9 @@
                     return self.fallback.take().map(Ok);
                 }
             }
-            AttemptEnd::NotSent => self.arrivals = self.arrivals.saturating_sub(1),
+            AttemptEnd::NotSent | AttemptEnd::Withheld => {
+                self.arrivals = self.arrivals.saturating_sub(1);
+            }
             AttemptEnd::NotRun => self.refused = true,
             AttemptEnd::Unknown => {
                 self.unknown = true;
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -20,7 +20,7 @@
 /// Time allowed for the response in addition to [`POLL_HOLD`].
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 /// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Why a poll returned no changes.
 #[derive(Clone, Debug)]
@@ -68,9 +68,9 @@
 pub struct FeedClient(PersistentClient);
 
 impl FeedClient {
-    /// Creates a client. It connects on the first poll.
-    pub fn new(addr: SocketAddr) -> Self {
-        Self(PersistentClient::new(addr, CONNECT_TIMEOUT))
+    /// Creates a client. It connects on the first poll, within `connect_timeout`.
+    pub fn new(addr: SocketAddr, connect_timeout: Duration) -> Self {
+        Self(PersistentClient::new(addr, connect_timeout))
     }
 
     /// Returns the address of the other VM.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod call;
 pub mod caller_connection;
 pub mod compressed_body;
+mod connection_race;
 pub mod daemon;
 mod failed_call;
 pub mod feed;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -24,6 +24,7 @@
 use crate::feed::FULL_SNAPSHOT;
 use crate::feed::Poll;
 use crate::feed::SourceState;
+use crate::feed_client::CONNECT_TIMEOUT;
 use crate::feed_client::FeedClient;
 use crate::feed_client::PollFailure;
 use crate::feed_client::PolledChanges;
@@ -49,7 +50,10 @@
 /// starting too, the number of VMs that are polled in turn, and the pause before each retry.
 const START_TIME: Duration = Duration::from_millis(1_500);
 const START_SOURCES: usize = 3;
-const START_PAUSE: Duration = Duration::from_millis(100);
+const START_PAUSE: Duration = Duration::from_millis(40);
+/// Time limit for opening a connection in the first round of polls after the start. A VM that has no
+/// power yet does not answer. It grows with each round, for VMs that are far away.
+const START_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// The follower of one topic.
 struct Watch {
@@ -136,6 +140,16 @@
         self.start_end.is_some_and(|end| Instant::now() < end)
     }
 
+    /// Returns the time limit for opening a connection to another VM.
+    fn connect_timeout(&self) -> Duration {
+        if !self.is_starting() {
+            return CONNECT_TIMEOUT;
+        }
+        let rounds = 1 + self.start_failures / START_SOURCES;
+        let limit = START_CONNECT_TIMEOUT * u32::try_from(rounds).unwrap_or(u32::MAX);
+        limit.min(CONNECT_TIMEOUT)
+    }
+
     fn new_probes(&self) -> StoreProbes {
         let addr = self.gateway.boot.borrow().store;
         StoreProbes::new(addr, self.topic)
@@ -167,7 +181,7 @@
         let level = self.level();
         log::log!(level, topic:? = self.topic, from:% = addr, cut = isolated; "another VM is asked for changes");
         self.peer = Some(Peer {
-            client: FeedClient::new(addr),
+            client: FeedClient::new(addr, self.connect_timeout()),
             isolated,
             indirect: !sources[..direct_count].contains(&addr),
             format: FeedFormat::Compact,
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -37,9 +37,6 @@
 use crate::target_connections::TargetConnections;
 use crate::target_notices;
 
-/// Time limit for the responses of one round of health checks. Targets that take longer are
-/// skipped.
-const ROUND_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time limit for one health check, after which its connection is closed.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// A target with a load report younger than this is not queried again.
@@ -239,21 +236,29 @@
         indices.collect::<Vec<usize>>()
     };
     let is_connected = |index: usize| usable[index].connections.is_connected();
+    let (sender, mut ended) = mpsc::unbounded_channel();
     for round in target_selector::rounds(&order, is_connected) {
-        let (sender, mut completed) = mpsc::unbounded_channel();
-        for index in round {
+        let mut pending = 0;
+        for index in round.targets {
             let connections = &usable[*index].connections;
             if has_current_report(connections) {
-                let _ = sender.send(*index);
+                let _ = sender.send(CheckEnd::answered(*index));
             } else if gateway.take_check(Instant::now()) {
                 start_check(gateway, search.service, connections, *index, sender.clone());
+            } else {
+                continue;
             }
+            pending += 1;
         }
-        drop(sender);
-        let end = (Instant::now() + ROUND_TIMEOUT).min(search.times.deadline);
-        while let Ok(Some(index)) = timeout_at(end.into(), completed.recv()).await {
+        let end = (Instant::now() + round.patience).min(search.times.deadline);
+        while pending > 0
+            && let Ok(Some(CheckEnd { index, answered })) =
+                timeout_at(end.into(), ended.recv()).await
+        {
+            // Late answers to earlier rounds count, too.
+            pending -= usize::from(round.targets.contains(&index));
             let outlook = usable[index].connections.outlook.borrow();
-            if target_selector::is_ideal(Instant::now(), &outlook) {
+            if answered && target_selector::is_ideal(Instant::now(), &outlook) {
                 return Some(usable[index].clone());
             }
         }
@@ -264,6 +269,24 @@
     None
 }
 
+/// The end of a health check.
+#[derive(Clone, Copy, Debug)]
+struct CheckEnd {
+    /// The index of the target.
+    index: usize,
+    /// Whether the target has answered.
+    answered: bool,
+}
+
+impl CheckEnd {
+    fn answered(index: usize) -> Self {
+        Self {
+            index,
+            answered: true,
+        }
+    }
+}
+
 fn best(
     gateway: &Gateway,
     now: Instant,
@@ -322,7 +345,7 @@
     service: &ServiceId,
     connections: &Rc<TargetConnections>,
     index: usize,
-    sender: mpsc::UnboundedSender<usize>,
+    sender: mpsc::UnboundedSender<CheckEnd>,
 ) {
     let path = {
         let routes = gateway.routes.borrow();
@@ -335,18 +358,17 @@
     ntex::rt::spawn(async move {
         let checked = timeout(CHECK_TIMEOUT, check_health(&gateway, &connections, &path)).await;
         let now = Instant::now();
+        let answered = matches!(checked, Ok(Some(_)));
         match checked {
             Ok(Some(Some(report))) => {
                 gateway.metrics.health_check("answered");
                 gateway.services.set_reports_load(&service, true);
                 connections.outlook.borrow_mut().report(now, report);
                 gateway.services.observe_load(now, &service, report);
-                let _ = sender.send(index);
             }
             Ok(Some(None)) => {
                 gateway.metrics.health_check("without-load");
                 gateway.services.set_reports_load(&service, false);
-                let _ = sender.send(index);
             }
             Ok(None) | Err(_) => {
                 gateway.metrics.health_check("failed");
@@ -354,6 +376,7 @@
                 log::info!(target = connections.id.as_str(), service = service.as_str(); "health check failed");
             }
         }
+        let _ = sender.send(CheckEnd { index, answered });
     });
 }
 
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -11,6 +11,8 @@
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
 use carobshore_platform::store_client::Topic;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -30,15 +32,18 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The VMs that could ask no other one call the store within this time, one after the other.
 const ASK_SPREAD: Duration = Duration::from_millis(1_500);
-/// Pause between two rounds of questions.
+/// Pause after an answer without the list of VMs.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// How long a VM may take to tell the list before another one is asked as well: it may have been
+/// paused, or the store may refuse its calls.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Asks other VMs to register this one and to tell the list of VMs. Returns whether one has.
 pub async fn ask_others(gateway: &Rc<Gateway>) -> bool {
     let started = Instant::now();
     let record = own_record(gateway);
     let limit = ask_limit(gateway, &record.name);
-    let asked = timeout(limit, ask_in_turn(gateway, &record)).await;
+    let asked = timeout(limit, ask_until_told(gateway, &record)).await;
     let ms = started.elapsed().as_millis() as u64;
     match asked {
         Ok(registration) => {
@@ -107,19 +112,25 @@
     ASK_TIMEOUT + ASK_SPREAD.mul_f64(position)
 }
 
-/// Asks the VMs that the settings name, one after the other, until one answers. Each VM begins with
-/// another one.
-async fn ask_in_turn(gateway: &Gateway, record: &VmRecord) -> Registration {
-    let mut seeds = gateway.seeds();
-    let first = preferred_targets::rank(&record.name, "") as usize % seeds.len().max(1);
-    seeds.rotate_left(first);
+/// Asks the VMs that the settings name until one tells the list. Each VM begins with another one, and
+/// the next one is asked if the answer takes too long.
+async fn ask_until_told(gateway: &Gateway, record: &VmRecord) -> Registration {
+    let seeds = gateway.seeds();
+    let first = preferred_targets::rank(&record.name, "") as usize;
+    let mut asked = FuturesUnordered::new();
+    let mut turns = 0;
     loop {
-        for seed in &seeds {
-            if let Some(registration) = registrar::ask(*seed, record).await {
-                return registration;
-            }
+        if asked.len() < seeds.len() {
+            let mut order = seeds.clone();
+            order.rotate_left((first % seeds.len() + turns) % seeds.len());
+            turns += 1;
+            asked.push(async move { registrar::ask(&order, record).await });
+        }
+        match timeout(ANSWER_PATIENCE, asked.next()).await {
+            Ok(Some(Some(registration))) => return registration,
+            Ok(_) => sleep(ASK_PAUSE).await,
+            Err(_) => {}
         }
-        sleep(ASK_PAUSE).await;
     }
 }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -43,6 +43,8 @@
 
 /// Ports for gateways.
 const PORTS: Range<u16> = 10_000..30_000;
+/// The number of ports that one test process uses before it may meet another one.
+const PROCESS_PORTS: u32 = 256;
 
 /// A store with targets.
 pub(crate) struct Site {
@@ -186,6 +188,16 @@
         let _ = self.child.wait();
     }
 
+    /// Kills processes at the same time, so that none of them reacts to the end of another one.
+    pub(crate) fn kill_all<'a>(gateways: impl IntoIterator<Item = &'a mut Self>) {
+        let killed = gateways.into_iter().map(|gateway| {
+            let _ = gateway.child.kill();
+            gateway
+        });
+        let killed: Vec<&mut Self> = killed.collect();
+        killed.into_iter().for_each(Self::kill);
+    }
+
     /// Starts the process again after it has exited.
     pub(crate) fn start_again(&mut self) {
         (self.child, self.reader) = spawn(&self.settings, &self.lines);
@@ -268,8 +280,17 @@
     }
 }
 
+/// The number of log lines of each gateway that a failed test prints.
+const PRINTED_LINES: usize = 60;
+
 impl Drop for Gateway {
     fn drop(&mut self) {
+        if thread::panicking() {
+            let lines = self.lines();
+            eprintln!("log of {}:", self.settings.display());
+            let first = lines.len().saturating_sub(PRINTED_LINES);
+            lines[first..].iter().for_each(|line| eprintln!("{line}"));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -278,12 +299,18 @@
 type Lines = Arc<Mutex<Vec<String>>>;
 type Spawn = fn(&Path, &Lines) -> (Child, Option<JoinHandle<()>>);
 
+/// Held while a process is started and while ports are tried: until a new process runs its own program,
+/// it holds copies of all sockets of this one, so that their ports are in use.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn start_process(command: &mut Command) -> Child {
+    let _lock = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("a process")
+}
+
 /// Starts a process that logs every request and whose log stays in the pipe.
 fn spawn_unread(settings: &Path, _: &Lines) -> (Child, Option<JoinHandle<()>>) {
-    let child = command(settings)
-        .args(["--log-rate", "1000000"])
-        .spawn()
-        .expect("a process");
+    let child = start_process(command(settings).args(["--log-rate", "1000000"]));
     (child, None)
 }
 
@@ -311,7 +338,7 @@
 
 /// Starts a process and collects its log.
 fn spawn(settings: &Path, lines: &Lines) -> (Child, Option<JoinHandle<()>>) {
-    let mut child = command(settings).spawn().expect("a process");
+    let mut child = start_process(&mut command(settings));
     let reader = collect(&mut child, lines);
     (child, Some(reader))
 }
@@ -378,7 +405,8 @@
 pub(crate) fn free_port() -> SocketAddr {
     static TAKEN: AtomicU32 = AtomicU32::new(0);
     // Test processes that run concurrently start at different ports.
-    let first = std::process::id() * 64;
+    let first = std::process::id().wrapping_mul(PROCESS_PORTS);
+    let _lock = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         let number = first.wrapping_add(TAKEN.fetch_add(1, Ordering::SeqCst)) % PORTS.len() as u32;
         let port = PORTS.start + u16::try_from(number).expect("a number below 20,000");
--- a/gateway/tests/test_start.rs
+++ b/gateway/tests/test_start.rs
@@ -3,10 +3,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_standin::server::ANY_PORT;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 use crate::common::Gateway;
 use crate::common::Site;
 use crate::common::free_port;
@@ -60,8 +66,7 @@
     let mut first = site.gateway("first");
     let mut gateways = start_all(&site, &first);
     let (started, before) = (Instant::now(), site.store.calls());
-    first.kill();
-    gateways.iter_mut().for_each(Gateway::kill);
+    Gateway::kill_all(gateways.iter_mut().chain([&mut first]));
     first.start_again();
     gateways.iter_mut().for_each(Gateway::start_again);
     wait_until_ready(&gateways);
@@ -103,3 +108,73 @@
         gateway.has_line(&["list of VMs read"])
     });
 }
+
+/// Returns listeners that accept no connection: their queue of connections is full, so that an attempt
+/// to connect hangs, as it does with a VM that has no power.
+fn vms_without_power(count: usize) -> Vec<VmWithoutPower> {
+    (0..count).map(|_| VmWithoutPower::start()).collect()
+}
+
+struct VmWithoutPower {
+    addr: SocketAddr,
+    _listener: Socket,
+    _queued: Vec<Socket>,
+}
+
+impl VmWithoutPower {
+    fn start() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.bind(&ANY_PORT.into()).expect("an address");
+        listener.listen(0).expect("a listener");
+        let addr = listener.local_addr().expect("an address");
+        let addr = addr.as_socket().expect("an address");
+        let connect = |_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            socket.set_nonblocking(true).expect("a mode");
+            // It is refused or hangs once the queue is full.
+            let _ = socket.connect(&addr.into());
+            socket
+        };
+        let queued = (0..4).map(connect).collect();
+        Self {
+            addr,
+            _listener: listener,
+            _queued: queued,
+        }
+    }
+}
+
+/// Guards against a restart of all VMs that takes as long as the attempts to connect to those that
+/// have no power yet.
+#[test]
+fn a_vm_finds_the_one_that_runs_among_many_without_power() {
+    let site = site("start-hanging", 1);
+    let first = site.gateway("first");
+    let hanging = vms_without_power(12);
+    let mut seeds: Vec<_> = hanging.iter().map(|vm| vm.addr).collect();
+    seeds.push(first.admin);
+    for index in 0..4 {
+        let gateway = site.start_seeded(&format!("edge-{index}"), &seeds);
+        wait("it has the list", || {
+            gateway.has_line(&["list of VMs read"])
+        });
+        assert!(gateway.has_line(&["list of VMs read", "another VM"]));
+    }
+}
+
+/// Guards against waiting for one VM that is paused, or whose calls the store refuses.
+#[test]
+fn a_vm_asks_the_next_one_if_the_first_one_does_not_answer() {
+    let site = site("start-paused", 1);
+    let paused = site.gateway("paused");
+    let first = site.gateway("first");
+    paused.signal("-STOP");
+    let seeds = [paused.admin, first.admin];
+    for index in 0..8 {
+        let gateway = site.start_seeded(&format!("edge-{index}"), &seeds);
+        wait("it has the list", || {
+            gateway.has_line(&["list of VMs read"])
+        });
+        assert!(gateway.has_line(&["list of VMs read", "another VM"]));
+    }
+}
--- a/http/src/persistent_client.rs
+++ b/http/src/persistent_client.rs
@@ -51,6 +51,14 @@
         self.addr
     }
 
+    /// Opens the connection unless there is one.
+    pub async fn connect(&mut self) -> Result<(), CallFailure> {
+        if self.connection.is_none() {
+            self.connection = Some(self.open().await?);
+        }
+        Ok(())
+    }
+
     /// Sends a request and waits at most `limit` for the response, not counting the time to
     /// connect.
     pub async fn call(
@@ -75,14 +83,7 @@
     ) -> Result<Response, CallFailure> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => Client::open(
-                self.addr,
-                self.connect_timeout,
-                KeepAliveOptions::SHORT,
-                MAX_BODY,
-            )
-            .await
-            .map_err(CallFailure::Unreachable)?,
+            None => self.open().await?,
         };
         fields.add("Host", self.addr.to_string());
         let request = EncodedRequest::new(method, path, &fields, body);
@@ -95,4 +96,10 @@
         }
         Ok(response)
     }
+
+    async fn open(&self) -> Result<Client, CallFailure> {
+        let options = KeepAliveOptions::SHORT;
+        let opened = Client::open(self.addr, self.connect_timeout, options, MAX_BODY).await;
+        opened.map_err(CallFailure::Unreachable)
+    }
 }
--- a/lib/src/target_estimator.rs
+++ b/lib/src/target_estimator.rs
@@ -45,6 +45,8 @@
     Failed,
     /// The target refused the request before it started.
     Refused,
+    /// The target was not asked, which says nothing about it.
+    Withheld,
     /// The attempt was abandoned without a response.
     GivenUp {
         /// Elapsed time divided by the expected time.
@@ -140,7 +142,7 @@
             AttemptOutcome::GivenUp { ratio } if ratio >= OVERDUE_FACTOR => {
                 self.slowness.observe(now, (ratio - 1.0).min(MAX_SLOWNESS));
             }
-            AttemptOutcome::GivenUp { .. } => {}
+            AttemptOutcome::Withheld | AttemptOutcome::GivenUp { .. } => {}
         }
     }
 
--- a/lib/src/target_selector.rs
+++ b/lib/src/target_selector.rs
@@ -17,6 +17,11 @@
 
 /// The number of targets that are asked for their load at the same time.
 pub const PARALLEL_CHECKS: usize = 3;
+/// How long the answers of a round are waited for.
+pub const ROUND_PATIENCE: Duration = Duration::from_millis(30);
+/// The same for one target without a connection. Silent targets hold up a request no longer than they
+/// would if they were asked together.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(30 / PARALLEL_CHECKS as u64);
 /// Extra cost of a target to which the VM has no idle connection, if it prefers the target and if it
 /// does not. The first one is below [`JITTER`], so that a VM with few requests asks all the targets
 /// that it prefers now and then, also those that have just joined.
@@ -107,17 +112,30 @@
     }
 }
 
-/// Divides targets into rounds in which they are asked at the same time. Those without an idle
-/// connection are asked one by one, because most new connections that are opened for a question serve
-/// no request. `targets` are indices in the order in which to ask.
-pub fn rounds(targets: &[usize], is_connected: impl Fn(usize) -> bool) -> Vec<&[usize]> {
+/// Targets that are asked for their load at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Round<'a> {
+    /// Indices of the targets.
+    pub targets: &'a [usize],
+    /// How long to wait for their answers before the targets of the next round are asked as well.
+    pub patience: Duration,
+}
+
+/// Divides targets into rounds. Those without an idle connection are asked one by one, because most
+/// new connections that are opened for a question serve no request; the next one is asked soon if
+/// such a target is silent. `targets` are indices in the order in which to ask.
+pub fn rounds(targets: &[usize], is_connected: impl Fn(usize) -> bool) -> Vec<Round<'_>> {
     let mut rounds = Vec::new();
     let mut rest = targets;
     while !rest.is_empty() {
         let connected = rest.iter().take_while(|index| is_connected(**index));
-        let size = connected.take(PARALLEL_CHECKS).count().max(1);
-        let (round, later) = rest.split_at(size);
-        rounds.push(round);
+        let count = connected.take(PARALLEL_CHECKS).count();
+        let (targets, later) = rest.split_at(count.max(1));
+        let patience = match count > 0 || later.is_empty() {
+            true => ROUND_PATIENCE,
+            false => CONNECT_PATIENCE,
+        };
+        rounds.push(Round { targets, patience });
         rest = later;
     }
     rounds
--- a/lib/tests/test_target_selector.rs
+++ b/lib/tests/test_target_selector.rs
@@ -15,6 +15,8 @@
 use carobshore_lib::target_selector;
 use carobshore_lib::target_selector::Candidate;
 use carobshore_lib::target_selector::Demand;
+use carobshore_lib::target_selector::PARALLEL_CHECKS;
+use carobshore_lib::target_selector::ROUND_PATIENCE;
 use carobshore_lib::target_selector::TargetSelector;
 
 const WORK: Duration = Duration::from_millis(220);
@@ -322,11 +324,40 @@
     let connected = [true, true, true, true, false, false, true, true];
     let order: Vec<usize> = (0..connected.len()).collect();
     let rounds = target_selector::rounds(&order, |index| connected[index]);
+    let rounds: Vec<_> = rounds.iter().map(|round| round.targets).collect();
     let expected: [&[usize]; 5] = [&[0, 1, 2], &[3], &[4], &[5], &[6, 7]];
     assert_eq!(rounds, expected);
     assert!(target_selector::rounds(&[], |_| true).is_empty());
 }
 
+/// Guards against a search that silent targets hold up one after the other.
+#[test]
+fn silent_targets_without_a_connection_hold_up_a_request_no_longer_than_if_asked_together() {
+    for silent in 1..=16 {
+        let order: Vec<usize> = (0..=silent).collect();
+        let rounds = target_selector::rounds(&order, |index| index == silent);
+        let (last, before) = rounds.split_last().expect("a round");
+        assert_eq!(last.targets, [silent]);
+        let waited: Duration = before.iter().map(|round| round.patience).sum();
+        let together = u32::try_from(silent.div_ceil(PARALLEL_CHECKS)).expect("a small number");
+        assert!(waited <= ROUND_PATIENCE * together, "{silent}: {waited:?}");
+    }
+}
+
+/// Guards against a target that counts as failing because this VM kept requests back.
+#[test]
+fn a_request_that_is_not_sent_says_nothing_about_its_target() {
+    let now = Instant::now();
+    let mut estimator = TargetEstimator::default();
+    for attempt in 0..10 {
+        estimator.started(now, attempt, WORK);
+        estimator.ended(now, attempt, AttemptOutcome::Withheld);
+    }
+    assert_eq!(estimator.own_in_flight(), 0);
+    assert_eq!(estimator.failure_share(now), 0.0);
+    assert_eq!(estimator.expected_alone(now, WORK), WORK);
+}
+
 /// Guards against targets that get no requests because a VM with few of them always finds one to which
 /// it has a connection.
 #[test]
