entry: a stop ends within the grace of the platform; gateway: lines that end with LF alone are refused

Refusals during a stop kept their connections open.

Change: `--grace-ms`; PlannedStop knows the grace, calls in flight learn of the new deadline, and each is answered before it. All responses during a stop close. The gateway refuses a lone LF with 400; the entry's codec accepts it, as HTTP allows, and the head is written anew, which a test shows. Bad chunks: tests for the gateway, the entry had one.

--- a/entry/src/data_plane.rs
+++ b/entry/src/data_plane.rs
@@ -22,11 +22,14 @@
 use carobshore_lib::route_table::RouteTable;
 use carobshore_lib::routing_config::RoutingConfig;
 use carobshore_lib::ticket::TicketId;
+use ntex::http::ConnectionType;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::http::StatusCode;
 use ntex::http::Version;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::time::sleep_until;
 
 use crate::call_head::CallHead;
 use crate::call_head::Port;
@@ -60,6 +63,8 @@
     pub(crate) in_flight: Rc<InFlightCounts>,
     pub(crate) connections: ConnectionTable,
     pub(crate) stop: RefCell<PlannedStop>,
+    /// Notified when a planned stop begins.
+    stop_begun: Notify,
     pub(crate) control: ReportSender,
     view: RefCell<Arc<View>>,
     services: RefCell<HashMap<ServiceId, Rc<ServiceState>>>,
@@ -79,13 +84,14 @@
         control: ReportSender,
     ) -> Rc<Self> {
         let connections = ConnectionTable::new(settings.timeouts.connect);
-        let notice = settings.notice;
+        let stop = PlannedStop::new(settings.notice, settings.grace);
         let plane = Rc::new(Self {
             settings,
             metrics,
             in_flight: Rc::default(),
             connections,
-            stop: RefCell::new(PlannedStop::with_notice(notice)),
+            stop: RefCell::new(stop),
+            stop_begun: Notify::new(),
             control,
             view: RefCell::new(Arc::clone(view)),
             services: RefCell::default(),
@@ -124,8 +130,42 @@
         self.view.borrow().ready && !self.stop.borrow().is_stopping()
     }
 
-    /// Handles a request up to the head of its response.
+    /// Tells the requests in flight that a planned stop has begun, so that they learn of their new
+    /// deadline.
+    pub(crate) fn announce_stop(&self) {
+        self.stop_begun.notify_waiters();
+    }
+
+    /// Waits until a deadline, or that of a planned stop if it is earlier, has passed.
+    pub(crate) async fn deadline_passed(&self, deadline: Instant) {
+        loop {
+            let (end, stopping) = {
+                let stop = self.stop.borrow();
+                (stop.limit(deadline), stop.is_stopping())
+            };
+            tokio::select! {
+                () = sleep_until(end.into()) => return,
+                () = self.stop_begun.notified(), if !stopping => {}
+            }
+        }
+    }
+
+    /// Handles a request up to the head of its response. During a planned stop, no request follows on
+    /// its connection.
     pub(crate) async fn call(
+        self: Rc<Self>,
+        request: Request,
+        port: Port,
+    ) -> Result<Response, ClosingRefusal> {
+        let mut response = Rc::clone(&self).respond(request, port).await?;
+        if self.stop.borrow().is_stopping() {
+            let head = response.head_mut();
+            head.set_connection_type(ConnectionType::Close);
+        }
+        Ok(response)
+    }
+
+    async fn respond(
         self: Rc<Self>,
         mut request: Request,
         port: Port,
@@ -142,7 +182,8 @@
         };
         let route = route.as_ref();
         let head = CallHead::parse(request.head(), peer, port, &self.settings, route, started);
-        let admitted = head.map_err(Refusal::of_request).and_then(|head| {
+        let admitted = head.map_err(Refusal::of_request).and_then(|mut head| {
+            head.deadline = self.stop.borrow().limit(head.deadline);
             let service = self.admit(&head);
             let service = service.map_err(|refusal| match head.is_keyed_by_caller() {
                 true => refusal.limit_claim(false),
--- a/entry/src/data_thread.rs
+++ b/entry/src/data_thread.rs
@@ -208,7 +208,7 @@
         let in_flight = &self.plane.in_flight;
         log::info!(keyed = in_flight.keyed(), other = in_flight.other(); "planned stop: {action:?}");
         match action {
-            StopAction::Announce => {}
+            StopAction::Announce => self.plane.announce_stop(),
             StopAction::StopAccepting => {
                 self.serving.send_replace(Serving::Closed);
             }
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -30,7 +30,6 @@
 use ntex::http::Payload;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::sleep_until;
 
 use crate::attempt;
 use crate::attempt::Attempt;
@@ -157,6 +156,7 @@
         responder: &mut Responder,
         decisions: &mut mpsc::UnboundedReceiver<PoolDecision>,
     ) {
+        let plane = Rc::clone(&self.plane);
         let deadline = self.head.deadline;
         let mut caller_gone = false;
         while self.relaying.is_none() && self.done.is_none() {
@@ -170,7 +170,7 @@
                     caller_gone = true;
                     self.handle(ExchangeEvent::CallerGone);
                 }
-                () = sleep_until(deadline.into()), if !self.timed_out => {
+                () = plane.deadline_passed(deadline), if !self.timed_out => {
                     self.timed_out = true;
                     self.handle(ExchangeEvent::TimedOut);
                 }
--- a/entry/src/flags.rs
+++ b/entry/src/flags.rs
@@ -94,6 +94,11 @@
     #[arg(long, env = "CAROBSHORE_DRAIN_NOTICE_MS", default_value = "5000")]
     pub drain_notice_ms: String,
 
+    /// Time from the first signal after which the platform kills this process, in milliseconds; 0 if
+    /// it does not. All requests are answered before that.
+    #[arg(long, env = "CAROBSHORE_GRACE_MS", default_value = "0")]
+    pub grace_ms: String,
+
     /// Least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
     #[arg(long, env = "CAROBSHORE_LOG_LEVEL", default_value = "info")]
     pub log_level: String,
--- a/entry/src/keyed.rs
+++ b/entry/src/keyed.rs
@@ -18,7 +18,6 @@
 use ntex::http::header::HeaderName;
 use ntex::http::header::HeaderValue;
 use ntex::util::Bytes;
-use tokio::time::sleep_until;
 
 use crate::call_head::CallHead;
 use crate::call_head::Port;
@@ -70,7 +69,7 @@
         let decision = tokio::select! {
             decision = first => decision.ok(),
             () = responder.caller_gone() => None,
-            () = sleep_until(deadline.into()) => None,
+            () = self.plane.deadline_passed(deadline) => None,
         };
         let decision = decision.unwrap_or_else(|| {
             self.service.stop_waiting(&key);
--- a/entry/src/relay.rs
+++ b/entry/src/relay.rs
@@ -7,7 +7,6 @@
 use carobshore_lib::pool_event::AttemptResult;
 use carobshore_lib::prelude::Outcome;
 use carobshore_lib::prelude::ResultCode;
-use ntex::http::ConnectionType;
 use ntex::http::HeaderMap;
 use ntex::http::Method;
 use ntex::http::Response;
@@ -17,7 +16,6 @@
 use ntex::http::header::CONTENT_LENGTH;
 use ntex::http::header::TRANSFER_ENCODING;
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
 
 use crate::attempt;
 use crate::call_head::Port;
@@ -119,7 +117,7 @@
                 Err(_) => Progress::Truncated,
             },
             () = gone => Progress::CallerGone,
-            () = sleep_until(self.head.deadline.into()) => Progress::TimedOut,
+            () = self.plane.deadline_passed(self.head.deadline) => Progress::TimedOut,
         }
     }
 
@@ -155,10 +153,6 @@
         if self.head.port == Port::Peers {
             data_plane::add_load(&mut response, &self.service);
         }
-        if self.plane.stop.borrow().is_stopping() {
-            let head = response.head_mut();
-            head.set_connection_type(ConnectionType::Close);
-        }
         response
     }
 }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -77,6 +77,8 @@
     pub timeouts: Timeouts,
     /// Time for which a stopping VM still accepts requests.
     pub notice: Duration,
+    /// Time from the first signal after which the platform kills this process, if it does.
+    pub grace: Option<Duration>,
     /// Least severe level that is logged.
     pub level: LevelFilter,
 }
@@ -97,6 +99,7 @@
             body: millis("body-timeout-ms", &flags.body_timeout_ms, 10..=600_000)?,
             deadline: millis("deadline-ms", &flags.deadline_ms, 1..=600_000)?,
         };
+        let grace = millis("grace-ms", &flags.grace_ms, 0..=600_000)?;
         Ok(Self {
             vm_name: vm_name(&flags.vm_name)?,
             domain: checked("domain", &flags.domain)?,
@@ -112,6 +115,7 @@
             limits,
             timeouts,
             notice: millis("drain-notice-ms", &flags.drain_notice_ms, 0..=600_000)?,
+            grace: Some(grace).filter(|grace| !grace.is_zero()),
             level: level(&flags.log_level)?,
         })
     }
--- a/entry/tests/test_malformed.rs
+++ b/entry/tests/test_malformed.rs
@@ -123,6 +123,27 @@
     assert_eq!(seen.try_iter().collect::<Vec<_>>(), Vec::<String>::new());
 }
 
+/// Guards against a target that sees other requests than the VM because lines end with LF alone.
+#[test]
+fn a_head_whose_lines_end_with_lf_alone_reaches_the_target_with_crlf() {
+    let (vm, seen) = vm(&[]);
+    let request = b"GET /lf HTTP/1.1\nhost: status\nfield: value\n\n";
+    let response = raw_exchange(vm.listen, request, IDLE_TIMEOUT);
+    assert!(
+        response.text.starts_with("HTTP/1.1 200 "),
+        "{}",
+        response.text
+    );
+    let heads: Vec<String> = seen.try_iter().collect();
+    assert_eq!(heads.len(), 1);
+    let lines = heads[0].split_inclusive('\n');
+    assert!(
+        lines.clone().all(|line| line.ends_with("\r\n")),
+        "{heads:?}"
+    );
+    assert!(lines.count() >= 4);
+}
+
 /// Guards against memory use by header sections above the limit, and against an unclear error.
 #[test]
 fn large_headers_are_refused_with_431() {
--- a/entry/tests/test_planned_stop.rs
+++ b/entry/tests/test_planned_stop.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -270,3 +271,47 @@
         }
     }
 }
+
+/// Guards against requests that are taken late in a planned stop, or hang in their target, and are cut
+/// without an answer when the platform kills the process.
+#[test]
+fn requests_that_targets_hold_are_answered_before_the_end_of_the_grace_period() {
+    const GRACE: Duration = Duration::from_secs(3);
+    let (sender, heads) = mpsc::channel();
+    let hanging = raw_server(move |mut stream| {
+        let sender = sender.clone();
+        thread::spawn(move || {
+            let _ = sender.send(read_head(&mut stream));
+            thread::sleep(MAX_WAIT);
+        });
+    });
+    let vm = Vm::alone(&[hanging], &["--grace-ms=3000"]);
+    let listen = vm.listen;
+    let call = move |request: &'static str| {
+        let fields = "host: status\r\ncarobshore-deadline-ms: 20000\r\ncontent-length: 0";
+        let text = format!("{request} HTTP/1.1\r\n{fields}\r\n\r\n");
+        thread::spawn(move || {
+            let response = raw_call(listen, text.as_bytes(), MAX_WAIT);
+            (request, response, Instant::now())
+        })
+    };
+    let early = ["GET /early", "POST /early"].map(call);
+    thread::sleep(Duration::from_millis(300));
+    let stopped = Instant::now();
+    vm.stop.request();
+    thread::sleep(GRACE / 2 - Duration::from_millis(300));
+    let late = ["GET /late", "POST /late"].map(call);
+    let mut sent = Vec::new();
+    for caller in early.into_iter().chain(late) {
+        let (request, response, at) = caller.join().expect("a response");
+        assert!(at - stopped < GRACE, "{:?}: {response}", at - stopped);
+        assert!(response.starts_with("HTTP/1.1 504 "), "{response}");
+        sent.extend(heads.try_iter());
+        let was_sent = sent.iter().any(|head: &String| head.starts_with(request));
+        let outcome = if was_sent { "may-have-run" } else { "not-run" };
+        assert_outcome(&response, outcome);
+    }
+    assert!(!sent.is_empty());
+    wait_for_end(&vm);
+    assert!(stopped.elapsed() < GRACE);
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -190,12 +190,11 @@
 
     /// Kills processes at the same time, so that none of them reacts to the end of another one.
     pub(crate) fn kill_all<'a>(gateways: impl IntoIterator<Item = &'a mut Self>) {
-        let killed = gateways.into_iter().map(|gateway| {
+        let mut gateways: Vec<&mut Self> = gateways.into_iter().collect();
+        for gateway in &mut gateways {
             let _ = gateway.child.kill();
-            gateway
-        });
-        let killed: Vec<&mut Self> = killed.collect();
-        killed.into_iter().for_each(Self::kill);
+        }
+        gateways.into_iter().for_each(Self::kill);
     }
 
     /// Starts the process again after it has exited.
--- a/gateway/tests/test_calls.rs
+++ b/gateway/tests/test_calls.rs
@@ -159,6 +159,7 @@
         assert_eq!(response.head.status, 200);
     }
     assert!(site.targets[0].runs().is_empty());
+    assert_eq!(site.targets[0].arrivals(), 0);
 }
 
 #[test]
@@ -299,6 +300,10 @@
     let long = "x".repeat(20_000);
     for (text, status) in [
         ("GET  / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        (
+            "GET /safe/ HTTP/1.1\r\nHost: site.example\n\r\n".to_owned(),
+            400,
+        ),
         (
             "POST /safe/ HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
                 .to_owned(),
@@ -315,7 +320,21 @@
         assert_eq!(response.head.status, status, "{}", &text[..30]);
         assert!(!response.head.keep_alive);
     }
+    let chunked =
+        "POST /upload/ HTTP/1.1\r\nHost: site.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for body in [
+        "zz\r\nabc\r\n0\r\n\r\n",
+        "3\r\nabcd\r\n0\r\n\r\n",
+        "3\nabc\r\n0\r\n\r\n",
+        "-1\r\nabc\r\n0\r\n\r\n",
+        "fffffffffffffffff\r\nabc\r\n0\r\n\r\n",
+    ] {
+        let response = call(gateway.callers, &format!("{chunked}{body}"));
+        assert_eq!(response.head.status, 400, "{body:?}");
+        assert!(!response.head.keep_alive);
+    }
     let slow = call(gateway.callers, "GET /safe/ HTTP/1.1\r\nHost:");
     assert_eq!(slow.head.status, 408);
     assert!(site.targets[0].runs().is_empty());
+    assert_eq!(site.targets[0].arrivals(), 0);
 }
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -38,13 +38,17 @@
 
 impl RequestHead {
     /// Consumes a complete head from the buffer, or returns `None` if more bytes are needed. Fails
-    /// if the head is larger than `max_len` bytes.
+    /// if the head is larger than `max_len` bytes, or if a line of it ends with LF alone: not all
+    /// recipients take that for the end of a line.
     pub fn take(buffer: &mut BytesMut, max_len: usize) -> Result<Option<Self>, MessageError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut headers);
         let Some(length) = complete_length(parsed.parse(buffer), buffer.len(), max_len)? else {
             return Ok(None);
         };
+        if has_lone_line_feed(&buffer[..length]) {
+            return Err(MessageError::Malformed("a line ends without CR"));
+        }
         let version = parsed.version.unwrap_or_default();
         let fields = collect(parsed.headers);
         let head = Self {
@@ -143,6 +147,13 @@
     }
 }
 
+/// Returns whether a line feed does not follow a carriage return.
+fn has_lone_line_feed(head: &[u8]) -> bool {
+    let lines = head.split_inclusive(|byte| *byte == b'\n');
+    let mut ended = lines.filter(|line| line.ends_with(b"\n"));
+    ended.any(|line| !line.ends_with(b"\r\n"))
+}
+
 fn length(fields: &Fields) -> Result<u64, MessageError> {
     let text = fields.text("content-length").unwrap_or_default();
     let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
--- a/http/tests/test_messages.rs
+++ b/http/tests/test_messages.rs
@@ -21,6 +21,19 @@
     assert_eq!(&*head.target, "/a/%2e%2E/%7e//b/../c?x=%zz&y=a+b");
 }
 
+#[test]
+fn a_line_of_a_request_head_that_ends_with_lf_alone_is_rejected() {
+    for sent in [
+        "GET / HTTP/1.1\nHost: h\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\n\n",
+        "\nGET / HTTP/1.1\r\nHost: h\r\n\r\n",
+    ] {
+        let head = RequestHead::take(&mut BytesMut::from(sent), 4_096);
+        assert!(matches!(head, Err(MessageError::Malformed(_))), "{sent:?}");
+    }
+}
+
 #[test]
 fn ambiguous_body_lengths_are_rejected() {
     for fields in [
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -16,6 +16,12 @@
 /// as "may have run".
 pub const LEAVE_NOTICE: Duration = Duration::from_secs(2);
 
+/// The time before the end of the grace period at which the last responses have to be sent, and that
+/// at which the process exits, whatever is in flight. The second one is longer than the pause between
+/// two ticks.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
+
 /// Input events of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopEvent {
@@ -61,6 +67,8 @@
 #[derive(Clone, Debug)]
 pub struct PlannedStop {
     notice: Duration,
+    /// The time from the signal after which the platform kills the process, if it does.
+    grace: Option<Duration>,
     signalled: Option<Instant>,
     accepting: bool,
     leave: Leave,
@@ -74,15 +82,19 @@
 
 impl Default for PlannedStop {
     fn default() -> Self {
-        Self::with_notice(DRAIN_NOTICE)
+        Self::new(DRAIN_NOTICE, None)
     }
 }
 
 impl PlannedStop {
-    /// Creates a stop that accepts requests for `notice` after readiness started to fail.
-    pub fn with_notice(notice: Duration) -> Self {
+    /// Creates a stop that accepts requests for `notice` after readiness started to fail. If the
+    /// platform kills the process `grace` after the signal, all requests are answered before that, and
+    /// requests are accepted for half of that time at most.
+    pub fn new(notice: Duration, grace: Option<Duration>) -> Self {
+        let notice = grace.map_or(notice, |grace| notice.min(grace / 2));
         Self {
             notice,
+            grace,
             signalled: None,
             accepting: true,
             leave: Leave::Waiting,
@@ -120,6 +132,22 @@
         self.accepting
     }
 
+    /// Returns when all requests have to be answered; nothing if no stop has begun or it has no limit.
+    pub fn deadline(&self) -> Option<Instant> {
+        Some(self.signalled? + self.grace?.saturating_sub(RESPONSE_MARGIN))
+    }
+
+    /// Returns the given deadline, or that of the stop if it is earlier.
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        self.deadline().map_or(deadline, |end| end.min(deadline))
+    }
+
+    /// Returns whether the platform is about to kill the process.
+    fn is_over(&self, now: Instant) -> bool {
+        let times = self.signalled.zip(self.grace);
+        times.is_some_and(|(at, grace)| now >= at + grace.saturating_sub(EXIT_MARGIN))
+    }
+
     fn signal(&mut self, now: Instant, out: &mut Vec<StopAction>) {
         if self.signalled.is_none() {
             self.signalled = Some(now);
@@ -127,6 +155,11 @@
             out.push(StopAction::Announce);
             return;
         }
+        self.cut_off(out);
+    }
+
+    /// Ends the process although requests are in flight.
+    fn cut_off(&mut self, out: &mut Vec<StopAction>) {
         if self.accepting {
             self.accepting = false;
             out.push(StopAction::StopAccepting);
@@ -139,6 +172,9 @@
         let Some(signalled) = self.signalled else {
             return;
         };
+        if self.is_over(now) {
+            return self.cut_off(out);
+        }
         if self.accepting && now >= signalled + self.notice {
             self.accepting = false;
             out.push(StopAction::StopAccepting);
--- a/lib/tests/test_planned_stop.rs
+++ b/lib/tests/test_planned_stop.rs
@@ -135,3 +135,29 @@
     ];
     assert_eq!(fixture.handle(StopEvent::Signal), end);
 }
+
+/// Guards against requests that are still unanswered when the platform kills the process.
+#[test]
+fn a_stop_with_a_grace_period_ends_within_it() {
+    let grace = Duration::from_secs(6);
+    let clock = ManualClock::default();
+    let signalled = clock.now();
+    let stop = PlannedStop::new(DRAIN_NOTICE, Some(grace));
+    let later = signalled + grace * 2;
+    assert_eq!(stop.limit(later), later);
+    let mut fixture = Fixture { clock, stop };
+    assert_eq!(fixture.handle(StopEvent::Signal), [StopAction::Announce]);
+    assert_eq!(fixture.in_flight(1, 1), []);
+    let deadline = fixture.stop.limit(later);
+    assert!(deadline > signalled + grace / 2 && deadline < signalled + grace);
+    assert_eq!(fixture.stop.limit(signalled), signalled);
+    assert_eq!(fixture.tick_after(grace / 2), [StopAction::StopAccepting]);
+    let rest = deadline.saturating_duration_since(fixture.clock.now());
+    assert_eq!(fixture.tick_after(rest), []);
+    let mut ended = Vec::new();
+    while ended.is_empty() && fixture.clock.now() < signalled + grace {
+        ended = fixture.tick_after(Duration::from_millis(10));
+    }
+    assert_eq!(ended, [StopAction::CutOff, StopAction::Exit]);
+    assert!(fixture.clock.now() < signalled + grace);
+}
