--- a/entry/tests/test_settings.rs
+++ b/entry/tests/test_settings.rs
@@ -50,6 +50,7 @@
         "--connect-timeout-ms=0.5",
         "--deadline-ms=600001",
         "--drain-notice-ms=1h",
+        "--grace-ms=-1",
         "--log-level=off",
     ];
     let errors = cases.map(|case| {
@@ -71,6 +72,7 @@
         [1003] --connect-timeout-ms (CAROBSHORE_CONNECT_TIMEOUT_MS) has the value `0.5`; use a whole number from 1 to 60000
         [1003] --deadline-ms (CAROBSHORE_DEADLINE_MS) has the value `600001`; use a whole number from 1 to 600000
         [1003] --drain-notice-ms (CAROBSHORE_DRAIN_NOTICE_MS) has the value `1h`; use a whole number from 0 to 600000
+        [1003] --grace-ms (CAROBSHORE_GRACE_MS) has the value `-1`; use a whole number from 0 to 600000
         [1003] --log-level (CAROBSHORE_LOG_LEVEL) has the value `off`; use `error`, `warn`, `info`, `debug` or `trace`"#]].assert_eq(&errors.join("\n"));
 }
 
@@ -113,6 +115,7 @@
                 deadline: 10s,
             },
             notice: 5s,
+            grace: None,
             level: Info,
         }"#]]
     .assert_eq(&format!("{settings:#?}"));
