--- a/review/standin/downloads.rs
+++ b/review/standin/downloads.rs
@@ -48,11 +48,7 @@
 pub fn run(trouble: bool) -> Outcome {
     let mut lines = vec![format!("trouble: {trouble}")];
     let Some(site) = Site::start("downloads", BACKENDS) else {
-        return Outcome {
-            lines,
-            broken: false,
-            ran: false,
-        };
+        return Outcome::not_run(lines);
     };
     for backend in &site.backends {
         backend.state.work_ms.store(WORK_MS, Ordering::SeqCst);
@@ -65,11 +61,7 @@
             .iter()
             .all(|vm| vm.wait_ready(Duration::from_secs(10)))
         {
-            return Outcome {
-                lines,
-                broken: false,
-                ran: false,
-            };
+            return Outcome::not_run(lines);
         }
         for backend in &site.backends {
             backend.state.body_len.store(BODY, Ordering::SeqCst);
@@ -87,6 +79,8 @@
         thread::sleep(Duration::from_secs(1));
     }
     let arrived = site.arrived();
+    let runs = site.runs();
+    let mut requests = Vec::new();
     let mut lost_most = 0;
     for vm in &site.vms {
         let mut lost = 0;
@@ -96,7 +90,8 @@
             let passed = missing.iter().filter(|id| arrived.contains(id)).count();
             lost += if fetch.kept { passed } else { 0 };
             whole += fetch.whole;
-            lines.push(format!("{} ms to {} ms: {} and {} more, kept={}: {} whole answers {:?}, {passed} passed on without a whole answer", fetch.sent_ms, fetch.ended_ms, fetch.ids[0], PIPELINED - 1, fetch.kept, fetch.whole, fetch.statuses));
+            let ran = fetch.ids.iter().filter(|id| runs.contains_key(*id)).count();
+            requests.push(format!("{} ms to {} ms: {} and {} more, kept={}: {ran} ran, {} whole answers {:?}, {passed} passed on without a whole answer", fetch.sent_ms, fetch.ended_ms, fetch.ids[0], PIPELINED - 1, fetch.kept, fetch.whole, fetch.statuses));
         }
         lines.push(format!("{}: {whole} whole answers, {lost} requests passed on from a kept connection without one", vm.name));
         lost_most = lost_most.max(lost);
@@ -108,6 +103,7 @@
     ));
     Outcome {
         lines,
+        requests,
         broken: fault || lost_most > 3,
         ran: true,
     }
--- a/review/standin/keep_alive.rs
+++ b/review/standin/keep_alive.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::Conn;
-use crate::site::{Outcome, Site};
+use crate::site::{request_line, Outcome, Site};
 
 const BACKENDS: usize = 6;
 const WORK_MS: u64 = 290;
@@ -28,11 +28,7 @@
 pub fn run(trouble: bool) -> Outcome {
     let mut lines = vec![format!("trouble: {trouble}")];
     let Some(site) = Site::start("keep-alive", BACKENDS) else {
-        return Outcome {
-            lines,
-            broken: false,
-            ran: false,
-        };
+        return Outcome::not_run(lines);
     };
     for (index, backend) in site.backends.iter().enumerate() {
         backend.state.work_ms.store(WORK_MS, Ordering::SeqCst);
@@ -59,6 +55,12 @@
         .flatten()
         .collect();
     let arrived = site.arrived();
+    let runs = site.runs();
+    let mut requests = Vec::new();
+    for sent in &sent {
+        let ran_at = runs.get(&sent.id).map_or(&[][..], |at| at);
+        requests.push(request_line(sent.at_ms, &sent.id, sent.status, ran_at));
+    }
     let mut lost_most = 0;
     for vm in &site.vms {
         let own: Vec<&Sent> = sent.iter().filter(|sent| sent.vm == vm.name).collect();
@@ -84,6 +86,7 @@
     ));
     Outcome {
         lines,
+        requests,
         broken: fault || lost_most > 3,
         ran: true,
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,9 +33,15 @@
         "keep-alive" => keep_alive::run(trouble),
         _ => return ExitCode::from(2),
     };
-    let Outcome { lines, broken, ran } = outcome;
-    let text = lines.join("\n") + "\n";
-    print!("{text}");
+    let Outcome {
+        lines,
+        requests,
+        broken,
+        ran,
+    } = outcome;
+    let findings = lines.join("\n") + "\n";
+    print!("{findings}");
+    let text = format!("{findings}\nall requests:\n{}\n", requests.join("\n"));
     if std::fs::write(PathBuf::from(dir).join("record.txt"), text).is_err() || !ran {
         return ExitCode::from(2);
     }
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -1,5 +1,6 @@
 //! A small site: a store, backends and VMs, and the checks that several cases share.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,11 +11,26 @@
 
 /// What a case has found.
 pub struct Outcome {
+    /// The findings.
     pub lines: Vec<String>,
+    /// A line for each request: when it was sent, what was answered, and where it ran.
+    pub requests: Vec<String>,
     pub broken: bool,
     pub ran: bool,
 }
 
+impl Outcome {
+    /// Creates the outcome of a case that could not run.
+    pub fn not_run(lines: Vec<String>) -> Self {
+        Self {
+            lines,
+            requests: Vec::new(),
+            broken: false,
+            ran: false,
+        }
+    }
+}
+
 /// A running site.
 pub struct Site {
     pub backends: Vec<Backend>,
@@ -89,6 +105,17 @@
         at.saturating_duration_since(self.started).as_millis()
     }
 
+    /// Returns which backends ran each request.
+    pub fn runs(&self) -> BTreeMap<String, Vec<String>> {
+        let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for backend in &self.backends {
+            for id in backend.ids("runs") {
+                runs.entry(id).or_default().push(backend.state.id.clone());
+            }
+        }
+        runs
+    }
+
     /// Returns the ids of the requests that a backend has received.
     pub fn arrived(&self) -> Vec<String> {
         self.backends
@@ -146,3 +173,13 @@
         r#"{{"Version":"r7","Resources":[{routes},{{"Type":"Services","Metadata":{{"Name":"press-pack"}},"Spec":{{"HealthPath":"/health","MaxConns":220,"Protocol":"h1","Tls":false}}}},{{"Type":"Limits","Metadata":{{}},"Spec":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}}}]}}"#
     )
 }
+
+/// Returns the line of a request for the record.
+pub fn request_line(at_ms: u128, id: &str, status: Option<u16>, ran_at: &[String]) -> String {
+    let status = status.map_or("no answer".to_owned(), |status| status.to_string());
+    let ran = match ran_at {
+        [] => "not run".to_owned(),
+        _ => format!("ran at {}", ran_at.join(" and ")),
+    };
+    format!("{at_ms} ms: {id}: {status}, {ran}")
+}
--- a/review/standin/uploads.rs
+++ b/review/standin/uploads.rs
@@ -35,11 +35,7 @@
 pub fn run(trouble: bool) -> Outcome {
     let mut lines = vec![format!("trouble: {trouble}")];
     let Some(site) = Site::start("uploads", BACKENDS) else {
-        return Outcome {
-            lines,
-            broken: false,
-            ran: false,
-        };
+        return Outcome::not_run(lines);
     };
     for backend in &site.backends {
         backend.state.work_ms.store(WORK_MS, Ordering::SeqCst);
@@ -52,11 +48,7 @@
             .iter()
             .all(|vm| vm.wait_ready(Duration::from_secs(10)))
         {
-            return Outcome {
-                lines,
-                broken: false,
-                ran: false,
-            };
+            return Outcome::not_run(lines);
         }
         let mut threads = Vec::new();
         for vm in &site.vms {
@@ -71,6 +63,8 @@
         thread::sleep(Duration::from_secs(1));
     }
     let arrived = site.arrived();
+    let runs = site.runs();
+    let mut requests = Vec::new();
     let mut lost_most = 0;
     for vm in &site.vms {
         let own: Vec<&Upload> = uploads
@@ -86,8 +80,11 @@
             } else {
                 "not passed on"
             };
-            lines.push(format!(
-                "{} ms to {} ms: {} kept={} {passed}: {status}",
+            let ran = runs.get(&upload.id).map_or("not run".to_owned(), |at| {
+                format!("ran at {}", at.join(" and "))
+            });
+            requests.push(format!(
+                "{} ms to {} ms: {} kept={} {passed}, {ran}: {status}",
                 upload.sent_ms, upload.ended_ms, upload.id, upload.kept
             ));
         }
@@ -106,6 +103,7 @@
     ));
     Outcome {
         lines,
+        requests,
         broken: fault || lost_most > 3,
         ran: true,
     }
