--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -1,5 +1,5 @@
 //! Starts the gateway with the command of the deploy file, and does what the platform does to its
-//! processes: signals, the memory limit, and a new start after each end.
+//! processes: it enforces the memory limit and starts a process again after each end.
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -92,18 +92,6 @@
         }
     }
 
-    pub fn pid(&self) -> u32 {
-        self.shared.child.lock().unwrap().id()
-    }
-
-    /// Sends a signal to the process, for example `-TERM`.
-    #[allow(dead_code)]
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill")
-            .args([signal, &self.pid().to_string()])
-            .status();
-    }
-
     pub fn is_ready(&self) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(200))
         else {
