--- a/review/standin/repeated_refusal.rs
+++ b/review/standin/repeated_refusal.rs
@@ -1,5 +1,5 @@
-//! In spells, some backends send the first bytes of a refusal that they have sent earlier before 3% of
-//! their answers on kept connections.
+//! In spells, some backends send the first bytes of a refusal before 3% of their answers on kept
+//! connections.
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -116,6 +116,16 @@
         runs
     }
 
+    /// Returns the ids of the requests that the backends of the second half have received, which never
+    /// spoil an answer.
+    pub fn arrived_at_sound(&self) -> Vec<String> {
+        let sound = &self.backends[self.backends.len() / 2..];
+        sound
+            .iter()
+            .flat_map(|backend| backend.ids("arrives"))
+            .collect()
+    }
+
     /// Returns the ids of the requests that a backend has received.
     pub fn arrived(&self) -> Vec<String> {
         self.backends
