--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use carobshore_lib::target_selector;
 use carobshore_platform::header_fields;
 use carobshore_platform::header_fields::ResponseFields;
+use carobshore_platform::header_fields::StatedKeepAlive;
 
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
@@ -262,7 +263,7 @@
     let remaining = deadline.saturating_duration_since(now);
     // Another answer of the target may have arrived while the connection was opened.
     if remaining.is_zero() || !target_notices::is_available(gateway, connections) {
-        connections.checkin(now, connection, None);
+        connections.checkin(now, connection, StatedKeepAlive::None);
         return AttemptEnd::Withheld;
     }
     let mut fields = forwarded.fields.clone();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -78,7 +78,7 @@
             ),
             target_signals: counter(
                 "carobshore.target_signals",
-                "Targets that started to leave, and requests for a pause, by kind",
+                "What targets say of themselves in their answers, by kind",
             ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
@@ -136,7 +136,8 @@
         self.feed_bytes.add(bytes as u64, &[direction]);
     }
 
-    /// Counts what a target says of itself. `kind` is `leaving`, `pause` or `malformed-pause`.
+    /// Counts what a target says of itself. `kind` is `leaving`, `pause`, `malformed-pause` or
+    /// `malformed-keep-alive`.
     pub fn target_signal(&self, kind: &'static str) {
         self.target_signals.add(1, &[KeyValue::new("kind", kind)]);
     }
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -11,17 +11,14 @@
 use carobshore_http::socket::KeepAliveOptions;
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::carried_ids::CarriedIds;
+use carobshore_lib::keep_alive::KeepAlive;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_estimator::TargetEstimator;
 use carobshore_lib::target_limit::TargetLimit;
+use carobshore_platform::header_fields::StatedKeepAlive;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Keep-alive time of a target that does not send one.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(5);
-/// An idle connection is not reused in this last part of the keep-alive time, because a request
-/// must arrive before the target closes the connection.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Longest time since the last response on a connection that carries a request that must not run
 /// twice. On an older connection the path may be dead without notice.
 const FRESH_TIME: Duration = Duration::from_millis(250);
@@ -80,8 +77,10 @@
     pub displaced: Cell<bool>,
     /// Whether the target has asked for a pause that could not be read.
     pub malformed_pause: Cell<bool>,
+    /// Whether the target has stated a keep-alive time that could not be read.
+    pub malformed_keep_alive: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
-    keep_alive: Cell<Duration>,
+    keep_alive: Cell<KeepAlive>,
 }
 
 impl TargetConnections {
@@ -96,8 +95,9 @@
             limit: RefCell::default(),
             displaced: Cell::new(false),
             malformed_pause: Cell::new(false),
+            malformed_keep_alive: Cell::new(false),
             idle: RefCell::default(),
-            keep_alive: Cell::new(DEFAULT_KEEP_ALIVE),
+            keep_alive: Cell::default(),
         }
     }
 
@@ -137,14 +137,14 @@
     }
 
     /// Puts a connection back after an exchange, or closes it if it cannot be reused. `keep_alive`
-    /// is the time that the response named, if any.
-    pub fn checkin(&self, now: Instant, connection: Connection, keep_alive: Option<Duration>) {
+    /// is what the response said of the time; one that could not be read changes nothing.
+    pub fn checkin(&self, now: Instant, connection: Connection, keep_alive: StatedKeepAlive) {
         let Connection {
             mut client,
             carried,
             ..
         } = connection;
-        if let Some(keep_alive) = keep_alive {
+        if let StatedKeepAlive::For(keep_alive) = keep_alive {
             self.keep_alive.set(keep_alive);
         }
         if client.is_idle() && !carried.is_full() && !self.displaced.get() {
@@ -158,9 +158,11 @@
 
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
-        let longest = self.longest_idle();
+        let keep_alive = self.keep_alive.get();
         let mut idle = self.idle.borrow_mut();
-        idle.retain_mut(|idle| idle.last_response + longest > now && idle.client.is_idle());
+        idle.retain_mut(|idle| {
+            keep_alive.allows_reuse(idle.last_response, now) && idle.client.is_idle()
+        });
     }
 
     /// Closes the idle connections, because the target is gone.
@@ -170,16 +172,16 @@
 
     /// Takes the idle connection that was used last, so that surplus ones time out.
     fn take_idle(&self, now: Instant, purpose: Purpose<'_>) -> Option<Connection> {
-        let (id, longest) = match purpose {
-            Purpose::HealthCheck => (None, self.longest_idle()),
+        let (id, must_be_fresh) = match purpose {
+            Purpose::HealthCheck => (None, false),
             Purpose::Request { id: None, .. } => return None,
-            Purpose::Request { id, repeatable } if repeatable => (id, self.longest_idle()),
-            Purpose::Request { id, .. } => (id, FRESH_TIME),
+            Purpose::Request { id, repeatable } => (id, !repeatable),
         };
         self.sweep(now);
         let mut idle = self.idle.borrow_mut();
         let is_suitable = |idle: &IdleConnection| {
-            idle.last_response + longest > now && id.is_none_or(|id| !idle.carried.has(id))
+            let age = now.saturating_duration_since(idle.last_response);
+            (age < FRESH_TIME || !must_be_fresh) && id.is_none_or(|id| !idle.carried.has(id))
         };
         let index = idle.iter().rposition(is_suitable)?;
         let IdleConnection {
@@ -196,11 +198,4 @@
             carried,
         })
     }
-
-    fn longest_idle(&self) -> Duration {
-        let keep_alive = self.keep_alive.get();
-        keep_alive
-            .saturating_sub(KEEP_ALIVE_MARGIN)
-            .max(keep_alive / 2)
-    }
 }
--- a/gateway/src/target_notices.rs
+++ b/gateway/src/target_notices.rs
@@ -7,6 +7,7 @@
 use carobshore_lib::target_signals::Unavailable;
 use carobshore_platform::header_fields::AskedPause;
 use carobshore_platform::header_fields::ResponseFields;
+use carobshore_platform::header_fields::StatedKeepAlive;
 
 use crate::gateway::Gateway;
 use crate::target_connections::TargetConnections;
@@ -45,6 +46,12 @@
         }
         AskedPause::None | AskedPause::For(_) | AskedPause::Malformed => {}
     }
+    if fields.keep_alive == StatedKeepAlive::Malformed {
+        gateway.metrics.target_signal("malformed-keep-alive");
+        if !connections.malformed_keep_alive.replace(true) {
+            log::warn!(target = id.as_str(); "a malformed keep-alive time is ignored");
+        }
+    }
 }
 
 /// Returns whether a response may come from the target: it names no other one.
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -20,6 +20,7 @@
 use carobshore_lib::target_selector::Demand;
 use carobshore_lib::target_signals::Unavailable;
 use carobshore_platform::header_fields;
+use carobshore_platform::header_fields::StatedKeepAlive;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -392,7 +393,7 @@
         gateway.metrics.connection_opened(reason);
     }
     if !target_notices::is_available(gateway, connections) {
-        connections.checkin(Instant::now(), connection, None);
+        connections.checkin(Instant::now(), connection, StatedKeepAlive::None);
         return None;
     }
     let fields = header_fields::health_check_fields(&connections.id, &connections.addr.to_string());
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod intent;
 pub mod item_id;
 pub mod join_queue;
+pub mod keep_alive;
 pub mod key_history;
 pub mod key_homes;
 pub mod key_ownership;
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -158,6 +158,8 @@
     leaving: AtomicBool,
     /// The pauses for which the target asks in its refusals.
     pauses: Mutex<Vec<Box<str>>>,
+    /// How long the target says that it keeps idle connections open, as it stands in its answers.
+    keep_alive: Mutex<Box<str>>,
     /// When each request arrived.
     arrived: Mutex<Vec<Instant>>,
     /// The duplicate response to send before the next one.
@@ -191,6 +193,7 @@
             limits: Mutex::default(),
             leaving: AtomicBool::new(false),
             pauses: Mutex::default(),
+            keep_alive: Mutex::new("timeout=10".into()),
             arrived: Mutex::default(),
             duplicate: Mutex::default(),
             refusals: Mutex::default(),
@@ -284,6 +287,11 @@
         *lock(&self.state.pauses) = pauses.iter().map(|pause| Box::from(*pause)).collect();
     }
 
+    /// Changes the value of `Keep-Alive` in the target's answers.
+    pub fn set_keep_alive(&self, value: &str) {
+        *lock(&self.state.keep_alive) = value.into();
+    }
+
     /// Counts as started again: later announcements have a later start.
     pub fn start_again(&self) {
         self.started_ms.fetch_add(1_000, Ordering::SeqCst);
@@ -340,8 +348,9 @@
     if caller_left {
         return ServerAction::Hang;
     }
+    let keep_alive = lock(&state.keep_alive).clone();
     let mut signature =
-        format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\nKeep-Alive: timeout=10\r\n");
+        format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\nKeep-Alive: {keep_alive}\r\n");
     signature += leaving_field(state);
     for limit in &*lock(&state.limits) {
         signature += &format!("{LIMIT}: {limit}\r\n");
