gateway: odd entries are refused one by one, logged once and counted

Cause: an entry was checked field by field for its type only. Port 0, 0.0.0.0 and numbers near the end of their range were taken for those of a target, which then cost attempts until its next entry. Nothing counted such entries.

Change: checked types where the values come in (JsonInteger, Endpoint); reasons are shortened; MalformedEntries tells a new odd entry from a copy of a known one. New metric carobshore_malformed_entries, new field in the dump.

Such entries are in the tests, alone, beside good ones, under the key of a live target, as changes, as a whole list and through another VM.

--- a/gateway/src/apply_records.rs
+++ b/gateway/src/apply_records.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::malformed_entries::Finding;
 use carobshore_lib::prelude::Offset;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
 use carobshore_lib::route_table::ConfigUpdate;
+use carobshore_lib::shortened::Shortened;
 use carobshore_lib::target_directory::Announced;
 use carobshore_platform::config_document;
 use carobshore_platform::store_client::CONFIG_KEY;
@@ -41,6 +44,10 @@
         }
     }
     apply_changes(gateway, topic, records, source);
+    if topic == Topic::Targets {
+        let listed = records.iter().map(|record| &*record.key).collect();
+        gateway.malformed.borrow_mut().retain(&listed);
+    }
     if topic == Topic::Targets && !gateway.targets_known.replace(true) {
         let targets = gateway.directory.borrow().iter().count();
         log::info!(targets; "targets read");
@@ -70,7 +77,8 @@
     let config = match config_document::decode(value) {
         Ok(config) => config,
         Err(error) => {
-            log::warn!(reason:% = error; "the configuration is ignored");
+            let reason = error.to_string();
+            log::warn!(reason:% = Shortened(&reason); "the configuration is ignored");
             return;
         }
     };
@@ -89,36 +97,59 @@
 
 fn apply_target(gateway: &Gateway, record: &KeyedRecord) {
     let now = Instant::now();
+    let position = Offset(record.offset);
     let Some(value) = &record.value else {
+        gateway
+            .malformed
+            .borrow_mut()
+            .replaced(position, &record.key);
         return withdraw(gateway, now, record, "its entry is gone");
     };
     match target_entry::decode(&record.key, value, now) {
         Ok(target) => {
-            let id = target.id.clone();
-            let (service, state) = (target.service.clone(), target.state);
-            let (generation, position) = (target.generation(), Offset(record.offset));
-            let announced = gateway.directory.borrow_mut().announce(position, target);
-            match announced {
-                Announced::Joined => {
-                    gateway.signals.borrow_mut().announced(&id, generation);
-                    gateway.drop_connections(&id);
-                }
-                Announced::Changed if state == TargetState::Leaving => {}
-                Announced::Changed | Announced::Same => return,
-                Announced::Stale => {
-                    log::info!(target = id.as_str(); "an older announcement is ignored");
-                    return;
-                }
-            }
-            log::info!(target = id.as_str(), service = service.as_str(), state:? = state; "target announced");
+            gateway
+                .malformed
+                .borrow_mut()
+                .replaced(position, &record.key);
+            announce(gateway, position, target);
         }
         Err(reason) => {
-            log::warn!(key = &*record.key, reason = &*reason; "malformed target entry");
+            report_malformed(gateway, position, &record.key, &reason);
             withdraw(gateway, now, record, "its entry is malformed");
         }
     }
 }
 
+fn announce(gateway: &Gateway, position: Offset, target: AnnouncedTarget) {
+    let (id, generation) = (target.id.clone(), target.generation());
+    let (service, state) = (target.service.clone(), target.state);
+    let announced = gateway.directory.borrow_mut().announce(position, target);
+    match announced {
+        Announced::Joined => {
+            gateway.signals.borrow_mut().announced(&id, generation);
+            gateway.drop_connections(&id);
+        }
+        Announced::Changed if state == TargetState::Leaving => {}
+        Announced::Changed | Announced::Same => return,
+        Announced::Stale => {
+            log::info!(target = id.as_str(); "an older announcement is ignored");
+            return;
+        }
+    }
+    log::info!(target = id.as_str(), service = service.as_str(), state:? = state; "target announced");
+}
+
+/// Counts a malformed entry once, and logs the first one under its key.
+fn report_malformed(gateway: &Gateway, position: Offset, key: &str, reason: &str) {
+    let finding = gateway.malformed.borrow_mut().found(position, key);
+    if finding != Finding::Known {
+        gateway.metrics.malformed_entries("target", 1);
+    }
+    if finding == Finding::New {
+        log::warn!(key, reason; "malformed target entry");
+    }
+}
+
 fn withdraw(gateway: &Gateway, now: Instant, record: &KeyedRecord, reason: &str) {
     let Ok(id) = record.key.parse::<TargetId>() else {
         return;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use carobshore_lib::limit_queue::LimitedSupply;
 use carobshore_lib::limit_share::LimitShare;
 use carobshore_lib::log_rate_limiter::LogRateLimiter;
+use carobshore_lib::malformed_entries::MalformedEntries;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::preferred_targets::RankedTarget;
 use carobshore_lib::prelude::DomainId;
@@ -65,6 +66,8 @@
     pub routes: RefCell<RouteTable>,
     /// The targets that are announced in the store.
     pub directory: RefCell<TargetDirectory>,
+    /// The entries that name no target.
+    pub(crate) malformed: RefCell<MalformedEntries>,
     /// Whether the targets have been read at least once.
     pub targets_known: Cell<bool>,
     /// Ranks targets for a request.
@@ -133,6 +136,7 @@
         Ok(Rc::new(Self {
             routes: RefCell::new(RouteTable::new(seed)),
             directory: RefCell::default(),
+            malformed: RefCell::default(),
             targets_known: Cell::new(false),
             choice: RefCell::new(TargetSelector::new(seed)),
             exit: RefCell::new(GracefulExit::new(boot.grace)),
@@ -489,6 +493,7 @@
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
             "body_bytes": self.bodies.used(),
+            "malformed_entries": self.malformed.borrow().len(),
             "targets": targets,
         })
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     store_calls: Counter<u64>,
     feed_bytes: Counter<u64>,
     target_signals: Counter<u64>,
+    malformed_entries: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -80,6 +81,10 @@
                 "carobshore.target_signals",
                 "What targets say of themselves in their answers, by kind",
             ),
+            malformed_entries: counter(
+                "carobshore.malformed_entries",
+                "Entries of the store that cannot be read, by what they should describe",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -142,6 +147,13 @@
         self.target_signals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts entries of the store that cannot be read. `kind` is `target` or `record`, the latter if
+    /// not even the key can be read.
+    pub fn malformed_entries(&self, kind: &'static str, count: u32) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.malformed_entries.add(u64::from(count), &labels);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -361,6 +361,8 @@
     fn apply_page(&mut self, page: Page) {
         if page.malformed > 0 {
             log::warn!(topic:? = self.topic, count = page.malformed; "malformed records");
+            let metrics = &self.gateway.metrics;
+            metrics.malformed_entries("record", page.malformed);
         }
         let known = self.next.unwrap_or_default();
         if page.next > known {
--- a/gateway/tests/test_odd_entries.rs
+++ b/gateway/tests/test_odd_entries.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_standin::odd_entry;
+use carobshore_standin::server::ANY_PORT;
 use carobshore_standin::site_store::TARGETS;
+use carobshore_standin::site_target::SiteTarget;
 use serde_json::Value;
-use serde_json::json;
 
 use crate::common::Gateway;
 use crate::common::Site;
@@ -24,29 +26,25 @@
     9,
 );
 
+/// A start that is later than those of the targets, in Unix milliseconds.
+const LATER_START_MS: u64 = 1_800_000_001_000;
+
 /// A start and sequence number in another writer's entry: the largest ones, and likely ones that are
 /// later than the target's own.
 const NUMBERS: [(u64, u64); 3] = [
     (u64::MAX, u64::MAX),
     ((1 << 53) - 1, (1 << 53) - 1),
-    (1_800_000_001_000, 7),
+    (LATER_START_MS, 7),
 ];
 
 /// Writes a well-formed entry of another writer under the key of each target.
-fn write_over(site: &Site, (born, sequence): (u64, u64)) {
+fn write_over(site: &Site, (started_ms, sequence): (u64, u64)) {
     for target in &site.targets {
-        let mut entry = target.entry("ready", NOWHERE);
-        entry["born"] = json!(born);
-        entry["Status"]["SeqNo"] = json!(sequence);
-        put(site, target.id(), &entry);
+        let entry = odd_entry::numbered(target, NOWHERE, started_ms, sequence);
+        site.store.put(TARGETS, target.id(), Some(&entry));
     }
 }
 
-fn put(site: &Site, key: &str, entry: &Value) {
-    let text = entry.to_string();
-    site.store.put(TARGETS, key, Some(text.as_bytes()));
-}
-
 /// Waits until the gateway uses the address for the target.
 fn wait_for_addr(gateway: &Gateway, id: &str, addr: SocketAddr) {
     let started = Instant::now();
@@ -108,9 +106,9 @@
     let site = site("later-start", 2);
     let gateway = site.gateway("edge-1");
     site.targets[0].set_leaving(true);
-    let mut entry = site.targets[0].entry("ready", site.targets[0].addr());
-    entry["born"] = json!(1_800_000_005_000_u64);
-    put(&site, site.targets[0].id(), &entry);
+    let target = &site.targets[0];
+    let entry = odd_entry::numbered(target, target.addr(), LATER_START_MS, 0);
+    site.store.put(TARGETS, target.id(), Some(&entry));
     wait("it says that it is leaving", || {
         gateway.call("safe", "first", "");
         gateway.has_line(&["target is leaving", site.targets[0].id()])
@@ -127,3 +125,82 @@
     }
     assert_eq!(site.targets[0].arrivals(), before);
 }
+
+/// Returns the lines about malformed entries under a key.
+fn warnings(gateway: &Gateway, key: &str) -> Vec<String> {
+    let key = format!("\"{key}\"");
+    let mut lines = gateway.lines();
+    lines.retain(|line| line.contains("malformed target entry") && line.contains(&key));
+    lines
+}
+
+/// The value of the counter of malformed entries.
+fn counted(gateway: &Gateway) -> u64 {
+    let request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let text = common::call(gateway.admin, request).body;
+    let mut lines = text.lines();
+    let line = lines.find(|line| line.starts_with("carobshore_malformed_entries_total"));
+    let value = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    value.unwrap_or(0)
+}
+
+/// Each odd entry is refused by itself: the good ones beside it hold, the list is followed on, by the VM
+/// that reads the store and by one that reads from it, as changes and as a whole. It is logged once, in
+/// a short line, and counted.
+#[test]
+fn odd_entries_are_refused_one_by_one_and_the_list_is_followed_on() {
+    let mut site = site("odd-entries", 2);
+    let (mut first, mut second) = (site.gateway("edge-1"), site.gateway("edge-2"));
+    let odd = odd_entry::malformed(&site.targets[0]);
+    for (key, value) in &odd {
+        site.store.put(TARGETS, key, Some(value));
+    }
+    let joined = SiteTarget::start(ANY_PORT, "i-new", "status", "a").expect("a target");
+    joined.announce(&site.store, "ready");
+    site.targets.push(joined);
+    for gateway in [&first, &second] {
+        wait_for_addr(gateway, "i-new", site.targets[2].addr());
+        wait("it is counted", || counted(gateway) == odd.len() as u64);
+    }
+    for gateway in [&mut first, &mut second] {
+        gateway.restart();
+        wait("it is ready", || gateway.is_ready());
+    }
+    for gateway in [&first, &second] {
+        for (key, _) in &odd {
+            wait("it is logged after the restart", || {
+                warnings(gateway, key).len() == 2
+            });
+            assert!(warnings(gateway, key).iter().all(|line| line.len() < 1_000));
+            assert!(!gateway.dump().contains(&format!("\"{key}\"")), "{key}");
+        }
+        for target in &site.targets {
+            assert!(uses(gateway, target.id(), target.addr()), "{}", target.id());
+        }
+    }
+    // A reader that has to read the whole list again says nothing new.
+    site.store.drop_history(TARGETS);
+    site.targets[1].announce(&site.store, "draining");
+    std::thread::sleep(APPLY_TIME);
+    for gateway in [&first, &second] {
+        assert_eq!(counted(gateway), odd.len() as u64);
+        assert!(odd.iter().all(|(key, _)| warnings(gateway, key).len() == 2));
+    }
+}
+
+/// An odd entry under the key of a target names no target; the target's next entry does.
+#[test]
+fn a_target_is_used_again_when_it_writes_over_an_odd_entry() {
+    let site = site("odd-under-key", 2);
+    let gateway = site.gateway("edge-1");
+    let target = &site.targets[0];
+    for (what, value) in odd_entry::malformed(target) {
+        site.store.put(TARGETS, target.id(), Some(&value));
+        wait("the odd entry is applied", || {
+            !uses(&gateway, target.id(), target.addr())
+        });
+        assert_eq!(gateway.call("safe", what, "").head.status, 200, "{what}");
+        target.announce(&site.store, "ready");
+        wait_for_addr(&gateway, target.id(), target.addr());
+    }
+}
--- /dev/null
+++ b/lib/tests/test_checked_values.rs
@@ -0,0 +1,82 @@
+//! Guards against numbers, addresses and texts of other processes that are taken without a check.
+
+use std::collections::BTreeSet;
+
+use carobshore_lib::endpoint::Endpoint;
+use carobshore_lib::json_integer::JsonInteger;
+use carobshore_lib::keep_alive::KeepAlive;
+use carobshore_lib::malformed_entries::Finding;
+use carobshore_lib::malformed_entries::MalformedEntries;
+use carobshore_lib::prelude::Offset;
+use carobshore_lib::shortened::Shortened;
+
+#[test]
+fn a_number_that_some_readers_round_is_refused() {
+    let largest = JsonInteger::MAX.get();
+    assert_eq!(largest.to_string().parse(), Ok(JsonInteger::MAX));
+    for text in ["9007199254740992", "18446744073709551615", "-1", "1.0", ""] {
+        assert!(text.parse::<JsonInteger>().is_err(), "{text}");
+        assert!(serde_json::from_str::<JsonInteger>(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn an_address_that_is_not_that_of_one_process_is_refused() {
+    for text in ["127.0.0.1:1", "[::1]:65535"] {
+        assert!(text.parse::<Endpoint>().is_ok(), "{text}");
+    }
+    for text in [
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "0.0.0.0:80",
+        "[::]:80",
+        "224.0.0.1:80",
+        "host:80",
+    ] {
+        assert!(text.parse::<Endpoint>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_connection_is_reused_within_the_keep_alive_time_only() {
+    let last = std::time::Instant::now();
+    let after = |millis| last + std::time::Duration::from_millis(millis);
+    let ten = KeepAlive::try_from(10).expect("a time");
+    assert!(ten.allows_reuse(last, after(8_900)));
+    assert!(!ten.allows_reuse(last, after(9_000)), "a second is left");
+    let none = KeepAlive::try_from(0).expect("a time");
+    assert!(!none.allows_reuse(last, last));
+}
+
+#[test]
+fn each_malformed_entry_is_found_once() {
+    let mut entries = MalformedEntries::default();
+    assert_eq!(entries.found(Offset(3), "a"), Finding::New);
+    assert_eq!(entries.found(Offset(3), "a"), Finding::Known);
+    assert_eq!(entries.found(Offset(5), "a"), Finding::Further);
+    assert_eq!(entries.found(Offset(4), "a"), Finding::Known);
+    entries.replaced(Offset(4), "a");
+    assert_eq!(entries.len(), 1, "an older entry replaces nothing");
+    entries.replaced(Offset(6), "a");
+    assert_eq!(entries.found(Offset(7), "a"), Finding::New);
+    entries.retain(&BTreeSet::from(["b"]));
+    assert!(entries.is_empty());
+}
+
+/// Guards against a log that another writer fills.
+#[test]
+fn entries_under_any_number_of_keys_take_bounded_memory_and_lines() {
+    let mut entries = MalformedEntries::default();
+    let found = (0..10_000).map(|offset| entries.found(Offset(offset), &format!("k-{offset}")));
+    let logged = found.filter(|finding| *finding == Finding::New).count();
+    assert!(logged <= 1_000, "{logged}");
+    assert_eq!(entries.len(), logged);
+}
+
+#[test]
+fn a_quoted_text_is_shortened_between_characters() {
+    assert_eq!(Shortened("brief").to_string(), "brief");
+    let shown = Shortened(&"ü".repeat(100_000)).to_string();
+    assert!(shown.len() < 500, "{}", shown.len());
+    assert!(shown.ends_with("... (200000 bytes)"), "{shown}");
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log_store;
 pub mod logging;
 pub mod noise;
+pub mod odd_entry;
 pub mod raw_server;
 pub mod server;
 pub mod service_time;
