gateway, entry: load reports that do not add up are ignored

Built with checks of arithmetic the call ends without an answer (gateway) or with 500 (entry); built for release the sum wraps around, and a target that states running and 1 waiting request counts as idle.

A malformed report in a health check no longer stops the health checks of the service.

The calls lost in a release build were not measured.

--- a/entry/src/target_report.rs
+++ b/entry/src/target_report.rs
@@ -4,6 +4,7 @@
 use carobshore_lib::pool_event::PoolEvent;
 use carobshore_lib::pool_event::TargetLoad;
 use carobshore_lib::prelude::TargetId;
+use carobshore_lib::request_count::RequestCount;
 use carobshore_lib::send_permit::RefusedBy;
 use ntex::http::HeaderMap;
 
@@ -49,11 +50,11 @@
     let value = |name: &str| {
         let mut parts = text.split(',').map(str::trim);
         let part = parts.find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
-        part?.parse().ok()
+        part?.parse::<RequestCount>().ok()
     };
     Some(TargetLoad {
-        in_flight: value("in-flight")?,
-        queued: value("queued")?,
+        in_flight: value("in-flight")?.get(),
+        queued: value("queued")?.get(),
     })
 }
 
--- a/entry/tests/test_faulty_targets.rs
+++ b/entry/tests/test_faulty_targets.rs
@@ -87,3 +87,31 @@
         assert!(!in_body || is_framed, "{count} bytes: {response}");
     }
 }
+
+/// Guards against a data thread that ends because the numbers of a target's load do not add up, and
+/// against a full target that counts as idle because their sum has wrapped around.
+#[test]
+fn callers_are_served_by_a_target_that_states_an_impossible_load() {
+    const LOADS: [&str; 3] = [
+        "in-flight=4294967295, queued=4294967295",
+        "in-flight=4294967295, queued=1",
+        "in-flight=18446744073709551616, queued=0",
+    ];
+    for load in LOADS {
+        let target = raw_server(move |mut stream| {
+            thread::spawn(move || {
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\ntarget-load: {load}\r\ncontent-length: 2\r\n\r\nok"
+                );
+                while !read_head(&mut stream).is_empty()
+                    && stream.write_all(answer.as_bytes()).is_ok()
+                {}
+            });
+        });
+        let vm = Vm::alone(&[target], &[]);
+        for _ in 0..4 {
+            let response = raw_call(vm.listen, POST, IDLE_TIMEOUT);
+            assert!(response.ends_with("\r\n\r\nok"), "{load}: {response}");
+        }
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use carobshore_platform::header_fields;
 use carobshore_platform::header_fields::ResponseFields;
 use carobshore_platform::header_fields::StatedKeepAlive;
+use carobshore_platform::header_fields::StatedLoad;
 
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
@@ -312,7 +313,7 @@
     response_fields: &ResponseFields,
 ) -> AttemptEnd {
     let now = Instant::now();
-    if let Some(report) = response_fields.load {
+    if let StatedLoad::Report(report) = response_fields.load {
         usable.connections.outlook.borrow_mut().report(now, report);
     }
     if response_fields.misdirected {
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -7,7 +7,6 @@
 
 use carobshore_http::client::EncodedRequest;
 use carobshore_http::head::ResponseHead;
-use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::search_step::BestTarget;
@@ -21,6 +20,7 @@
 use carobshore_lib::target_signals::Unavailable;
 use carobshore_platform::header_fields;
 use carobshore_platform::header_fields::StatedKeepAlive;
+use carobshore_platform::header_fields::StatedLoad;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -361,16 +361,17 @@
         let now = Instant::now();
         let answered = matches!(checked, Ok(Some(_)));
         match checked {
-            Ok(Some(Some(report))) => {
+            Ok(Some(StatedLoad::Report(report))) => {
                 gateway.metrics.health_check("answered");
                 gateway.services.set_reports_load(&service, true);
                 connections.outlook.borrow_mut().report(now, report);
                 gateway.services.observe_load(now, &service, report);
             }
-            Ok(Some(None)) => {
+            Ok(Some(StatedLoad::None)) => {
                 gateway.metrics.health_check("without-load");
                 gateway.services.set_reports_load(&service, false);
             }
+            Ok(Some(StatedLoad::Malformed)) => gateway.metrics.health_check("malformed-load"),
             Ok(None) | Err(_) => {
                 gateway.metrics.health_check("failed");
                 connections.outlook.borrow_mut().check_failed(now);
@@ -381,13 +382,12 @@
     });
 }
 
-/// Sends a health check. Returns nothing if it failed, and `Some(None)` if the response reports no
-/// load.
+/// Sends a health check. Returns what the response says of the load, or nothing if it failed.
 async fn check_health(
     gateway: &Gateway,
     connections: &TargetConnections,
     path: &str,
-) -> Option<Option<LoadReport>> {
+) -> Option<StatedLoad> {
     let mut connection = connections.checkout(Purpose::HealthCheck).await.ok()?;
     if let Some(reason) = connection.opened {
         gateway.metrics.connection_opened(reason);
--- a/gateway/tests/test_odd_values.rs
+++ b/gateway/tests/test_odd_values.rs
@@ -35,3 +35,34 @@
         1
     );
 }
+
+/// Guards against calls that end without an answer because the numbers of a load report do not add up,
+/// and against a full target that counts as idle because their sum has wrapped around.
+#[test]
+fn callers_are_served_beside_a_target_that_states_an_impossible_load() {
+    let site = site("impossible-load", 2);
+    let mut gateway = site.gateway("edge-1");
+    for (at, load) in [
+        "4294967295,4294967295,2,100",
+        "4294967295,1,2,100",
+        "1e308,1e308,1e308,1e308",
+        "inf,0,2",
+        "0,0,0,0",
+        "0,0,4294967295,4294967295",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        site.targets[0].set_load(load);
+        for index in 0..20 {
+            let kind = if index % 2 == 0 { "safe" } else { "unsafe" };
+            let response = gateway.try_call(kind, &format!("id-{at}-{index}"));
+            assert_eq!(
+                response.map(|response| response.head.status),
+                Some(200),
+                "{load}"
+            );
+        }
+        assert!(!gateway.has_exited(), "{load}");
+    }
+}
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -158,6 +158,8 @@
     leaving: AtomicBool,
     /// The pauses for which the target asks in its refusals.
     pauses: Mutex<Vec<Box<str>>>,
+    /// The load that the target states instead of its own.
+    load: Mutex<Option<Box<str>>>,
     /// How long the target says that it keeps idle connections open, as it stands in its answers.
     keep_alive: Mutex<Box<str>>,
     /// When each request arrived.
@@ -193,6 +195,7 @@
             limits: Mutex::default(),
             leaving: AtomicBool::new(false),
             pauses: Mutex::default(),
+            load: Mutex::default(),
             keep_alive: Mutex::new("timeout=10".into()),
             arrived: Mutex::default(),
             duplicate: Mutex::default(),
@@ -301,6 +304,11 @@
         *lock(&self.state.keep_alive) = value.into();
     }
 
+    /// Changes the load that the target states in its answers, to other than its own.
+    pub fn set_load(&self, value: &str) {
+        *lock(&self.state.load) = Some(value.into());
+    }
+
     /// Counts as started again: later announcements have a later start.
     pub fn start_again(&self) {
         self.started_ms.fetch_add(1_000, Ordering::SeqCst);
@@ -327,7 +335,11 @@
             Behaviour::HealthReportsFull => SLOTS,
             _ => state.running.load(Ordering::SeqCst),
         };
-        let mut fields = format!("Instance-Id: {}\r\n{}", state.id, load_field(running));
+        let mut fields = format!(
+            "Instance-Id: {}\r\n{}",
+            state.id,
+            load_field(state, running)
+        );
         fields += leaving_field(state);
         return ServerAction::Send(response("200 OK", &fields, b""));
     }
@@ -364,8 +376,8 @@
     for limit in &*lock(&state.limits) {
         signature += &format!("{LIMIT}: {limit}\r\n");
     }
-    if *lock(&state.behaviour) == Behaviour::HealthReportsFull {
-        signature += &load_field(state.running.load(Ordering::SeqCst));
+    if *lock(&state.behaviour) == Behaviour::HealthReportsFull || lock(&state.load).is_some() {
+        signature += &load_field(state, state.running.load(Ordering::SeqCst));
     }
     let body = match behaviour {
         Behaviour::Long(length) => "x".repeat(length),
@@ -408,8 +420,11 @@
     }
 }
 
-fn load_field(running: u32) -> String {
-    format!("Backend-Load: {running},0,{SLOTS},100\r\n")
+fn load_field(state: &State, running: u32) -> String {
+    match &*lock(&state.load) {
+        Some(load) => format!("Backend-Load: {load}\r\n"),
+        None => format!("Backend-Load: {running},0,{SLOTS},100\r\n"),
+    }
 }
 
 /// Returns the field by which a target says that it is leaving; nothing if it does not.
