gateway, entry: offsets of the store, the log and other VMs are checked

Cause: numbers were read as any u64 and used in sums and comparisons; one odd item failed the whole answer.

No such answer has been seen from the platform's store.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -345,6 +345,7 @@
             // Another VM may have sent later records since the call began.
             ProbeResult::Everything(newest) if self.next.is_some_and(|next| newest.end < next) => {}
             ProbeResult::Everything(newest) => {
+                self.report_malformed(newest.malformed);
                 self.apply_snapshot(newest.records, newest.end, RecordSource::Store);
             }
             ProbeResult::Changes(page) => self.apply_page(page),
@@ -359,11 +360,7 @@
     }
 
     fn apply_page(&mut self, page: Page) {
-        if page.malformed > 0 {
-            log::warn!(topic:? = self.topic, count = page.malformed; "malformed records");
-            let metrics = &self.gateway.metrics;
-            metrics.malformed_entries("record", page.malformed);
-        }
+        self.report_malformed(page.malformed);
         let known = self.next.unwrap_or_default();
         if page.next > known {
             let records = unseen(page.records, known);
@@ -371,6 +368,15 @@
         }
     }
 
+    /// Logs and counts records of which not even the key can be read.
+    fn report_malformed(&self, count: u32) {
+        if count > 0 {
+            log::warn!(topic:? = self.topic, count; "malformed records");
+            let metrics = &self.gateway.metrics;
+            metrics.malformed_entries("record", count);
+        }
+    }
+
     /// Reads from the store once.
     async fn read(&mut self, from: u64) {
         let started = Instant::now();
--- a/lib/src/json_integer.rs
+++ b/lib/src/json_integer.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
 use crate::error::Error;
@@ -61,6 +62,11 @@
     }
 }
 
+/// Reads a field that holds the number itself.
+pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    JsonInteger::deserialize(deserializer).map(JsonInteger::get)
+}
+
 fn bad_number(number: &dyn fmt::Debug) -> Error {
     Error::new(
         ResultCode::BadNumber,
--- a/lib/src/keyed_record.rs
+++ b/lib/src/keyed_record.rs
@@ -3,10 +3,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::json_integer;
+
 /// A record of a compacted topic.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyedRecord {
     /// The position of the record in the topic.
+    #[serde(deserialize_with = "json_integer::deserialize")]
     pub offset: u64,
     /// The key; a newer record of the same key supersedes this one.
     pub key: Box<str>,
--- a/lib/src/limit_lenders.rs
+++ b/lib/src/limit_lenders.rs
@@ -21,6 +21,8 @@
 const MAX_TARGETS: usize = 4;
 /// How long a VM is not asked again if it does not answer, or does not know of the limit.
 const SILENCE: Duration = Duration::from_secs(1);
+/// The longest time for which a VM is not asked again, whatever it says.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
 
 /// A VM that may have a request for a target to give up.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -78,7 +80,8 @@
     /// Records that a VM has nothing to give up, and after how long it will; nothing if it does not
     /// say so.
     pub fn refused(&mut self, now: Instant, lender: Lender, next: Option<Duration>) {
-        self.empty.insert(lender, now + next.unwrap_or(SILENCE));
+        let silence = next.unwrap_or(SILENCE).min(MAX_SILENCE);
+        self.empty.insert(lender, now + silence);
     }
 
     /// Returns the time until one of the VMs may have something to give up for a target.
--- a/lib/src/offset.rs
+++ b/lib/src/offset.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::error::Error;
+use crate::json_integer::JsonInteger;
 use crate::result_code::ResultCode;
 
 /// The position of a record in the log. Of two conflicting confirms, the one with the lower offset
@@ -14,7 +15,7 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
+#[serde(from = "JsonInteger", into = "u64")]
 pub struct Offset(pub u64);
 
 impl Offset {
@@ -24,6 +25,18 @@
     }
 }
 
+impl From<JsonInteger> for Offset {
+    fn from(number: JsonInteger) -> Self {
+        Self(number.get())
+    }
+}
+
+impl From<Offset> for u64 {
+    fn from(number: Offset) -> Self {
+        number.0
+    }
+}
+
 impl fmt::Display for Offset {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
@@ -34,11 +47,12 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self).map_err(|_| {
+        let number = text.parse::<JsonInteger>();
+        number.map(Self::from).map_err(|_| {
             Error::new(
                 ResultCode::BadNumber,
                 format!("`{}` is not a valid log offset", text.escape_debug()),
-                "use a whole number from 0 to 18446744073709551615",
+                "use a whole number from 0 to 9007199254740991",
             )
         })
     }
--- a/lib/src/record_patch.rs
+++ b/lib/src/record_patch.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::json_integer;
 use crate::keyed_record::KeyedRecord;
 use crate::text_patch::TextPatch;
 
@@ -12,8 +13,10 @@
     /// The key of both records.
     pub key: Box<str>,
     /// The position of the record.
+    #[serde(deserialize_with = "json_integer::deserialize")]
     pub offset: u64,
     /// The position of the earlier record.
+    #[serde(deserialize_with = "json_integer::deserialize")]
     pub base: u64,
     /// The difference of the values.
     pub patch: TextPatch,
--- a/lib/src/store_mirror.rs
+++ b/lib/src/store_mirror.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::json_integer;
 use crate::keyed_record::KeyedRecord;
 use crate::record_patch::RecordPatch;
 
@@ -20,6 +21,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
     /// The offset up to which the topic is known.
+    #[serde(deserialize_with = "json_integer::deserialize")]
     pub next: u64,
     /// Whether the records are the complete topic, so that all other keys are deleted.
     #[serde(rename = "whole")]
--- a/lib/tests/test_checked_values.rs
+++ b/lib/tests/test_checked_values.rs
@@ -5,10 +5,18 @@
 use carobshore_lib::endpoint::Endpoint;
 use carobshore_lib::json_integer::JsonInteger;
 use carobshore_lib::keep_alive::KeepAlive;
+use carobshore_lib::keyed_record::KeyedRecord;
+use carobshore_lib::limit_lenders::Lender;
+use carobshore_lib::limit_lenders::LimitLenders;
+use carobshore_lib::log_page::LogPage;
 use carobshore_lib::malformed_entries::Finding;
 use carobshore_lib::malformed_entries::MalformedEntries;
 use carobshore_lib::prelude::Offset;
+use carobshore_lib::prelude::TargetId;
+use carobshore_lib::prelude::Version;
+use carobshore_lib::record_patch::RecordPatch;
 use carobshore_lib::shortened::Shortened;
+use carobshore_lib::store_mirror::Changes;
 
 #[test]
 fn a_number_that_some_readers_round_is_refused() {
@@ -80,3 +88,39 @@
     assert!(shown.len() < 500, "{}", shown.len());
     assert!(shown.ends_with("... (200000 bytes)"), "{shown}");
 }
+
+/// Guards against offsets to which nothing can be added, in what the log, the store and other VMs say.
+#[test]
+fn messages_with_offsets_beyond_the_range_are_refused() {
+    let largest = u64::MAX;
+    let record = format!(r#"{{"offset":{largest},"key":"k","value":null}}"#);
+    assert!(serde_json::from_str::<KeyedRecord>(&record).is_err());
+    let changes = format!(r#"{{"next":{largest},"whole":true,"records":[]}}"#);
+    assert!(serde_json::from_str::<Changes>(&changes).is_err());
+    let patch = r#"{"key":"k","offset":1,"base":N,"patch":{"steps":[],"digest":0}}"#;
+    let patch = patch.replace('N', &largest.to_string());
+    assert!(serde_json::from_str::<RecordPatch>(&patch).is_err());
+    for (first, next) in [(largest, 0), (0, largest)] {
+        let page = format!(r#"{{"first":{first},"next":{next},"records":[]}}"#);
+        assert!(serde_json::from_str::<LogPage>(&page).is_err(), "{page}");
+    }
+    assert!(serde_json::from_str::<Version>(&largest.to_string()).is_err());
+    assert!(largest.to_string().parse::<Offset>().is_err());
+}
+
+/// Guards against a VM that is never asked again for a request to a limited target.
+#[test]
+fn a_vm_that_has_nothing_for_an_endless_time_is_asked_again() {
+    let now = std::time::Instant::now();
+    let target: TargetId = "t".parse().expect("a target id");
+    let vm = "127.0.0.1:1".parse().expect("an address");
+    let lender = Lender {
+        target: target.clone(),
+        vm,
+    };
+    let mut lenders = LimitLenders::default();
+    let endless = std::time::Duration::from_millis(u64::MAX);
+    lenders.refused(now, lender, Some(endless));
+    let next = lenders.next_in(now, &target).expect("a time");
+    assert!(next <= std::time::Duration::from_secs(60), "{next:?}");
+}
