--- a/gateway/src/flags.rs
+++ b/gateway/src/flags.rs
@@ -5,6 +5,9 @@
 use clap::Parser;
 use log::LevelFilter;
 
+/// The largest limit of log lines per second.
+const MAX_LOG_RATE: i64 = 1_000_000;
+
 /// Settings of the daemon itself. All others are in the platform's settings file.
 #[derive(Clone, Debug, Parser)]
 #[command(
@@ -24,6 +27,11 @@
 
     /// Limit of log lines about successful requests per second; lines above it are counted and left
     /// out. The limit for failed requests is four times as high.
-    #[arg(long, env = "CAROBSHORE_LOG_RATE", default_value = "200")]
+    #[arg(
+        long,
+        env = "CAROBSHORE_LOG_RATE",
+        default_value = "200",
+        value_parser = clap::value_parser!(u32).range(..=MAX_LOG_RATE)
+    )]
     pub log_rate: u32,
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod prelude;
 pub mod probe_deadlines;
 pub mod ramp;
+pub mod ratio;
 pub mod read_lease;
 pub mod recent_ids;
 mod recent_records;
--- a/lib/src/request_count.rs
+++ b/lib/src/request_count.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::Deserialize;
+
 use crate::error::Error;
 use crate::error::Result;
 use crate::result_code::ResultCode;
@@ -11,7 +13,8 @@
 const MAX: u32 = 1_000_000;
 
 /// A number of requests that another process runs, queues, or could run, from 0 to a million.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(try_from = "f64")]
 pub struct RequestCount(u32);
 
 impl RequestCount {
--- a/lib/src/request_rate.rs
+++ b/lib/src/request_rate.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::error::Error;
@@ -13,8 +14,8 @@
 const MAX_RATE: f64 = 1e6;
 
 /// A rate of requests per second, from 0 to [`MAX_RATE`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
 impl RequestRate {
@@ -37,6 +38,12 @@
     }
 }
 
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
 impl FromStr for RequestRate {
     type Err = Error;
 
