gateway: a part of a refusal before a response is no refusal

Cause: both were read as one head with the id of the request. The field that reports a refusal counted with any value and beside a signature, and a status that promises 'not run' was passed on without it.

Measured: the new test sends every length of the part.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -290,7 +290,7 @@
         Ok(response) => {
             let response_fields = header_fields::decode_response(&response.head);
             // Nothing tells a late response from that to the next request without an id.
-            if forwarded.id.is_some() {
+            if forwarded.id.is_some() && !response_fields.contradictory {
                 connections.checkin(Instant::now(), connection, response_fields.keep_alive);
             }
             if !response_fields.misdirected {
@@ -323,6 +323,9 @@
     if response_fields.not_run {
         return AttemptEnd::NotRun;
     }
+    if response_fields.contradictory {
+        return AttemptEnd::Unknown;
+    }
     let success = (200..300).contains(&response.head.status);
     let encoded = response.head.fields.count("content-encoding") > 0;
     // A successful response that is unsigned or has a content coding is not the target's own. One
--- a/gateway/tests/test_faulty_targets.rs
+++ b/gateway/tests/test_faulty_targets.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use carobshore_standin::site_target::Behaviour;
+use carobshore_standin::site_target::EARLIER_REFUSAL_LENGTH;
 use carobshore_standin::site_wire::REQUEST_ID;
 
 use crate::common::call;
@@ -96,3 +97,19 @@
     let response = gateway.call("safe", "id-2", "");
     assert_eq!(response.body, "body of id-2");
 }
+
+/// Guards against a request that runs twice, or is refused although it has run, because the beginning of
+/// an earlier refusal and the response make one head.
+#[test]
+fn a_part_of_a_refusal_before_a_response_is_not_taken_for_a_refusal() {
+    let site = site("part-of-refusal", 2);
+    let gateway = site.gateway("edge-1");
+    for count in 0..EARLIER_REFUSAL_LENGTH {
+        let behaviour = Behaviour::PartOfRefusal(count);
+        site.targets.iter().for_each(|target| target.set(behaviour));
+        let id = format!("part-{count}");
+        let status = gateway.call("unsafe", &id, "x").head.status;
+        assert_eq!(site.runs_of(&id), 1, "{count} bytes: {status}");
+        assert!(matches!(status, 200 | 502), "{count} bytes: {status}");
+    }
+}
--- a/http/src/fields.rs
+++ b/http/src/fields.rs
@@ -83,6 +83,12 @@
             .any(|part| part.trim().eq_ignore_ascii_case(token))
     }
 
+    /// Returns whether the value of any field contains the bytes.
+    pub fn any_contains(&self, bytes: &[u8]) -> bool {
+        let mut fields = self.0.iter();
+        fields.any(|field| field.value.windows(bytes.len()).any(|part| part == bytes))
+    }
+
     /// Removes hop-by-hop and framing fields, including those that `Connection` names, so that the
     /// rest can be forwarded.
     pub fn keep_end_to_end(&mut self) {
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -107,6 +107,10 @@
                     "unexpected 101 (Switching Protocols)",
                 ));
             }
+            // A start line that was cut off, and that of the next response.
+            if head.reason.contains("HTTP/1.") {
+                return Err(MessageError::Malformed("two status lines in one"));
+            }
             if head.status >= 200 {
                 return Ok(Some(head));
             }
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -32,6 +32,13 @@
 /// Interval at which a busy target checks whether its caller has disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// A refusal without an id, of which a faulty target sends the beginning.
+const EARLIER_REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 1\r\n";
+
+/// The length of [`EARLIER_REFUSAL`], in bytes.
+pub const EARLIER_REFUSAL_LENGTH: usize = EARLIER_REFUSAL.len();
+
 /// How a target responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -68,6 +75,11 @@
     Endless(EndlessPart),
     /// Responds with an error before reading the body.
     RejectEarly,
+    /// Runs the request, and sends the beginning of an earlier refusal, of this many bytes, before its
+    /// response.
+    PartOfRefusal(usize),
+    /// Responds with an empty body in chunks, and with a `Content-Length` as well.
+    EmptyChunks,
     /// Responds without a signature.
     Unsigned,
     /// Responds as if another target had taken over the address.
@@ -411,6 +423,14 @@
             let head = format!("HTTP/1.1 200 OK\r\n{signature}\r\n");
             ServerAction::SendAndClose(head.into_bytes())
         }
+        Behaviour::PartOfRefusal(count) => {
+            let refusal = &EARLIER_REFUSAL[..count.min(EARLIER_REFUSAL.len())];
+            ServerAction::Send([refusal, &whole].concat())
+        }
+        Behaviour::EmptyChunks => {
+            let framing = "Content-Length: 200\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+            ServerAction::Send(format!("HTTP/1.1 200 OK\r\n{signature}{framing}").into_bytes())
+        }
         Behaviour::AnswerTwice => {
             let mut bytes = std::mem::replace(&mut *lock(&state.duplicate), whole.clone());
             bytes.extend_from_slice(&whole);
