gateway: the length that an empty response in chunks states is not passed on

Cause: Reply::from_target kept the Content-Length of every response with an empty body, which was meant for HEAD; the transfer coding beside it was removed.

Change: it is kept for HEAD and 304 only.

Measured: the new test failed before (its first response never ended) and passes now.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -320,7 +320,8 @@
                     .metrics
                     .request(&self.forwarded.route.name, outcome, time);
                 self.log_request(&id, response.head.status, outcome, time);
-                (!caller_left).then(|| Reply::from_target(response))
+                let method = &self.forwarded.method;
+                (!caller_left).then(|| Reply::from_target(response, method))
             }
             Some(Err(failed)) => {
                 let gateway = &self.gateway;
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -97,14 +97,15 @@
 }
 
 impl Reply {
-    /// Creates the response that forwards the response of a target.
-    pub fn from_target(response: Response) -> Self {
+    /// Creates the response that forwards the response of a target to a request with this method.
+    pub fn from_target(response: Response, method: &str) -> Self {
         let Response { head, body } = response;
         let mut fields = head.fields;
         let length = fields.text("content-length").map(Box::<str>::from);
         fields.keep_end_to_end();
-        // A response to HEAD has a length but no body.
-        if let Some(length) = length.filter(|_| body.is_empty()) {
+        // These state the length of a body that is not sent.
+        let is_bodiless = method == "HEAD" || head.status == 304;
+        if let Some(length) = length.filter(|_| is_bodiless) {
             fields.set("Content-Length", length.as_bytes());
         }
         Self {
--- a/gateway/tests/test_faulty_targets.rs
+++ b/gateway/tests/test_faulty_targets.rs
@@ -3,11 +3,16 @@
 
 mod common;
 
+use std::io::Write;
+
+use bytes::BytesMut;
 use carobshore_standin::site_target::Behaviour;
 use carobshore_standin::site_target::EARLIER_REFUSAL_LENGTH;
 use carobshore_standin::site_wire::REQUEST_ID;
 
 use crate::common::call;
+use crate::common::connect;
+use crate::common::read_response;
 use crate::common::request;
 use crate::common::site;
 
@@ -113,3 +118,20 @@
         assert!(matches!(status, 200 | 502), "{count} bytes: {status}");
     }
 }
+
+/// Guards against a caller that takes its next responses for the body of a success.
+#[test]
+fn the_length_that_an_empty_response_in_chunks_states_is_not_passed_on() {
+    let site = site("empty-chunks", 1);
+    let gateway = site.gateway("edge-1");
+    site.targets[0].set(Behaviour::EmptyChunks);
+    let mut stream = connect(gateway.callers).expect("a connection");
+    let mut buffer = BytesMut::new();
+    for index in 0..3 {
+        let text = request("safe", &format!("id-{index}"), 1_500, "");
+        stream.write_all(text.as_bytes()).expect("a request");
+        let response = read_response(&mut stream, &mut buffer).expect("a response");
+        assert_eq!(response.head.fields.text("content-length"), Some("0"));
+        assert_eq!((response.head.status, &*response.body), (200, ""));
+    }
+}
