gateway: bodies in chunks count as memory while they arrive

Cause: memory was reserved for a stated length only.

Change: the reservation grows with what the body takes; without memory the request is refused, and none of it has reached a target.

--- a/gateway/src/body_memory.rs
+++ b/gateway/src/body_memory.rs
@@ -33,6 +33,12 @@
 }
 
 impl ReservedBody {
+    /// Raises the reserved memory to at least `bytes`. Returns false if more than `limit` bytes would be
+    /// in use.
+    pub fn grow_to(&mut self, bytes: u64, limit: u64) -> bool {
+        bytes <= self.bytes || self.resize(bytes, limit)
+    }
+
     /// Changes the reserved memory. Returns false if more than `limit` bytes would be in use.
     pub fn resize(&mut self, bytes: u64, limit: u64) -> bool {
         let others = self.memory.0.get() - self.bytes;
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -207,8 +207,8 @@
         let length = head.fields.text("content-length");
         let length = length.and_then(|length| length.parse::<u64>().ok());
         let reserved = self.shared.gateway.reserve_body(length.unwrap_or(0));
-        let reserved = reserved.ok_or(Unread::Refused(Refusal::NoMemory))?;
-        let body = self.body(&head, limits).await?;
+        let mut reserved = reserved.ok_or(Unread::Refused(Refusal::NoMemory))?;
+        let body = self.body(&head, limits, &mut reserved).await?;
         Ok((ReceivedRequest { head, body, at }, reserved))
     }
 
@@ -246,13 +246,19 @@
         }
     }
 
+    /// Reads the body of a request. `reserved` grows with it if its length is not stated.
     async fn body(
         &mut self,
         head: &RequestHead,
         limits: &CallLimits,
+        reserved: &mut ReservedBody,
     ) -> Result<Vec<u8>, MessageError> {
         let mut body = BodyReader::new(head.framing()?, limits.body.as_usize())?;
         while !body.advance(&mut self.buffer)? {
+            let limit = self.shared.gateway.body_limit();
+            if !reserved.grow_to(body.memory() as u64, limit) {
+                return Err(MessageError::NoMemory);
+            }
             let read = read_some(&mut self.read, &mut self.buffer);
             let in_time = timeout(limits.idle_time, read).await;
             in_time.map_err(|_| MessageError::Closed)??;
--- a/gateway/tests/test_faulty_targets.rs
+++ b/gateway/tests/test_faulty_targets.rs
@@ -15,6 +15,7 @@
 use crate::common::read_response;
 use crate::common::request;
 use crate::common::site;
+use crate::common::wait;
 
 #[test]
 fn a_repeated_refusal_of_an_earlier_request_is_not_taken_for_that_of_the_next() {
@@ -135,3 +136,28 @@
         assert_eq!((response.head.status, &*response.body), (200, ""));
     }
 }
+
+/// Guards against a process over its memory limit, by the bodies of requests whose length is not stated.
+#[test]
+fn the_bodies_of_requests_in_chunks_count_as_memory_while_they_arrive() {
+    const BODY: usize = 800_000;
+    let site = site("chunks-memory", 1);
+    let gateway = site.gateway("edge-1");
+    let used = || {
+        let dump: serde_json::Value = serde_json::from_str(&gateway.dump()).unwrap_or_default();
+        dump["body_bytes"].as_u64().unwrap_or_default()
+    };
+    let text = request("upload", "id", 1_500, "").replace(
+        "\r\n\r\n",
+        &format!("\r\nTransfer-Encoding: chunked\r\n\r\n{BODY:x}\r\n"),
+    );
+    let mut stream = connect(gateway.callers).expect("a connection");
+    stream.write_all(text.as_bytes()).expect("a head");
+    stream.write_all(&vec![b'x'; BODY]).expect("a body");
+    wait("the body is counted", || used() >= BODY as u64);
+    stream.write_all(b"\r\n0\r\n\r\n").expect("the end");
+    let response = read_response(&mut stream, &mut BytesMut::new()).expect("a response");
+    assert_eq!(response.head.status, 200);
+    assert_eq!(site.targets[0].runs()[0].body, BODY);
+    wait("the memory is free again", || used() == 0);
+}
