--- a/gateway/tests/test_target_notices.rs
+++ b/gateway/tests/test_target_notices.rs
@@ -136,8 +136,11 @@
     assert!(started.elapsed() < Duration::from_millis(200));
     assert_eq!(response.head.status, 503);
     assert!(response.head.fields.text("Retry-After").is_some());
-    assert!(gateway.has_line(&["targets-unavailable", "leaving"]));
     assert_eq!(site.runs_of("id-1"), 0);
+    // Another thread collects the log.
+    wait("it is logged", || {
+        gateway.has_line(&["targets-unavailable", "leaving"])
+    });
 }
 
 #[test]
