gateway: the soak has odd values, odd entries and parts of refusals

It now injects, among the others: endless keep-alive times with impossible loads, entries with large numbers and malformed ones under the keys of live targets, and parts of a refusal before a response; and it checks at the end that no process has ended by itself. Test code only.

--- a/gateway/tests/test_soak.rs
+++ b/gateway/tests/test_soak.rs
@@ -19,6 +19,7 @@
 use bytes::BytesMut;
 use carobshore_standin::fault_proxy::FaultProxy;
 use carobshore_standin::fault_proxy::ProxyFault;
+use carobshore_standin::odd_entry;
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_store::StoreFault;
 use carobshore_standin::site_store::TARGETS;
@@ -141,7 +142,7 @@
         let at = self.rng.random_range(0..4);
         let vm = self.rng.random_range(0..3);
         let millis = self.rng.random_range(10..200);
-        match self.rng.random_range(0..18) {
+        match self.rng.random_range(0..22) {
             0 => {
                 self.target_proxies[at].set_fault(ProxyFault::Delay(Duration::from_millis(millis)));
             }
@@ -164,10 +165,36 @@
                 .site
                 .store
                 .drop_history(if at < 2 { OPERATORS } else { TARGETS }),
+            17 => self.site.targets[at].set(Behaviour::PartOfRefusal(millis as usize / 3)),
+            18 => {
+                self.site.targets[at].set_keep_alive("timeout=18446744073709551615");
+                self.site.targets[at].set_load("4294967295,4294967295,0,4294967295");
+            }
+            19 => self.write_over(at, millis),
+            20 => self.add_odd_entries(at, millis as usize),
             _ => self.clear_faults(),
         }
     }
 
+    /// Writes a well-formed entry with large numbers under the key of a target, as another writer.
+    fn write_over(&self, at: usize, number: u64) {
+        let target = &self.site.targets[at];
+        let numbers = (u64::MAX >> (number % 30), number);
+        let entry =
+            odd_entry::numbered(target, self.target_proxies[at].addr(), numbers.0, numbers.1);
+        self.site.store.put(TARGETS, target.id(), Some(&entry));
+    }
+
+    /// Writes a malformed entry under the key of a target and under one of its own.
+    fn add_odd_entries(&self, at: usize, number: usize) {
+        let target = &self.site.targets[at];
+        let entries = odd_entry::malformed(target);
+        let (key, entry) = &entries[number % entries.len()];
+        for key in [*key, target.id()] {
+            self.site.store.put(TARGETS, key, Some(entry));
+        }
+    }
+
     fn stop_and_start(&mut self, vm: usize) {
         self.gateways[vm].signal("-TERM");
         let gateway = &mut self.gateways[vm];
@@ -195,10 +222,10 @@
             .for_each(|proxy| proxy.set_fault(ProxyFault::None));
         self.store_proxy.set_fault(ProxyFault::None);
         self.site.store.set_fault(StoreFault::None);
-        self.site
-            .targets
-            .iter()
-            .for_each(|target| target.set(Behaviour::Serve));
+        for (target, proxy) in self.site.targets.iter().zip(&self.target_proxies) {
+            target.set(Behaviour::Serve);
+            target.announce_at(&self.site.store, "ready", proxy.addr());
+        }
     }
 
     fn heal(&mut self) {
@@ -206,10 +233,12 @@
         self.change();
     }
 
-    /// Checks that all VMs serve requests again, with the last configuration.
-    fn check_recovered(&self) {
+    /// Checks that all VMs serve requests again, with the last configuration, and that none has ended by
+    /// itself.
+    fn check_recovered(&mut self) {
         let version = format!("\"version\":{},", self.version);
-        for (index, gateway) in self.gateways.iter().enumerate() {
+        for (index, gateway) in self.gateways.iter_mut().enumerate() {
+            assert!(!gateway.has_exited(), "edge-{index} has ended by itself");
             wait("the last configuration is in force", || {
                 gateway.dump().contains(&version)
             });
