gateway, platform, lib: keys of organisations, and what the new parts share

Change: the configuration's organisations, quotas, warm-up rules, allowed regions and public routes are decoded, and the bounds of the settings that belong to them. If there are organisations, each request needs the key of one unless its route is public; the key is looked up by its hash, removed from the request, and the organisation's name takes the place of whatever the caller said. A request that waits loses its right with its key. A version that this release cannot decode is still refused as a whole: what it does not know may forbid requests (docs/design/demands.md, section 4). The dump and a metric now show it. Log lines of requests have a field `organisation`, null without one, for which the golden log of a session changes.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -6,13 +6,16 @@
 use std::time::Instant;
 
 use carobshore_http::head::RequestHead;
+use carobshore_lib::access::organisation_id::OrganisationId;
 use carobshore_lib::route::Route;
 use carobshore_platform::header_fields;
 use tokio::sync::watch;
 
+use crate::access::Grant;
 use crate::attempt::ForwardedRequest;
 use crate::call::Call;
 use crate::failed_call::FailedCall;
+use crate::failed_call::RequestName;
 use crate::failed_call::refuse;
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
@@ -50,6 +53,12 @@
 ) -> Option<Reply> {
     let fields = header_fields::decode_request(&received.head.fields);
     let id = fields.id.clone();
+    let name = RequestName {
+        route: "",
+        id: id.as_deref(),
+        organisation: None,
+        arrived: received.at,
+    };
     let route = match route(&gateway, &received.head) {
         Ok(route) => route,
         Err(refusal) => {
@@ -57,16 +66,23 @@
                 Refusal::NotReady => FailedCall::not_ready(gateway.uptime()),
                 refusal => FailedCall::retry_soon(refusal),
             };
-            return Some(refuse(
-                &gateway,
-                "",
-                id.as_deref(),
-                received.at,
-                &failed,
-                &[],
-            ));
+            return Some(refuse(&gateway, name, &failed, &[]));
         }
     };
+    let name = RequestName {
+        route: &route.name,
+        ..name
+    };
+    let grant = Grant::authorise(&gateway.routes.borrow(), &route, &received.head.fields);
+    let Ok(grant) = grant else {
+        let failed = FailedCall::retry_soon(Refusal::UnknownKey);
+        return Some(refuse(&gateway, name, &failed, &[]));
+    };
+    let organisation = grant.as_ref().and_then(Grant::id);
+    let name = RequestName {
+        organisation: organisation.map(OrganisationId::as_str),
+        ..name
+    };
     let caller_timeout = fields.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = received.at + caller_timeout.min(route.rule.timeout);
     let deadline = gateway.exit.borrow().limit(deadline);
@@ -77,13 +93,15 @@
             retry: Some(Duration::ZERO),
             why: None,
         };
-        let id = id.as_deref();
-        return Some(refuse(&gateway, &route.name, id, received.at, &failed, &[]));
+        return Some(refuse(&gateway, name, &failed, &[]));
     }
     let service = gateway.routes.borrow_mut().assign(&route);
     gateway.count_request(Instant::now(), &service, work);
     let mut end_to_end = received.head.fields;
     end_to_end.keep_end_to_end();
+    if let Some(grant) = &grant {
+        header_fields::set_organisation(&mut end_to_end, grant.id());
+    }
     let forwarded = ForwardedRequest {
         method: received.head.method,
         target: received.head.target,
@@ -91,6 +109,7 @@
         body: Rc::new(received.body),
         id,
         route: Rc::clone(&route),
+        grant,
         work,
         deadline,
     };
--- a/gateway/src/apply_records.rs
+++ b/gateway/src/apply_records.rs
@@ -78,7 +78,10 @@
         Ok(config) => config,
         Err(error) => {
             let reason = error.to_string();
-            log::warn!(reason:% = Shortened(&reason); "the configuration is ignored");
+            let reason = Shortened(&reason).to_string();
+            log::warn!(reason = &*reason; "the configuration is ignored");
+            gateway.metrics.refused_config();
+            *gateway.refused_config.borrow_mut() = Some(reason.into());
             return;
         }
     };
@@ -87,6 +90,7 @@
     let age = gateway.config_age(Instant::now());
     match gateway.routes.borrow_mut().apply(config) {
         ConfigUpdate::InForce => {
+            *gateway.refused_config.borrow_mut() = None;
             log::info!(version, routes, bytes, from:% = source, age_ms = age; "the configuration is in force");
         }
         ConfigUpdate::NotNewer => {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use carobshore_http::client::Response;
 use carobshore_http::fields::Fields;
 use carobshore_http::head::ResponseHead;
+use carobshore_lib::access::organisation_id::OrganisationId;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::prelude::RequestRate;
 use carobshore_lib::prelude::ServiceId;
@@ -20,6 +21,7 @@
 use carobshore_platform::header_fields::StatedKeepAlive;
 use carobshore_platform::header_fields::StatedLoad;
 
+use crate::access::Grant;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limits;
@@ -43,6 +45,8 @@
     pub id: Option<Box<str>>,
     /// The route that matched the request.
     pub route: Rc<Route>,
+    /// The right to send it; nothing if no request needs a key.
+    pub grant: Option<Grant>,
     /// Expected time on an idle target whose machine runs no other work.
     pub work: Duration,
     /// When the response must have arrived.
@@ -54,6 +58,20 @@
     pub fn is_repeatable(&self) -> bool {
         self.route.rule.kind.is_repeatable()
     }
+
+    /// Returns the organisation that sent the request, if requests need keys.
+    pub fn organisation(&self) -> Option<&str> {
+        let id = self.grant.as_ref().and_then(Grant::id);
+        id.map(OrganisationId::as_str)
+    }
+
+    /// Returns the priority; 0 is the most urgent.
+    pub fn priority(&self) -> u32 {
+        let grant = self.grant.as_ref();
+        grant.map_or(self.route.rule.priority, |grant| {
+            grant.priority(&self.route)
+        })
+    }
 }
 
 /// How an attempt ended.
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -21,6 +21,7 @@
 use crate::attempt::ForwardedRequest;
 use crate::attempt::GIVEN_UP;
 use crate::failed_call::FailedCall;
+use crate::failed_call::RequestName;
 use crate::failed_call::refuse;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
@@ -108,6 +109,9 @@
                     () = self.gateway.stop_deadline_passed() => Err(self.unserved(Refusal::Stopping)),
                 };
                 match found {
+                    Ok(_) if !self.may_send() => {
+                        break Some(Err(self.unserved(Refusal::UnknownKey)));
+                    }
                     Ok(usable) => self.start(&mut running, usable),
                     Err(failed) => break Some(Err(failed)),
                 }
@@ -248,6 +252,13 @@
         }
     }
 
+    /// Returns whether the caller's organisation may still send the request.
+    fn may_send(&self) -> bool {
+        let routes = self.gateway.routes.borrow();
+        let grant = self.forwarded.grant.as_ref();
+        grant.is_none_or(|grant| grant.holds(&routes))
+    }
+
     /// Returns the failure of a call that gets no target: `refusal`, unless an earlier attempt may
     /// have run.
     fn unserved(&self, refusal: Refusal) -> FailedCall {
@@ -324,15 +335,13 @@
                 (!caller_left).then(|| Reply::from_target(response, method))
             }
             Some(Err(failed)) => {
-                let gateway = &self.gateway;
-                let reply = refuse(
-                    gateway,
-                    &self.forwarded.route.name,
-                    Some(&id),
-                    self.arrived,
-                    &failed,
-                    &self.ends,
-                );
+                let name = RequestName {
+                    route: &self.forwarded.route.name,
+                    id: Some(&id),
+                    organisation: self.forwarded.organisation(),
+                    arrived: self.arrived,
+                };
+                let reply = refuse(&self.gateway, name, &failed, &self.ends);
                 (!caller_left).then_some(reply)
             }
         }
@@ -344,7 +353,8 @@
             let version = self.gateway.routes.borrow().config().version.0;
             let age_ms = self.gateway.config_age(Instant::now());
             log::info!(
-                id, route = &*self.forwarded.route.name, service = self.service.as_str(), version, age_ms, status,
+                id, route = &*self.forwarded.route.name, service = self.service.as_str(),
+                organisation = self.forwarded.organisation(), version, age_ms, status,
                 outcome, ms = time.as_millis() as u64, attempts = self.ends.join(" "),
                 work_ms = self.forwarded.work.as_millis() as u64, left_out;
                 "request"
--- a/gateway/src/failed_call.rs
+++ b/gateway/src/failed_call.rs
@@ -44,24 +44,42 @@
     }
 }
 
+/// A request, as the log names it.
+#[derive(Clone, Copy)]
+pub(crate) struct RequestName<'a> {
+    /// The name of its route; empty if no route matches.
+    pub(crate) route: &'a str,
+    /// Its id, if the caller sent one.
+    pub(crate) id: Option<&'a str>,
+    /// The organisation that sent it, if it is known.
+    pub(crate) organisation: Option<&'a str>,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+}
+
 /// Logs and counts a failed call, and builds the response of the gateway.
 pub(crate) fn refuse(
     gateway: &Gateway,
-    route: &str,
-    id: Option<&str>,
-    arrived: Instant,
+    request: RequestName<'_>,
     failed: &FailedCall,
     ends: &[Box<str>],
 ) -> Reply {
     let outcome = failed.refusal.as_str();
+    let RequestName {
+        route,
+        id,
+        organisation,
+        arrived,
+    } = request;
     let time = arrived.elapsed();
     gateway.metrics.request(route, outcome, time);
     if let Some(left_out) = gateway.take_log_line(Instant::now(), true) {
         let version = gateway.routes.borrow().config().version.0;
         let age_ms = gateway.config_age(Instant::now());
         log::info!(
-            id = id.unwrap_or_default(), route, version, age_ms, status = failed.refusal.status(), outcome,
-            ms = time.as_millis() as u64, attempts = ends.join(" "), why = failed.why.as_deref().unwrap_or_default(), left_out;
+            id = id.unwrap_or_default(), route, organisation, version, age_ms, status = failed.refusal.status(),
+            outcome, ms = time.as_millis() as u64, attempts = ends.join(" "),
+            why = failed.why.as_deref().unwrap_or_default(), left_out;
             "request"
         );
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -6,9 +6,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::access::organisation::Organisation;
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::check_budget::CheckBudget;
 use carobshore_lib::graceful_exit::GracefulExit;
@@ -30,6 +32,7 @@
 use carobshore_lib::retry_allowance::RetryAllowance;
 use carobshore_lib::retry_allowance::RetryLimits;
 use carobshore_lib::route_table::RouteTable;
+use carobshore_lib::routing_config::RoutingConfig;
 use carobshore_lib::target_directory::TargetDirectory;
 use carobshore_lib::target_selector::TargetSelector;
 use carobshore_lib::target_signals::TargetSignals;
@@ -64,6 +67,8 @@
     pub boot: RefCell<BootSettings>,
     /// The routing configuration in force.
     pub routes: RefCell<RouteTable>,
+    /// Why the newest configuration in the store is not in force; nothing if it is.
+    pub(crate) refused_config: RefCell<Option<Box<str>>>,
     /// The targets that are announced in the store.
     pub directory: RefCell<TargetDirectory>,
     /// The entries that name no target.
@@ -135,6 +140,7 @@
         let now = Instant::now();
         Ok(Rc::new(Self {
             routes: RefCell::new(RouteTable::new(seed)),
+            refused_config: RefCell::default(),
             directory: RefCell::default(),
             malformed: RefCell::default(),
             targets_known: Cell::new(false),
@@ -488,7 +494,9 @@
             "vm": self.boot.borrow().vm_name,
             "version": routes.config().version,
             "config_age_ms": self.config_age(now),
+            "refused_config": *self.refused_config.borrow(),
             "routes": routes.config().routes.len(),
+            "organisations": organisations(routes.config()),
             "ready": self.is_ready(),
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
@@ -537,6 +545,22 @@
     }
 }
 
+/// Returns what the state dump shows of the organisations. Their keys are left out.
+fn organisations(config: &RoutingConfig) -> serde_json::Value {
+    let Some(access) = &config.access else {
+        return serde_json::Value::Null;
+    };
+    let of_one = |organisation: &Arc<Organisation>| {
+        serde_json::json!({
+            "id": organisation.id.as_str(),
+            "priority": organisation.priority,
+            "quota": organisation.quota.map(|quota| quota.to_string()),
+        })
+    };
+    let all: Vec<_> = access.iter().map(of_one).collect();
+    serde_json::json!({ "keys": access.keys(), "known": all })
+}
+
 /// Returns what the state dump shows of a target that wants no requests.
 fn unavailable_text(
     signals: &TargetSignals,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! a large failure domain, from another VM.
 
 pub mod accept_loop;
+pub mod access;
 pub mod admin_server;
 pub mod admission;
 pub mod apply_records;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     feed_bytes: Counter<u64>,
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
+    refused_configs: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -85,6 +86,10 @@
                 "carobshore.malformed_entries",
                 "Entries of the store that cannot be read, by what they should describe",
             ),
+            refused_configs: counter(
+                "carobshore.refused_configs",
+                "Configurations of the store that are invalid or need a newer release",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -154,6 +159,11 @@
         self.malformed_entries.add(u64::from(count), &labels);
     }
 
+    /// Counts a configuration that is not put in force, because it cannot be decoded.
+    pub fn refused_config(&self) {
+        self.refused_configs.add(1, &[]);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -11,6 +11,8 @@
 pub enum Refusal {
     /// The configuration or the targets have not been read yet.
     NotReady,
+    /// The request carries no key of any organisation.
+    UnknownKey,
     /// No route matches the request.
     NoRoute,
     /// The request is malformed.
@@ -44,6 +46,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
+            Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
             Self::BodyTooLarge => 413,
@@ -64,6 +67,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotReady => "not-ready",
+            Self::UnknownKey => "unknown-key",
             Self::NoRoute => "no-route",
             Self::BadRequest => "bad-request",
             Self::HeadTooLarge => "head-too-large",
@@ -127,6 +131,9 @@
         if let Some(retry) = retry {
             header_fields::set_retry_after(&mut fields, retry);
         }
+        if refusal == Refusal::UnknownKey {
+            header_fields::add_key_challenge(&mut fields);
+        }
         fields.add("Content-Type", "text/plain");
         let close = matches!(
             refusal,
--- a/gateway/tests/test_log.rs
+++ b/gateway/tests/test_log.rs
@@ -105,9 +105,9 @@
         INFO attempt end="answered" id="id-served" left_out=0 limit=null local=true missing=false preferred=true target="i-0"
         INFO list of VMs read is_new=true vms=1
         INFO planned stop in_flight=0
-        INFO request attempts="" id="id-denied" left_out=0 outcome="no-route" route="" status=404 version=1
-        INFO request attempts="" id="id-nobody" left_out=0 outcome="no-target" route="r-safe" status=503 version=2
-        INFO request attempts="i-0:answered" id="id-served" left_out=0 outcome="served" route="r-safe" service="status" status=200 version=1
+        INFO request attempts="" id="id-denied" left_out=0 organisation=null outcome="no-route" route="" status=404 version=1
+        INFO request attempts="" id="id-nobody" left_out=0 organisation=null outcome="no-target" route="r-safe" status=503 version=2
+        INFO request attempts="i-0:answered" id="id-served" left_out=0 organisation=null outcome="served" route="r-safe" service="status" status=200 version=1
         INFO settings read again cause="signal"
         INFO target announced service="status" state="Leaving" target="i-left"
         INFO target announced service="status" state="Serving" target="i-0"
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! at which they happened and return actions for the caller to carry out, so that the daemon, the
 //! load tool and the tests all run the same code.
 
+pub mod access;
 pub mod announced_target;
 pub mod appender;
 pub mod attempt_table;
@@ -106,6 +107,7 @@
 pub mod retry_budget;
 pub mod roster;
 pub mod route;
+pub mod route_access;
 mod route_checks;
 pub mod route_id;
 pub mod route_part;
@@ -146,6 +148,7 @@
 pub mod version;
 pub mod vm_id;
 pub mod vm_roster;
+pub mod warmup;
 pub mod watch_ring;
 pub mod weighted_split;
 pub mod window_limiter;
--- a/lib/tests/test_route_table.rs
+++ b/lib/tests/test_route_table.rs
@@ -6,6 +6,7 @@
 use carobshore_lib::call_kind::CallKind;
 use carobshore_lib::prelude::Version;
 use carobshore_lib::route::Route;
+use carobshore_lib::route_access::RouteAccess;
 use carobshore_lib::route_part::RoutePart;
 use carobshore_lib::route_rule::RouteRule;
 use carobshore_lib::route_table::ConfigUpdate;
@@ -20,6 +21,7 @@
     };
     Route {
         name: name.into(),
+        access: RouteAccess::default(),
         rule: RouteRule {
             host: host.into(),
             prefix: prefix.into(),
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -150,6 +150,10 @@
     pub request: Box<str>,
     /// The value of `Request-Deadline`, in milliseconds.
     pub deadline: Option<u64>,
+    /// The organisation that the request names, if it names one.
+    pub organisation: Option<Box<str>>,
+    /// Whether the request carries the key of its caller.
+    pub has_key: bool,
     /// The length of the body, in bytes.
     pub body: usize,
     /// Whether the caller disconnected before the request finished.
@@ -486,6 +490,8 @@
         deadline: fields
             .text("Request-Deadline")
             .and_then(|text| text.parse().ok()),
+        organisation: fields.text("Tenant").map(Box::from),
+        has_key: fields.count("Authorization") > 0,
         body: call.body.len(),
         caller_left: false,
     };
