cli: check of a configuration before it is sent

Cause: operators learned only from the VMs' logs that a version was refused, and not at all that an entry has no effect.

Keys appear as short hashes only.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod check;
 mod completions;
 mod confirm;
 mod dump;
@@ -26,6 +27,7 @@
     Status(status::StatusArgs),
     Dump(dump::DumpArgs),
     Explain(explain::ExplainArgs),
+    Check(check::CheckArgs),
     Completions(completions::CompletionsArgs),
 }
 
@@ -55,6 +57,7 @@
         Command::Status(args) => status::run(&context, &args).await,
         Command::Dump(args) => dump::run(&context, &args).await,
         Command::Explain(args) => explain::run(&context, &args),
+        Command::Check(args) => check::run(&context, &args).await,
         Command::Completions(args) => completions::run(&args),
     }
 }
--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use carobshore_http::head::RequestHead;
 use carobshore_http::message_error::MessageError;
+use carobshore_lib::config_check::config_summary::ConfigSummary;
 use carobshore_platform::header_fields::READINESS_PATH;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -101,7 +102,14 @@
                 Err(error) => Reply::text(500, format!("{error:#}\n")),
             }
         }
+        ("GET", "/config") => {
+            let summary = ConfigSummary::from(&**gateway.routes.borrow().config());
+            match serde_json::to_string(&summary) {
+                Ok(text) => Reply::text(200, text),
+                Err(error) => Reply::text(500, format!("{error}\n")),
+            }
+        }
         ("GET", "/dump") => Reply::text(200, gateway.dump(Instant::now()).to_string()),
-        _ => Reply::text(404, "use /ready, /metrics or /dump\n"),
+        _ => Reply::text(404, "use /ready, /metrics, /config or /dump\n"),
     }
 }
--- a/lib/src/access/access_table.rs
+++ b/lib/src/access/access_table.rs
@@ -65,6 +65,14 @@
         self.organisations.get(id)
     }
 
+    /// Returns the hashes of an organisation's keys, in order.
+    pub fn keys_of(&self, id: &OrganisationId) -> Vec<KeyHash> {
+        let own = self.holders.iter().filter(|(_, holder)| holder.id == *id);
+        let mut keys: Vec<KeyHash> = own.map(|(hash, _)| *hash).collect();
+        keys.sort_unstable();
+        keys
+    }
+
     /// Returns all organisations, ordered by id.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
         self.organisations.values()
--- a/lib/src/access/allowed_regions.rs
+++ b/lib/src/access/allowed_regions.rs
@@ -21,6 +21,19 @@
         self.0.is_none()
     }
 
+    /// Returns the regions that are named, in order; none if every region is allowed.
+    pub fn iter(&self) -> impl Iterator<Item = &RegionId> {
+        self.0.iter().flatten()
+    }
+
+    /// Returns whether there is a region that both sets allow.
+    pub fn meets(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (Some(regions), Some(others)) => !regions.is_disjoint(others),
+            _ => true,
+        }
+    }
+
     /// Returns whether a target in `region` may get the requests. One whose region is not known may
     /// not, if regions are named.
     pub fn allows(&self, region: Option<&RegionId>) -> bool {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod clock;
 pub mod clock_step_detector;
 pub mod config;
+pub mod config_check;
 pub mod configured_route;
 pub mod connection_pool;
 pub mod crowding;
