lib, gateway, platform: cold targets, evacuated domains and allowed regions

Targets that come back cold crashed above their rate, evacuated domains kept getting requests, and regions of routes and organisations had no effect. The rate of a cold target is divided over a group of VMs, evacuated domains are left out and checked once more before the first byte, and both sets of allowed regions restrict the targets.

--- a/gateway/src/apply_records.rs
+++ b/gateway/src/apply_records.rs
@@ -17,8 +17,10 @@
 use carobshore_platform::store_client::Topic;
 use carobshore_platform::target_entry;
 
+use crate::evacuation;
 use crate::gateway::Gateway;
 use crate::record_source::RecordSource;
+use crate::warmup;
 
 /// Applies all records of a topic up to the offset `next`. Targets that are not among them are removed.
 pub fn apply_snapshot(
@@ -43,6 +45,9 @@
             gateway.drop_connections(id);
         }
     }
+    if topic == Topic::Operators {
+        evacuation::apply_snapshot(gateway, records, next);
+    }
     apply_changes(gateway, topic, records, source);
     if topic == Topic::Targets {
         let listed = records.iter().map(|record| &*record.key).collect();
@@ -63,6 +68,7 @@
 ) {
     for record in records {
         match topic {
+            Topic::Operators if evacuation::apply_change(gateway, record) => {}
             Topic::Operators => apply_config(gateway, record, source),
             Topic::Targets => apply_target(gateway, record),
             Topic::Vms => {}
@@ -127,11 +133,13 @@
 fn announce(gateway: &Gateway, position: Offset, target: AnnouncedTarget) {
     let (id, generation) = (target.id.clone(), target.generation());
     let (service, state) = (target.service.clone(), target.state);
+    let entry = target.clone();
     let announced = gateway.directory.borrow_mut().announce(position, target);
     match announced {
         Announced::Joined => {
             gateway.signals.borrow_mut().announced(&id, generation);
             gateway.drop_connections(&id);
+            warmup::announced(gateway, &entry);
         }
         Announced::Changed if state == TargetState::Leaving => {}
         Announced::Changed | Announced::Same => return,
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::target_connections::Purpose;
 use crate::target_notices;
 use crate::target_search;
+use crate::warmup;
 
 /// A request as it is forwarded to targets.
 #[derive(Clone, Debug)]
@@ -81,8 +82,8 @@
     Answered(Response),
     /// No byte of the request was sent, because of the target.
     NotSent,
-    /// No byte of the request was sent, because the target has just said that it wants none, or
-    /// because no time was left.
+    /// No byte of the request was sent, because the target has just said that it wants none, its
+    /// domain was evacuated, its warm-up allows none now, or no time was left.
     Withheld,
     /// The target reports that it did not run the request.
     NotRun,
@@ -271,8 +272,13 @@
         id: forwarded.id.as_deref(),
         repeatable: forwarded.is_repeatable(),
     };
-    let Ok(mut connection) = connections.checkout(purpose).await else {
-        return AttemptEnd::NotSent;
+    let was_cold = warmup::is_cold(connections);
+    let mut connection = match connections.checkout(purpose).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            warmup::not_connected(gateway, connections, &error);
+            return AttemptEnd::NotSent;
+        }
     };
     if let Some(reason) = connection.opened {
         gateway.metrics.connection_opened(reason);
@@ -280,8 +286,12 @@
     let now = Instant::now();
     let deadline = gateway.exit.borrow().limit(forwarded.deadline);
     let remaining = deadline.saturating_duration_since(now);
-    // Another answer of the target may have arrived while the connection was opened.
-    if remaining.is_zero() || !target_notices::is_available(gateway, connections) {
+    // Another answer of the target, or the evacuation of its domain, may have arrived while the
+    // connection was opened.
+    if remaining.is_zero()
+        || !target_notices::is_available(gateway, connections)
+        || !warmup::may_send(connections, started, was_cold)
+    {
         connections.checkin(now, connection, StatedKeepAlive::None);
         return AttemptEnd::Withheld;
     }
@@ -316,8 +326,12 @@
             }
             classify(usable, response, &response_fields)
         }
-        Err(ExchangeFailure { sent: false, .. }) => AttemptEnd::NotSent,
+        Err(ExchangeFailure { sent: false, error }) => {
+            warmup::broken(gateway, connections, &error);
+            AttemptEnd::NotSent
+        }
         Err(failure) => {
+            warmup::broken(gateway, connections, &failure.error);
             log::debug!(target = connections.id.as_str(), reason:% = failure.error; "attempt failed");
             AttemptEnd::Unknown
         }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use carobshore_http::client::Response;
+use carobshore_lib::access::region_rule::RegionRule;
 use carobshore_lib::call_times::CallTimes;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::search_step::SearchDeadlines;
@@ -36,6 +37,8 @@
 const RESPONSE_BYTES: usize = 2 << 10;
 /// Pause between two searches for an idle target to hedge to.
 const HEDGE_SEARCH_PAUSE: Duration = Duration::from_millis(120);
+/// When a caller may return whose service has targets in evacuated domains only.
+const EVACUATED_RETRY: Duration = Duration::from_secs(1);
 /// How long after its deadline a request waits for the target's own response, which arrives at
 /// about the same time and leaves the connection reusable.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
@@ -222,8 +225,14 @@
     }
 
     fn search_for(&self, wait_end: Instant) -> Search<'_> {
+        let grant = self.forwarded.grant.as_ref();
+        let organisation = grant.and_then(|grant| grant.organisation.as_ref());
         Search {
             service: &self.service,
+            regions: RegionRule {
+                route: &self.forwarded.route.access.regions,
+                organisation: organisation.map(|organisation| &organisation.regions),
+            },
             demand: Demand {
                 work: self.forwarded.work,
                 bytes: self.forwarded.body.len() + RESPONSE_BYTES,
@@ -363,15 +372,16 @@
     }
 }
 
-/// Returns the failure of a call for a service whose targets want no requests.
+/// Returns the failure of a call that no target of the service may get.
 fn unavailable(reason: Unavailable) -> FailedCall {
     let soon = FailedCall::retry_soon(Refusal::TargetsUnavailable);
     FailedCall {
         retry: match reason {
             Unavailable::Paused(left) => Some(left),
-            Unavailable::Leaving => soon.retry,
+            Unavailable::Evacuated => Some(EVACUATED_RETRY),
+            Unavailable::Leaving | Unavailable::OutsideRegions => soon.retry,
         },
-        why: Some(format!("all targets want no requests; the first one is {reason}").into()),
+        why: Some(format!("no target may get the request; the first one is {reason}").into()),
         ..soon
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use carobshore_lib::access::organisation::Organisation;
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::check_budget::CheckBudget;
+use carobshore_lib::evacuation::evacuations::Evacuations;
 use carobshore_lib::graceful_exit::GracefulExit;
 use carobshore_lib::limit_lenders::Lender;
 use carobshore_lib::limit_lenders::LimitLenders;
@@ -45,6 +46,7 @@
 
 use crate::body_memory::BodyMemory;
 use crate::body_memory::ReservedBody;
+use crate::evacuation;
 use crate::feed::Feed;
 use crate::in_flight::InFlight;
 use crate::limits;
@@ -52,6 +54,8 @@
 use crate::registrar::Registrar;
 use crate::service_estimates::ServiceEstimates;
 use crate::target_connections::TargetConnections;
+use crate::warmup;
+use crate::warmup::Warmups;
 
 /// Number of VMs that is assumed while the list of VMs is not known.
 const ASSUMED_VMS: usize = 64;
@@ -94,6 +98,10 @@
     is_new: Cell<bool>,
     /// What is known of the limits of targets, from this VM and others.
     pub(crate) limit_news: RefCell<LimitNews>,
+    /// What is known of the warm-up of targets.
+    pub(crate) warmup: Warmups,
+    /// The evacuated failure domains.
+    pub(crate) evacuations: RefCell<Evacuations>,
     limit_queues: RefCell<HashMap<ServiceId, LimitQueue>>,
     limit_lenders: RefCell<LimitLenders>,
     registrar: Registrar,
@@ -117,6 +125,8 @@
     pub connections: Rc<TargetConnections>,
     /// Number of requests that the target processes concurrently.
     pub slots: u32,
+    /// Number of them that may be in use at present.
+    pub slot_limit: u32,
     /// Whether the target is in the failure domain of this VM.
     pub local: bool,
     /// Whether this VM prefers the target, so that it keeps a connection to it.
@@ -154,6 +164,8 @@
             roster: RefCell::default(),
             is_new: Cell::new(true),
             limit_news: RefCell::default(),
+            warmup: Warmups::new(now),
+            evacuations: RefCell::default(),
             limit_queues: RefCell::default(),
             limit_lenders: RefCell::default(),
             registrar: Registrar::default(),
@@ -231,12 +243,14 @@
             .map(|target| UsableTarget {
                 connections: self.connections(target),
                 slots: target.slots.get(),
+                slot_limit: self.services.slot_limit(now, service, target.slots.get()),
                 local: target.domain == boot.domain,
                 preferred: false,
                 missing: directory.is_missing(&target.id),
             })
             .filter(|usable| !usable.connections.displaced.get())
             .collect();
+        evacuation::keep_open(self, now, &mut usable);
         for usable in &usable {
             let mut outlook = usable.connections.outlook.borrow_mut();
             outlook.set_typical_load(usual_load);
@@ -260,6 +274,7 @@
     pub(crate) fn replace_roster(&self, roster: VmRoster) {
         *self.roster.borrow_mut() = roster;
         self.registrar.list_changed();
+        self.warmup.list_changed();
         for connections in self.connections.borrow().values() {
             limits::divide_again(self, connections);
         }
@@ -281,6 +296,11 @@
         boot.control.is_some_and(|addr| boot.seeds.contains(&addr))
     }
 
+    /// Returns whether the other VMs may not know this one yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.is_new.get()
+    }
+
     /// Returns this VM's part of a limit that a target names.
     pub fn limit_share(&self, target: &TargetId, rate: RequestRate) -> LimitShare {
         let roster = self.roster.borrow();
@@ -298,8 +318,9 @@
         act(queues.entry(service.clone()).or_default())
     }
 
-    /// Returns which VMs to ask for a request to one of the limited targets.
-    pub fn limit_lenders(&self, targets: &[(TargetId, RequestRate)]) -> Vec<Lender> {
+    /// Returns which VMs to ask for a request to one of the limited targets, each with the number of
+    /// VMs that share its rate.
+    pub fn limit_lenders(&self, targets: &[(TargetId, usize)]) -> Vec<Lender> {
         let (roster, boot) = (self.roster.borrow(), self.boot.borrow());
         let me = (&*boot.vm_name, &boot.domain);
         let mut lenders = self.limit_lenders.borrow_mut();
@@ -326,6 +347,12 @@
         self.connections.borrow().get(target).map(Rc::clone)
     }
 
+    /// Returns the connections to a target that is announced.
+    pub(crate) fn announced_connections(&self, target: &TargetId) -> Option<Rc<TargetConnections>> {
+        let directory = self.directory.borrow();
+        Some(self.connections(directory.get(target)?))
+    }
+
     /// Returns the number of VMs, or an assumed number while the list of VMs is not known.
     pub fn vm_count(&self) -> usize {
         self.roster.borrow().len().unwrap_or(ASSUMED_VMS)
@@ -477,6 +504,7 @@
                     "addr": target.addr.to_string(),
                     "state": target.state,
                     "limit": limits::dump(now, &connections),
+                    "warmup": warmup::dump(now, &connections),
                     "unavailable": unavailable_text(&self.signals.borrow(), now, target),
                     "displaced": connections.displaced.get(),
                     "own_in_flight": outlook.own_in_flight(),
@@ -502,6 +530,7 @@
             "in_flight": self.in_flight.count(),
             "body_bytes": self.bodies.used(),
             "malformed_entries": self.malformed.borrow().len(),
+            "evacuated": evacuation::dump(self, now),
             "targets": targets,
         })
     }
@@ -514,15 +543,15 @@
         act(&mut checks)
     }
 
-    fn connections(&self, target: &AnnouncedTarget) -> Rc<TargetConnections> {
+    pub(crate) fn connections(&self, target: &AnnouncedTarget) -> Rc<TargetConnections> {
         let mut connections = self.connections.borrow_mut();
         let found = connections.entry(target.id.clone()).or_insert_with(|| {
             let rank = preferred_targets::rank(&self.boot.borrow().vm_name, target.id.as_str());
-            let created = TargetConnections::new(target, rank);
+            let created = TargetConnections::new(target, rank, self.warmup.of(&target.id));
             limits::apply_news(self, &created);
             Rc::new(created)
         });
-        found.outlook.borrow_mut().set_cold_until(target.cold_until);
+        warmup::refresh(self, found, target);
         Rc::clone(found)
     }
 
--- a/gateway/src/limited_targets.rs
+++ b/gateway/src/limited_targets.rs
@@ -13,6 +13,7 @@
 use crate::limits;
 use crate::target_search::NoRoom;
 use crate::target_search::Search;
+use crate::warmup;
 
 /// Largest size of a request and its response, in bytes, that goes to another failure domain only to
 /// use a limit.
@@ -22,17 +23,31 @@
 /// Largest time of a request there, as a multiple of its expected time.
 const MAX_SLOWNESS: u32 = 2;
 
-/// Returns the targets whose limits allow a request, or all of them if none does.
+/// Returns the targets whose limits allow a request, or all of them if none does. Cold targets are
+/// not among them while a warm one has a free slot: they are idle because they take little.
 pub(crate) fn within_limits(
     usable: Vec<UsableTarget>,
 ) -> Result<Vec<UsableTarget>, Vec<UsableTarget>> {
     let (open, limited): (Vec<_>, Vec<_>) = usable
         .into_iter()
         .partition(|usable| limits::is_open(&usable.connections));
-    match open.is_empty() {
-        true => Err(limited),
-        false => Ok(open),
+    if open.is_empty() {
+        return Err(limited);
     }
+    let (warm, cold): (Vec<_>, Vec<_>) = open
+        .into_iter()
+        .partition(|usable| !warmup::is_cold(&usable.connections));
+    match cold.is_empty() || warm.iter().any(has_free_slot) {
+        true => Ok(warm),
+        false => Ok([warm, cold].concat()),
+    }
+}
+
+/// Returns whether a target is expected to have a slot that a request may take.
+fn has_free_slot(usable: &UsableTarget) -> bool {
+    let outlook = usable.connections.outlook.borrow();
+    let queued = outlook.queue_ahead(Instant::now(), usable.slots);
+    queued + f64::from(usable.slots.saturating_sub(usable.slot_limit)) <= 0.0
 }
 
 /// Takes the request of a target that is mostly idle because of its limit. Such a target is used as
@@ -45,6 +60,7 @@
         let work = search.demand.work;
         (usable.local || search.demand.bytes <= MAX_REMOTE_BYTES)
             && limits::is_light(connections, work, usable.slots)
+            && !warmup::is_cold(connections)
             && outlook.own_in_flight() == 0
             && outlook.failure_share(now) < MAX_FAILURE_SHARE
             && outlook.expected_alone(now, work) <= work * MAX_SLOWNESS
@@ -68,6 +84,10 @@
     if turn.is_some() && now < end {
         return Ok(());
     }
+    let is_checked = |usable: &UsableTarget| usable.connections.cold.borrow().is_answer_likely();
+    if now < end && limited.iter().any(is_checked) {
+        return Ok(());
+    }
     let supply = supply(gateway, limited);
     if turn.is_none()
         && gateway.with_limit_queue(search.service, |queue| queue.enter(now, supply, end))
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -6,6 +6,7 @@
 
 use carobshore_lib::limit_news::HeardLimit;
 use carobshore_lib::limit_queue::LimitedSupply;
+use carobshore_lib::limit_share;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::prelude::Clock;
 use carobshore_lib::prelude::RequestRate;
@@ -144,24 +145,78 @@
     limit.as_ref().map(TargetLimit::rate)
 }
 
-/// Returns whether a target's limit allows a request now.
+/// Returns the lower of the rates that a target takes from all VMs together: by the limit that it has
+/// named, and while it is cold.
+pub(crate) fn common_rate(connections: &TargetConnections) -> Option<RequestRate> {
+    let cold = connections.cold.borrow();
+    let cold = cold.limit().filter(|_| cold.is_cold(Instant::now()));
+    let cold = cold.and_then(|limit| limit.rate().try_into().ok());
+    let rates = [known_rate(connections), cold].into_iter().flatten();
+    rates.reduce(|one, other| if other < one { other } else { one })
+}
+
+/// Returns how many VMs, of `vms`, share what a target takes; nothing if it takes any number.
+pub(crate) fn group_size(connections: &TargetConnections, vms: usize) -> Option<usize> {
+    let cold = connections.cold.borrow();
+    let cold = cold.limit().filter(|_| cold.is_cold(Instant::now()));
+    let cold = cold.map(|limit| limit.members(vms));
+    let named = known_rate(connections).map(|rate| limit_share::group_size(rate, vms));
+    // A member must have a part of both. The smaller group is a part of the larger one.
+    named.into_iter().chain(cold).min()
+}
+
+/// Returns whether a target's limit and its warm-up allow a request now.
 pub fn is_open(connections: &TargetConnections) -> bool {
+    let now = Instant::now();
+    is_limit_open(connections, now) && connections.cold.borrow().is_open(now)
+}
+
+/// Returns whether the limit that a target has named allows a request.
+fn is_limit_open(connections: &TargetConnections, now: Instant) -> bool {
     let limit = connections.limit.borrow();
     let limit = limit.as_ref();
-    limit.is_none_or(|limit| limit.is_open(Instant::now(), since_epoch()))
+    limit.is_none_or(|limit| limit.is_open(now, since_epoch()))
 }
 
-/// Takes a request from what a target's limit allows. Returns false if there is none left.
+/// Takes a request from what a target's limit and its warm-up allow. Returns false if one of them
+/// allows none.
 pub fn take(connections: &TargetConnections) -> bool {
+    is_open(connections)
+        && take_named(connections)
+        && connections.cold.borrow_mut().take(Instant::now())
+}
+
+/// Takes a request from what the limit that a target has named allows.
+pub(crate) fn take_named(connections: &TargetConnections) -> bool {
     let mut limit = connections.limit.borrow_mut();
     let limit = limit.as_mut();
     limit.is_none_or(|limit| limit.take(Instant::now(), since_epoch()))
 }
 
-/// Returns the time until this VM's part of a target's limit allows a request; nothing if it has none.
+/// Returns what a target takes from this VM by its limit and its warm-up; nothing if it takes any
+/// number, or if this VM has no part.
+pub(crate) fn own_supply(connections: &TargetConnections) -> Option<LimitedSupply> {
+    let now = Instant::now();
+    let (limit, cold) = (connections.limit.borrow(), connections.cold.borrow());
+    let named = limit.as_ref().map(|limit| {
+        let next = limit.next_in(now)?;
+        let rate = limit.share().rate;
+        Some(LimitedSupply { rate, next })
+    });
+    let warming = cold.is_cold(now).then(|| {
+        let next = cold.next_in(now)?;
+        let rate = cold.share()?.rate;
+        Some(LimitedSupply { rate, next })
+    });
+    match (named, warming) {
+        (Some(named), Some(warming)) => Some(named?.within(warming?)),
+        (named, warming) => named.or(warming)?,
+    }
+}
+
+/// Returns the time until this VM's part allows a request; nothing if it has none.
 pub fn next_in(connections: &TargetConnections) -> Option<Duration> {
-    let limit = connections.limit.borrow();
-    limit.as_ref()?.next_in(Instant::now())
+    own_supply(connections).map(|supply| supply.next)
 }
 
 /// Returns whether a target's limit keeps it mostly idle, so that its load need not be queried.
@@ -174,15 +229,9 @@
 
 /// Returns what limited targets take from this VM; nothing if it has no part of any of them.
 pub fn supply(targets: &[UsableTarget]) -> Option<LimitedSupply> {
-    let now = Instant::now();
-    let parts = targets.iter().filter_map(|target| {
-        let limit = target.connections.limit.borrow();
-        let limit = limit.as_ref()?;
-        Some(LimitedSupply {
-            rate: limit.share().rate,
-            next: limit.next_in(now)?,
-        })
-    });
+    let parts = targets
+        .iter()
+        .filter_map(|target| own_supply(&target.connections));
     parts.reduce(LimitedSupply::and)
 }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
     refused_configs: Counter<u64>,
+    warmups: Counter<u64>,
+    evacuations: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -90,6 +92,14 @@
                 "carobshore.refused_configs",
                 "Configurations of the store that are invalid or need a newer release",
             ),
+            warmups: counter(
+                "carobshore.warmups",
+                "Changes of what is known of cold targets, and requests that VMs give up, by kind",
+            ),
+            evacuations: counter(
+                "carobshore.evacuations",
+                "Evacuations of failure domains and their withdrawals, by kind",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -164,6 +174,17 @@
         self.refused_configs.add(1, &[]);
     }
 
+    /// Counts a change of what is known of a cold target (`cold`, `warm`, `unverified`), and a request
+    /// for one that this VM has `given-up` to another one or `borrowed` from it.
+    pub fn warmup(&self, kind: &'static str) {
+        self.warmups.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts an evacuation (`evacuated`) or its withdrawal (`withdrawn`).
+    pub fn evacuation(&self, kind: &'static str) {
+        self.evacuations.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -12,11 +12,14 @@
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::carried_ids::CarriedIds;
 use carobshore_lib::keep_alive::KeepAlive;
+use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_estimator::TargetEstimator;
 use carobshore_lib::target_limit::TargetLimit;
 use carobshore_platform::header_fields::StatedKeepAlive;
 
+use crate::warmup::SharedTarget;
+
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time since the last response on a connection that carries a request that must not run
@@ -65,6 +68,8 @@
     pub id: TargetId,
     /// Address on which the target accepts connections.
     pub addr: SocketAddr,
+    /// The failure domain in which the target runs.
+    pub domain: DomainId,
     /// The generation of the target that was announced when this was created.
     pub generation: u64,
     /// The target's rank in this VM's order of preference.
@@ -73,6 +78,8 @@
     pub outlook: RefCell<TargetEstimator>,
     /// What the target takes from all VMs together, and this VM's part of it.
     pub limit: RefCell<Option<TargetLimit>>,
+    /// What is known of the target's warm-up. It outlives the connections.
+    pub(crate) cold: SharedTarget,
     /// Whether a different target instance has answered at the address.
     pub displaced: Cell<bool>,
     /// Whether the target has asked for a pause that could not be read.
@@ -85,14 +92,16 @@
 
 impl TargetConnections {
     /// Creates the state of a target without connections.
-    pub fn new(target: &AnnouncedTarget, rank: u64) -> Self {
+    pub(crate) fn new(target: &AnnouncedTarget, rank: u64, cold: SharedTarget) -> Self {
         Self {
             id: target.id.clone(),
             addr: target.addr,
+            domain: target.domain.clone(),
             generation: target.generation(),
             rank,
             outlook: RefCell::default(),
             limit: RefCell::default(),
+            cold,
             displaced: Cell::new(false),
             malformed_pause: Cell::new(false),
             malformed_keep_alive: Cell::new(false),
--- a/gateway/src/target_notices.rs
+++ b/gateway/src/target_notices.rs
@@ -1,7 +1,10 @@
-//! What targets say of themselves in their answers: that they are leaving, or want a pause.
+//! What targets say of themselves in their answers: that they are leaving, or want a pause. And why
+//! no target of a service may get a request.
 
 use std::time::Instant;
 
+use carobshore_lib::access::region_rule::RegionRule;
+use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetState;
 use carobshore_lib::target_signals::Unavailable;
@@ -9,6 +12,7 @@
 use carobshore_platform::header_fields::ResponseFields;
 use carobshore_platform::header_fields::StatedKeepAlive;
 
+use crate::evacuation;
 use crate::gateway::Gateway;
 use crate::target_connections::TargetConnections;
 
@@ -60,8 +64,11 @@
     named.is_none_or(|named| *named == *connections.id.as_str())
 }
 
-/// Returns whether a target may get a request, as far as its answers say.
+/// Returns whether a target may get a request, as far as its answers and the operators say.
 pub(crate) fn is_available(gateway: &Gateway, connections: &TargetConnections) -> bool {
+    if evacuation::is_evacuated(gateway, &connections.domain) {
+        return false;
+    }
     let signals = gateway.signals.borrow();
     let (id, generation) = (&connections.id, connections.generation);
     signals
@@ -69,15 +76,29 @@
         .is_none()
 }
 
-/// Returns which target of a service may get requests first, if all that serve it are leaving or
-/// want a pause.
-pub(crate) fn all_unavailable(gateway: &Gateway, service: &ServiceId) -> Option<Unavailable> {
+/// Returns which target of a service may get a request first, if all that serve it are leaving, want
+/// a pause, are evacuated, or are outside the regions of the request.
+pub(crate) fn all_unavailable(
+    gateway: &Gateway,
+    service: &ServiceId,
+    regions: RegionRule<'_>,
+) -> Option<Unavailable> {
     let (directory, signals) = (gateway.directory.borrow(), gateway.signals.borrow());
     let now = Instant::now();
     let serving = directory
         .iter()
         .filter(|target| target.service == *service && target.state == TargetState::Serving);
-    let reasons = serving.map(|target| signals.unavailable(now, &target.id, target.generation()));
+    let boot = gateway.boot.borrow();
+    let reason = |target: &AnnouncedTarget| {
+        if !regions.allows(boot.regions.get(&target.domain)) {
+            return Some(Unavailable::OutsideRegions);
+        }
+        if evacuation::is_evacuated(gateway, &target.domain) {
+            return Some(Unavailable::Evacuated);
+        }
+        signals.unavailable(now, &target.id, target.generation())
+    };
+    let reasons = serving.map(reason);
     let reasons: Option<Vec<Unavailable>> = reasons.collect();
     reasons?.into_iter().min()
 }
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -7,6 +7,7 @@
 
 use carobshore_http::client::EncodedRequest;
 use carobshore_http::head::ResponseHead;
+use carobshore_lib::access::region_rule::RegionRule;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::search_step::BestTarget;
@@ -37,6 +38,7 @@
 use crate::target_connections::Purpose;
 use crate::target_connections::TargetConnections;
 use crate::target_notices;
+use crate::warmup;
 
 /// Time limit for one health check, after which its connection is closed.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -53,6 +55,8 @@
 pub struct Search<'a> {
     /// The service whose targets are searched.
     pub service: &'a ServiceId,
+    /// The regions in which the request may be handled.
+    pub regions: RegionRule<'a>,
     /// The expected work and the size of the request.
     pub demand: Demand,
     /// How long the request may wait, and when the response must have arrived.
@@ -66,7 +70,7 @@
     Target(UsableTarget),
     /// There is no target that has not been tried.
     NoTarget,
-    /// All targets are leaving or want a pause.
+    /// No target may get the request, for this reason.
     Unavailable(Unavailable),
     /// No target has capacity in time.
     NoRoom(NoRoom),
@@ -116,9 +120,9 @@
     let mut just_freed = false;
     let mut turn = None;
     loop {
-        let usable = untried(gateway, search.service, excluded);
+        let usable = untried(gateway, search, excluded);
         if usable.is_empty() {
-            return match target_notices::all_unavailable(gateway, search.service) {
+            return match target_notices::all_unavailable(gateway, search.service, search.regions) {
                 Some(reason) => SearchResult::Unavailable(reason),
                 None => SearchResult::NoTarget,
             };
@@ -191,18 +195,25 @@
     search: Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> Option<UsableTarget> {
-    let usable = untried(gateway, search.service, excluded);
+    let usable = untried(gateway, search, excluded);
     let usable = within_limits(usable).ok()?;
     let ideal = query_targets(gateway, &search, &usable).await?;
     limits::take(&ideal.connections).then_some(ideal)
 }
 
 fn untried(
-    gateway: &Gateway,
-    service: &ServiceId,
+    gateway: &Rc<Gateway>,
+    search: Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> Vec<UsableTarget> {
-    let usable = gateway.usable_targets(service).into_iter();
+    let mut usable = gateway.usable_targets(search.service);
+    if !search.regions.is_unrestricted() {
+        let boot = gateway.boot.borrow();
+        let region = |usable: &UsableTarget| boot.regions.get(&usable.connections.domain);
+        usable.retain(|usable| search.regions.allows(region(usable)));
+    }
+    check_unverified(gateway, search.service, &usable);
+    let usable = usable.into_iter();
     let tried = |usable: &UsableTarget| {
         excluded
             .iter()
@@ -211,6 +222,18 @@
     usable.filter(|usable| !tried(usable)).collect()
 }
 
+/// Checks the health of targets that must answer before they get requests.
+fn check_unverified(gateway: &Rc<Gateway>, service: &ServiceId, usable: &[UsableTarget]) {
+    let now = Instant::now();
+    for UsableTarget { connections, .. } in usable {
+        let mut cold = connections.cold.borrow_mut();
+        if cold.start_check(now, || gateway.take_check(now)) {
+            let (sender, _) = mpsc::unbounded_channel();
+            start_check(gateway, service, connections, 0, sender);
+        }
+    }
+}
+
 /// Queries targets in rounds, the most promising first, and returns the first ideal one.
 async fn query_targets(
     gateway: &Rc<Gateway>,
@@ -375,6 +398,7 @@
             Ok(None) | Err(_) => {
                 gateway.metrics.health_check("failed");
                 connections.outlook.borrow_mut().check_failed(now);
+                connections.cold.borrow_mut().check_failed();
                 log::info!(target = connections.id.as_str(), service = service.as_str(); "health check failed");
             }
         }
@@ -388,7 +412,10 @@
     connections: &TargetConnections,
     path: &str,
 ) -> Option<StatedLoad> {
-    let mut connection = connections.checkout(Purpose::HealthCheck).await.ok()?;
+    let connected = connections.checkout(Purpose::HealthCheck).await;
+    let connected =
+        connected.inspect_err(|error| warmup::not_connected(gateway, connections, error));
+    let mut connection = connected.ok()?;
     if let Some(reason) = connection.opened {
         gateway.metrics.connection_opened(reason);
     }
@@ -398,6 +425,7 @@
     }
     let fields = header_fields::health_check_fields(&connections.id, &connections.addr.to_string());
     let request = EncodedRequest::new("GET", path, &fields, &[]);
+    let sent = Instant::now();
     // A late response to an earlier request carries the id of that request.
     let belongs = |head: &ResponseHead| {
         let response_fields = header_fields::decode_response(head);
@@ -416,6 +444,7 @@
         return None;
     }
     connections.checkin(Instant::now(), connection, response_fields.keep_alive);
+    warmup::answered(gateway, connections, sent, &response_fields);
     Some(response_fields.load)
 }
 
--- a/lib/src/access/mod.rs
+++ b/lib/src/access/mod.rs
@@ -10,3 +10,4 @@
 pub mod organisation_id;
 pub mod presented_key;
 pub mod quota;
+pub mod region_rule;
--- /dev/null
+++ b/lib/src/evacuation/evacuations.rs
@@ -0,0 +1,152 @@
+//! The failure domains that the operators have evacuated.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::domain_id::DomainId;
+use crate::evacuation::domain_state::DomainState;
+use crate::offset::Offset;
+use crate::preferred_targets;
+
+/// Time over which the VMs return to a domain whose evacuation was withdrawn, so that its targets do
+/// not get the requests of all VMs at once.
+const RETURN_SPREAD_MS: u64 = 2_000;
+/// The number of withdrawn evacuations of which the offset is kept.
+const MAX_WITHDRAWN: usize = 256;
+
+/// What the last record of a domain says.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    offset: Offset,
+    /// When this VM read it.
+    read: Instant,
+    evacuated: bool,
+}
+
+/// The failure domains that the operators have evacuated.
+///
+/// Copies of records arrive in any order, from the store and through other VMs. Of two records of a
+/// domain, the later one in the log holds.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    marks: BTreeMap<DomainId, Mark>,
+    /// The last offset up to which all records have been read. Older ones than this say nothing
+    /// new: a copy of one must not bring back an evacuation that was withdrawn.
+    read_to: Option<Offset>,
+}
+
+impl Evacuations {
+    /// Applies the record at `offset`, by which a domain is evacuated, or not any more. Returns
+    /// whether this changed the domain's state.
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        domain: &DomainId,
+        evacuated: bool,
+    ) -> bool {
+        let last = self.marks.get(domain).map(|mark| mark.offset);
+        if last.is_some_and(|last| offset <= last) || self.read_to.is_some_and(|to| offset <= to) {
+            return false;
+        }
+        self.set(now, offset, domain, evacuated)
+    }
+
+    /// Applies a complete read of the log up to `last`, in which `listed` are the domains that are
+    /// evacuated, each with the offset of its record. Returns the domains whose state has changed,
+    /// with whether they are evacuated now.
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        last: Offset,
+        listed: &BTreeMap<DomainId, Offset>,
+    ) -> Vec<(DomainId, bool)> {
+        if self.read_to.is_some_and(|to| last < to) {
+            return Vec::new();
+        }
+        let unlisted = self.marks.iter().filter(|(domain, mark)| {
+            mark.evacuated && mark.offset <= last && !listed.contains_key(*domain)
+        });
+        let ended: BTreeSet<DomainId> = unlisted.map(|(domain, _)| domain.clone()).collect();
+        let mut changed = Vec::new();
+        for domain in ended {
+            self.set(now, last, &domain, false);
+            changed.push((domain, false));
+        }
+        for (domain, offset) in listed {
+            let known = self.marks.get(domain);
+            let is_later = known.is_none_or(|mark| mark.offset < *offset);
+            if is_later && self.set(now, *offset, domain, true) {
+                changed.push((domain.clone(), true));
+            }
+        }
+        self.read_to = Some(last);
+        changed
+    }
+
+    /// Returns whether a domain is evacuated.
+    pub fn is_evacuated(&self, domain: &DomainId) -> bool {
+        self.marks.get(domain).is_some_and(|mark| mark.evacuated)
+    }
+
+    /// Returns whether the targets of a domain may get requests of the VM `me`.
+    pub fn state(&self, now: Instant, me: &str, domain: &DomainId) -> DomainState {
+        let Some(mark) = self.marks.get(domain) else {
+            return DomainState::Open;
+        };
+        if mark.evacuated {
+            return DomainState::Evacuated;
+        }
+        let delay = preferred_targets::rank(me, domain.as_str()) % RETURN_SPREAD_MS;
+        match now < mark.read + Duration::from_millis(delay) {
+            true => DomainState::Returning,
+            false => DomainState::Open,
+        }
+    }
+
+    /// Returns the evacuated domains, each with the offset of its record and when it was read.
+    pub fn iter(&self) -> impl Iterator<Item = (&DomainId, Offset, Instant)> {
+        let evacuated = self.marks.iter().filter(|(_, mark)| mark.evacuated);
+        evacuated.map(|(domain, mark)| (domain, mark.offset, mark.read))
+    }
+
+    /// Returns whether no domain is evacuated or was lately.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty()
+    }
+
+    /// Sets what is known of a domain. Returns whether its state has changed.
+    fn set(&mut self, now: Instant, offset: Offset, domain: &DomainId, evacuated: bool) -> bool {
+        let was_evacuated = self.is_evacuated(domain);
+        let since = self.marks.get(domain).map(|mark| mark.read);
+        let mark = Mark {
+            offset,
+            read: since.filter(|_| was_evacuated == evacuated).unwrap_or(now),
+            evacuated,
+        };
+        // A withdrawal of what was not known here delays nothing.
+        let is_news = evacuated || was_evacuated;
+        let known = self.marks.entry(domain.clone()).or_insert(mark);
+        *known = mark;
+        if !is_news && since.is_none() {
+            known.read = now
+                .checked_sub(Duration::from_millis(RETURN_SPREAD_MS))
+                .unwrap_or(now);
+        }
+        self.limit_withdrawn();
+        was_evacuated != evacuated
+    }
+
+    fn limit_withdrawn(&mut self) {
+        let withdrawn = self.marks.iter().filter(|(_, mark)| !mark.evacuated);
+        if withdrawn.clone().count() <= MAX_WITHDRAWN {
+            return;
+        }
+        let oldest = withdrawn.min_by_key(|(_, mark)| mark.offset);
+        if let Some(domain) = oldest.map(|(domain, _)| domain.clone()) {
+            self.marks.remove(&domain);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod drain_signal;
 pub mod endpoint;
 pub mod error;
+pub mod evacuation;
 pub mod exchange;
 pub mod fair_queue;
 pub mod follower;
--- a/lib/src/limit_lenders.rs
+++ b/lib/src/limit_lenders.rs
@@ -11,7 +11,6 @@
 
 use crate::domain_id::DomainId;
 use crate::limit_share;
-use crate::request_rate::RequestRate;
 use crate::target_id::TargetId;
 use crate::vm_roster::VmRoster;
 
@@ -43,22 +42,22 @@
 }
 
 impl LimitLenders {
-    /// Returns whom `me` asks for a request to one of the targets, VMs of its own failure domain
-    /// first.
+    /// Returns whom `me` asks for a request to one of the targets, each with the size of the group
+    /// that shares its rate. VMs of its own failure domain come first.
     pub fn choose(
         &mut self,
         now: Instant,
         roster: &VmRoster,
         (me, domain): (&str, &DomainId),
-        targets: &[(TargetId, RequestRate)],
+        targets: &[(TargetId, usize)],
     ) -> Vec<Lender> {
         self.empty.retain(|_, until| *until > now);
         self.choices = self.choices.wrapping_add(1);
         let start = self.choices % targets.len().max(1);
         let rotated = targets.iter().cycle().skip(start);
         let mut chosen = Vec::new();
-        for (target, rate) in rotated.take(targets.len().min(MAX_TARGETS)) {
-            let members = limit_share::members(roster, target, *rate);
+        for (target, size) in rotated.take(targets.len().min(MAX_TARGETS)) {
+            let members = limit_share::first_of_group(roster, target, *size);
             for vm in members.into_iter().filter(|vm| *vm.name != *me) {
                 let lender = Lender {
                     target: target.clone(),
--- a/lib/src/limit_queue.rs
+++ b/lib/src/limit_queue.rs
@@ -29,6 +29,14 @@
         }
     }
 
+    /// Returns what one target takes by two limits that both apply.
+    pub fn within(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            next: self.next.max(other.next),
+        }
+    }
+
     /// Returns what two targets take together.
     pub fn and(self, other: Self) -> Self {
         Self {
--- a/lib/src/limit_share.rs
+++ b/lib/src/limit_share.rs
@@ -86,19 +86,20 @@
     }
 }
 
-/// Returns the VMs that share a target's rate.
-pub fn members<'a>(
+/// Returns the VMs of a target's group of the given size. Groups of other sizes have the first ones
+/// in common.
+pub fn first_of_group<'a>(
     roster: &'a VmRoster,
     target: &TargetId,
-    rate: RequestRate,
+    size: usize,
 ) -> Vec<&'a VmRecord> {
     let mut order = spread_order(roster, target);
-    order.truncate(group_size(rate, order.len()));
+    order.truncate(size);
     order
 }
 
 /// Returns the number of VMs, of `vms`, that share a rate: each of them can save one request.
-fn group_size(rate: RequestRate, vms: usize) -> usize {
+pub fn group_size(rate: RequestRate, vms: usize) -> usize {
     ((COMMON_BURST + rate.per_second()) as usize).clamp(1, vms.max(1))
 }
 
--- a/lib/src/target_directory.rs
+++ b/lib/src/target_directory.rs
@@ -20,7 +20,7 @@
 /// The effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Announced {
-    /// The target is new, or a known one has restarted or moved to another address.
+    /// The target is new, or a known one has restarted or moved to another address or failure domain.
     Joined,
     /// The announcement of a known target changed.
     Changed,
@@ -166,7 +166,8 @@
 
 /// Returns the effect of an announcement of a known target.
 fn effect(known: &AnnouncedTarget, new: &AnnouncedTarget) -> Announced {
-    if known.started_ms != new.started_ms || known.addr != new.addr {
+    let has_moved = known.addr != new.addr || known.domain != new.domain;
+    if known.started_ms != new.started_ms || has_moved {
         return Announced::Joined;
     }
     match known == new {
--- a/lib/src/target_signals.rs
+++ b/lib/src/target_signals.rs
@@ -28,6 +28,10 @@
     Paused(Duration),
     /// It is leaving.
     Leaving,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// It is outside the regions in which the request may be handled.
+    OutsideRegions,
 }
 
 impl fmt::Display for Unavailable {
@@ -35,6 +39,8 @@
         match self {
             Self::Paused(left) => write!(f, "paused for {} ms", left.as_millis()),
             Self::Leaving => f.write_str("leaving"),
+            Self::Evacuated => f.write_str("in an evacuated domain"),
+            Self::OutsideRegions => f.write_str("outside the allowed regions"),
         }
     }
 }
