lib, gateway, standin: tests of cold targets, evacuation and allowed regions

A target that turned cold was logged only at the next request for it; its announcement brings its state up to date now.

--- a/gateway/src/apply_records.rs
+++ b/gateway/src/apply_records.rs
@@ -133,16 +133,16 @@
 fn announce(gateway: &Gateway, position: Offset, target: AnnouncedTarget) {
     let (id, generation) = (target.id.clone(), target.generation());
     let (service, state) = (target.service.clone(), target.state);
-    let entry = target.clone();
     let announced = gateway.directory.borrow_mut().announce(position, target);
     match announced {
         Announced::Joined => {
             gateway.signals.borrow_mut().announced(&id, generation);
             gateway.drop_connections(&id);
-            warmup::announced(gateway, &entry);
+            warmup::announced(gateway, &id);
         }
         Announced::Changed if state == TargetState::Leaving => {}
-        Announced::Changed | Announced::Same => return,
+        Announced::Changed => return warmup::announced(gateway, &id),
+        Announced::Same => return,
         Announced::Stale => {
             log::info!(target = id.as_str(); "an older announcement is ignored");
             return;
--- a/gateway/src/warmup.rs
+++ b/gateway/src/warmup.rs
@@ -69,16 +69,22 @@
     }
 }
 
-/// Records the announcement of a target that is new, has started again or moved.
-pub(crate) fn announced(gateway: &Gateway, target: &AnnouncedTarget) {
+/// Records the announcement of a target that is new or has changed.
+pub(crate) fn announced(gateway: &Gateway, target: &TargetId) {
+    let directory = gateway.directory.borrow();
+    let Some(entry) = directory.get(target) else {
+        return;
+    };
     if gateway.boot.borrow().warmup.is_none() {
         return;
     }
     // A target of the first read may have started long before this VM.
-    let rule = rule(gateway, &target.service).filter(|_| gateway.targets_known.get());
-    let cold = gateway.warmup.of(&target.id);
+    let rule = rule(gateway, &entry.service).filter(|_| gateway.targets_known.get());
+    let cold = gateway.warmup.of(target);
     cold.borrow_mut()
-        .announced(Instant::now(), target.generation(), rule);
+        .announced(Instant::now(), entry.generation(), rule);
+    // Brings the state up to date now, so that the log shows the change.
+    gateway.connections(entry);
 }
 
 /// Brings the state of a target up to date with its entry, the configuration and the list of VMs.
--- a/lib/benches/access.rs
+++ b/lib/benches/access.rs
@@ -1,12 +1,17 @@
-//! The cost that organisations add to each request: the look-up of a key.
+//! What organisations and evacuated domains add to each request: the look-up of a key, and the check of
+//! a target's domain.
 
 use std::hint::black_box;
+use std::time::Instant;
 
 use carobshore_lib::access::access_table::AccessTable;
 use carobshore_lib::access::allowed_regions::AllowedRegions;
 use carobshore_lib::access::key_hash::KeyHash;
 use carobshore_lib::access::organisation::Organisation;
 use carobshore_lib::access::presented_key::PresentedKey;
+use carobshore_lib::evacuation::evacuations::Evacuations;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::Offset;
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
@@ -41,5 +46,18 @@
     });
 }
 
-criterion_group!(benches, look_up);
+fn evacuated(c: &mut Criterion) {
+    let domain = |index: u64| -> DomainId { format!("zone-{index}").parse().expect("a domain") };
+    let now = Instant::now();
+    let mut evacuations = Evacuations::default();
+    for index in 0..3 {
+        evacuations.apply(now, Offset(index), &domain(index), index == 0);
+    }
+    let target = domain(1);
+    c.bench_function("check whether a target's domain is evacuated", |b| {
+        b.iter(|| black_box(evacuations.state(now, "vm-1", black_box(&target))));
+    });
+}
+
+criterion_group!(benches, look_up, evacuated);
 criterion_main!(benches);
--- /dev/null
+++ b/lib/tests/test_evacuation.rs
@@ -0,0 +1,139 @@
+//! Guards against requests to evacuated domains, and against domains that stay evacuated after the
+//! order was withdrawn, in whatever order records arrive.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::evacuation::domain_state::DomainState;
+use carobshore_lib::evacuation::evacuations::Evacuations;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::Offset;
+use proptest::prelude::*;
+
+fn domain(index: u8) -> DomainId {
+    format!("d{index}").parse().expect("a domain")
+}
+
+/// A record: its domain, and whether it evacuates it.
+type Entry = (u8, bool);
+
+/// Returns what a complete read of the first `count` records lists.
+fn listed(log: &[Entry], count: usize) -> BTreeMap<DomainId, Offset> {
+    let mut listed = BTreeMap::new();
+    for (offset, (index, evacuated)) in log[..count].iter().enumerate() {
+        match evacuated {
+            true => listed.insert(domain(*index), Offset(offset as u64)),
+            false => listed.remove(&domain(*index)),
+        };
+    }
+    listed
+}
+
+fn evacuated(evacuations: &Evacuations) -> Vec<DomainId> {
+    evacuations.iter().map(|(id, ..)| id.clone()).collect()
+}
+
+/// What reaches a VM.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Change(usize),
+    Read(usize),
+    Restart,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        8 => any::<usize>().prop_map(Step::Change),
+        2 => any::<usize>().prop_map(Step::Read),
+        1 => Just(Step::Restart),
+    ];
+    prop::collection::vec(step, 0..60)
+}
+
+proptest! {
+    /// Copies of records and complete reads, old ones included, arrive in any order, with restarts in
+    /// between. A VM that has read everything knows what the log says; no later copy of an old
+    /// record or an old read changes that.
+    #[test]
+    fn the_last_record_of_each_domain_holds(
+        log in prop::collection::vec((0_u8..4, any::<bool>()), 1..30),
+        before in steps(),
+        after in steps(),
+    ) {
+        let now = Instant::now();
+        let mut evacuations = Evacuations::default();
+        let apply = |evacuations: &mut Evacuations, step: Step| match step {
+            Step::Change(at) => {
+                let at = at % log.len();
+                let (index, evacuated) = log[at];
+                evacuations.apply(now, Offset(at as u64), &domain(index), evacuated);
+            }
+            Step::Read(count) => {
+                let count = 1 + count % log.len();
+                evacuations.replace(now, Offset(count as u64 - 1), &listed(&log, count));
+            }
+            Step::Restart => *evacuations = Evacuations::default(),
+        };
+        before.into_iter().for_each(|step| apply(&mut evacuations, step));
+        let truth: Vec<DomainId> = listed(&log, log.len()).into_keys().collect();
+        // Another VM gets all changes, the last ones first, and no complete read.
+        let mut changes_only = Evacuations::default();
+        (0..log.len()).rev().for_each(|at| apply(&mut changes_only, Step::Change(at)));
+        prop_assert_eq!(evacuated(&changes_only), truth.clone());
+        apply(&mut evacuations, Step::Read(log.len() - 1));
+        prop_assert_eq!(evacuated(&evacuations), truth.clone());
+        for step in after.into_iter().filter(|step| !matches!(step, Step::Restart)) {
+            apply(&mut evacuations, step);
+            prop_assert_eq!(evacuated(&evacuations), truth.clone());
+        }
+    }
+}
+
+/// Guards against a domain that all VMs return to at the same moment, and against one that a
+/// starting VM leaves out although it was never evacuated.
+#[test]
+fn vms_return_spread_over_two_seconds() {
+    let now = Instant::now();
+    let mut evacuations = Evacuations::default();
+    let id = domain(1);
+    assert_eq!(evacuations.state(now, "edge-0", &id), DomainState::Open);
+    assert!(evacuations.apply(now, Offset(3), &id, true));
+    assert_eq!(
+        evacuations.state(now, "edge-0", &id),
+        DomainState::Evacuated
+    );
+    assert!(evacuations.apply(now, Offset(4), &id, false));
+    let open_at = |millis| {
+        let at = now + Duration::from_millis(millis);
+        let names = (0..100).map(|index| format!("edge-{index}"));
+        names
+            .filter(|name| evacuations.state(at, name, &id) == DomainState::Open)
+            .count()
+    };
+    assert!(open_at(1) < 10 && (30..70).contains(&open_at(1_000)));
+    assert_eq!(open_at(2_000), 100);
+    let mut started = Evacuations::default();
+    assert!(!started.apply(now, Offset(4), &id, false));
+    assert_eq!(started.state(now, "edge-0", &id), DomainState::Open);
+}
+
+/// A withdrawal that was read while the VM was away ends the evacuation; one that is repeated does
+/// not begin the return anew.
+#[test]
+fn a_complete_read_ends_what_it_does_not_list() {
+    let now = Instant::now();
+    let mut evacuations = Evacuations::default();
+    let (first, second) = (domain(1), domain(2));
+    evacuations.apply(now, Offset(3), &first, true);
+    evacuations.apply(now, Offset(9), &second, true);
+    let changed = evacuations.replace(now, Offset(6), &BTreeMap::new());
+    assert_eq!(changed, [(first.clone(), false)]);
+    assert!(evacuations.is_evacuated(&second), "its record is later");
+    let later = now + Duration::from_secs(5);
+    assert!(!evacuations.apply(later, Offset(7), &first, false));
+    assert_eq!(
+        evacuations.state(later, "edge-0", &first),
+        DomainState::Open
+    );
+}
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -24,6 +24,7 @@
 use crate::site_wire::LEAVING_FIELD;
 use crate::site_wire::LIMIT;
 use crate::site_wire::RETRY_AFTER;
+use crate::site_wire::WARMUP_LEFT;
 
 /// How many requests a target runs concurrently.
 const SLOTS: u32 = 2;
@@ -178,6 +179,8 @@
     load: Mutex<Option<Box<str>>>,
     /// How long the target says that it keeps idle connections open, as it stands in its answers.
     keep_alive: Mutex<Box<str>>,
+    /// Until when the target says that it is cold; nothing if it says nothing of it.
+    cold_until: Mutex<Option<Instant>>,
     /// When each request arrived.
     arrived: Mutex<Vec<Instant>>,
     /// The duplicate response to send before the next one.
@@ -186,6 +189,15 @@
     refusals: Mutex<HashMap<SocketAddr, Vec<u8>>>,
 }
 
+impl State {
+    /// Returns for how many milliseconds the target is cold; nothing if it does not say so.
+    fn cold_ms(&self) -> Option<u128> {
+        let until = *lock(&self.cold_until);
+        let left = until?.saturating_duration_since(Instant::now());
+        Some(left.as_millis())
+    }
+}
+
 /// A running target.
 #[derive(Debug)]
 pub struct SiteTarget {
@@ -213,6 +225,7 @@
             pauses: Mutex::default(),
             load: Mutex::default(),
             keep_alive: Mutex::new("timeout=10".into()),
+            cold_until: Mutex::default(),
             arrived: Mutex::default(),
             duplicate: Mutex::default(),
             refusals: Mutex::default(),
@@ -263,7 +276,7 @@
             "Status": {
                 "State": state,
                 "SeqNo": self.sequence.load(Ordering::SeqCst),
-                "WarmupLeft": "0ms",
+                "WarmupLeft": format!("{}ms", self.state.cold_ms().unwrap_or(0)),
             },
             "born": self.started_ms.load(Ordering::SeqCst),
         })
@@ -325,6 +338,11 @@
         *lock(&self.state.load) = Some(value.into());
     }
 
+    /// Changes for how long the target says that it is cold, in its entry and its health checks.
+    pub fn set_cold(&self, time: Duration) {
+        *lock(&self.state.cold_until) = Some(Instant::now() + time);
+    }
+
     /// Counts as started again: later announcements have a later start.
     pub fn start_again(&self) {
         self.started_ms.fetch_add(1_000, Ordering::SeqCst);
@@ -357,6 +375,9 @@
             load_field(state, running)
         );
         fields += leaving_field(state);
+        if let Some(left) = state.cold_ms() {
+            fields += &format!("{WARMUP_LEFT}: {left}\r\n");
+        }
         return ServerAction::Send(response("200 OK", &fields, b""));
     }
     state.arrivals.fetch_add(1, Ordering::SeqCst);
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -17,6 +17,9 @@
 /// The header field in which a target that refuses a request asks for a pause.
 pub const RETRY_AFTER: &str = "Retry-After";
 
+/// The header field in which a target says for how many milliseconds it is cold.
+pub const WARMUP_LEFT: &str = "Warmup-Remaining";
+
 /// The settings that differ between gateway VMs.
 #[derive(Clone, Copy, Debug)]
 pub struct VmSettings<'a> {
@@ -39,12 +42,12 @@
     let seeds: Vec<String> = vm.seeds.iter().map(ToString::to_string).collect();
     json!({
         "NodeName": vm.name, "Role": "gateway", "MachineClass": "edge", "Serves": ["edge"],
-        "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r"},
+        "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r", "b": "r", "c": "s"},
         "Listen": {"Frontend": vm.callers.to_string(), "Readiness": vm.readiness.to_string()},
         "InternalPorts": [vm.admin.port(), vm.admin.port()], "Seeds": seeds, "Bootstrap": false,
         "Limits": {"CpuShare": 0.2, "MemoryMb": 160, "MaxFds": 4100},
         "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
-            "RetryBudgetExtra": 60, "ProbesPerS": 60},
+            "RetryBudgetExtra": 60, "ProbesPerS": 60, "ColdOver": 1.5, "ColdSlack": 8},
         "Platform": {"Address": vm.store.to_string(), "form": "log"},
     })
     .to_string()
@@ -90,6 +93,23 @@
     json!({"Version": format!("r{version}"), "Resources": resources}).to_string()
 }
 
+/// Returns a service whose targets take `rate` requests a second for `time_ms` after a start.
+pub fn warming_service(name: &str, time_ms: u64, rate: f64) -> Value {
+    json!({"Type": "Services", "Metadata": {"Name": name}, "Spec": {
+        "HealthPath": "/health", "MaxConns": 240, "Protocol": "h1", "Tls": false,
+        "Warmup": format!("{time_ms}ms"), "WarmupPerS": rate}})
+}
+
+/// Restricts a route, or an organisation, to regions.
+pub fn restrict(resource: &mut Value, regions: &[&str]) {
+    resource["Spec"]["AllowedRegions"] = regions.into();
+}
+
+/// Returns the key of the record that evacuates a failure domain.
+pub fn evacuation_key(domain: &str) -> String {
+    format!("evacuate/{domain}")
+}
+
 /// Returns an HTTP/1.1 request; `kind` is a route's kind, and an empty `body` sends none.
 pub fn request(kind: &str, id: &str, deadline_ms: u64, body: &str) -> String {
     let method = if kind == "safe" { "GET" } else { "POST" };
