gateway, lib: free slots only looked at for cold targets, time of an evacuation in the log

Each request computed the slot limit of every target, also without cold ones; it is computed only if a cold target is among them. The withdrawal of an evacuation is logged with how long it was known.

--- a/gateway/src/evacuation.rs
+++ b/gateway/src/evacuation.rs
@@ -101,6 +101,8 @@
         return;
     }
     gateway.metrics.evacuation("withdrawn");
-    log::info!(domain = name, offset; "the evacuation of the domain is withdrawn");
+    let since = gateway.evacuations.borrow().since(domain);
+    let evacuated_ms = since.map(|since| since.elapsed().as_millis() as u64);
+    log::info!(domain = name, offset, evacuated_ms; "the evacuation of the domain is withdrawn");
     warmup::domain_returned(gateway, domain);
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -125,8 +125,6 @@
     pub connections: Rc<TargetConnections>,
     /// Number of requests that the target processes concurrently.
     pub slots: u32,
-    /// Number of them that may be in use at present.
-    pub slot_limit: u32,
     /// Whether the target is in the failure domain of this VM.
     pub local: bool,
     /// Whether this VM prefers the target, so that it keeps a connection to it.
@@ -243,7 +241,6 @@
             .map(|target| UsableTarget {
                 connections: self.connections(target),
                 slots: target.slots.get(),
-                slot_limit: self.services.slot_limit(now, service, target.slots.get()),
                 local: target.domain == boot.domain,
                 preferred: false,
                 missing: directory.is_missing(&target.id),
--- a/gateway/src/limited_targets.rs
+++ b/gateway/src/limited_targets.rs
@@ -26,6 +26,8 @@
 /// Returns the targets whose limits allow a request, or all of them if none does. Cold targets are
 /// not among them while a warm one has a free slot: they are idle because they take little.
 pub(crate) fn within_limits(
+    gateway: &Gateway,
+    search: &Search<'_>,
     usable: Vec<UsableTarget>,
 ) -> Result<Vec<UsableTarget>, Vec<UsableTarget>> {
     let (open, limited): (Vec<_>, Vec<_>) = usable
@@ -37,17 +39,19 @@
     let (warm, cold): (Vec<_>, Vec<_>) = open
         .into_iter()
         .partition(|usable| !warmup::is_cold(&usable.connections));
-    match cold.is_empty() || warm.iter().any(has_free_slot) {
+    let has_room = |usable: &UsableTarget| has_free_slot(gateway, search.service, usable);
+    match cold.is_empty() || warm.iter().any(has_room) {
         true => Ok(warm),
         false => Ok([warm, cold].concat()),
     }
 }
 
 /// Returns whether a target is expected to have a slot that a request may take.
-fn has_free_slot(usable: &UsableTarget) -> bool {
+fn has_free_slot(gateway: &Gateway, service: &ServiceId, usable: &UsableTarget) -> bool {
+    let now = Instant::now();
     let outlook = usable.connections.outlook.borrow();
-    let queued = outlook.queue_ahead(Instant::now(), usable.slots);
-    queued + f64::from(usable.slots.saturating_sub(usable.slot_limit)) <= 0.0
+    let kept_free = usable.slots - gateway.services.slot_limit(now, service, usable.slots);
+    outlook.queue_ahead(now, usable.slots) + f64::from(kept_free) <= 0.0
 }
 
 /// Takes the request of a target that is mostly idle because of its limit. Such a target is used as
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -127,7 +127,7 @@
                 None => SearchResult::NoTarget,
             };
         }
-        let usable = match within_limits(usable) {
+        let usable = match within_limits(gateway, &search, usable) {
             Ok(open) => open,
             Err(limited) => {
                 if let Some(borrowed) = limit_client::borrow(gateway, &limited).await {
@@ -196,7 +196,7 @@
     excluded: &[Rc<TargetConnections>],
 ) -> Option<UsableTarget> {
     let usable = untried(gateway, search, excluded);
-    let usable = within_limits(usable).ok()?;
+    let usable = within_limits(gateway, &search, usable).ok()?;
     let ideal = query_targets(gateway, &search, &usable).await?;
     limits::take(&ideal.connections).then_some(ideal)
 }
--- a/gateway/tests/test_warmup.rs
+++ b/gateway/tests/test_warmup.rs
@@ -162,6 +162,29 @@
     assert!(metrics.body.contains("carobshore_warmups"));
 }
 
+/// Guards against a target that names a limit while it is cold, and gets what only one of both allows.
+#[test]
+fn a_cold_target_that_names_a_limit_gets_what_both_allow() {
+    let site = warming("cold-limited", 1, true);
+    let gateways = acquainted(&site, 2);
+    let target = &site.targets[0];
+    target.set_limits(&["1"]);
+    target.set_cold(Duration::from_secs(60));
+    target.announce(&site.store, "ready");
+    call_all(&gateways, Duration::from_secs(3));
+    let noticed = Instant::now();
+    let time = Duration::from_secs(4);
+    let served = call_all(&gateways, time);
+    // The warm-up alone allows 12 and what was saved, the limit 1.5 times its rate and 5.
+    let arrived = target
+        .arrival_times()
+        .into_iter()
+        .filter(|at| *at >= noticed);
+    let arrived = arrived.count();
+    assert!(arrived <= 11, "{arrived} in {time:?}");
+    assert!(served >= 3, "{served} in {time:?}");
+}
+
 /// Without a rule in the configuration, a target that says it is cold is used as before.
 #[test]
 fn without_a_rule_a_cold_target_has_no_limit() {
--- a/lib/src/evacuation/evacuations.rs
+++ b/lib/src/evacuation/evacuations.rs
@@ -23,6 +23,8 @@
     /// When this VM read it.
     read: Instant,
     evacuated: bool,
+    /// When this VM read the last record that evacuated the domain.
+    since: Option<Instant>,
 }
 
 /// The failure domains that the operators have evacuated.
@@ -91,6 +93,12 @@
         self.marks.get(domain).is_some_and(|mark| mark.evacuated)
     }
 
+    /// Returns since when a domain is evacuated, or was until the evacuation was withdrawn; nothing
+    /// if this VM has read no such record.
+    pub fn since(&self, domain: &DomainId) -> Option<Instant> {
+        self.marks.get(domain)?.since
+    }
+
     /// Returns whether the targets of a domain may get requests of the VM `me`.
     pub fn state(&self, now: Instant, me: &str, domain: &DomainId) -> DomainState {
         let Some(mark) = self.marks.get(domain) else {
@@ -120,17 +128,21 @@
     /// Sets what is known of a domain. Returns whether its state has changed.
     fn set(&mut self, now: Instant, offset: Offset, domain: &DomainId, evacuated: bool) -> bool {
         let was_evacuated = self.is_evacuated(domain);
-        let since = self.marks.get(domain).map(|mark| mark.read);
+        let known = self.marks.get(domain);
+        let read = known.map(|mark| mark.read);
+        let since = known.and_then(|mark| mark.since);
+        let is_start = evacuated && !was_evacuated;
         let mark = Mark {
             offset,
-            read: since.filter(|_| was_evacuated == evacuated).unwrap_or(now),
+            read: read.filter(|_| was_evacuated == evacuated).unwrap_or(now),
             evacuated,
+            since: if is_start { Some(now) } else { since },
         };
         // A withdrawal of what was not known here delays nothing.
         let is_news = evacuated || was_evacuated;
         let known = self.marks.entry(domain.clone()).or_insert(mark);
         *known = mark;
-        if !is_news && since.is_none() {
+        if !is_news && read.is_none() {
             known.read = now
                 .checked_sub(Duration::from_millis(RETURN_SPREAD_MS))
                 .unwrap_or(now);
