gateway: requests of organisations with a quota take a token

Before a request looks for a target it takes a token from an owner of the quota, which is one round trip on a kept connection; requests that wait at the same time share one. Over the quota the answer is 429 (quota-exceeded), and 503 (quota-unknown) if no owner answers. An attempt is withheld if its token expires before it is sent; a second copy and a retry take their own.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -21,6 +21,7 @@
 use crate::limit_client;
 use crate::limits;
 use crate::limits::NEWS_FIELD;
+use crate::quota_server;
 use crate::registrar;
 use crate::reply::Reply;
 
@@ -82,6 +83,9 @@
     if let Some(reply) = limit_client::answer(gateway, &head.method, &head.target) {
         return reply;
     }
+    if let Some(reply) = quota_server::answer(gateway, head) {
+        return reply;
+    }
     match (&*head.method, &*head.target) {
         ("GET", READINESS_PATH | "/ready") => match gateway.is_ready() {
             true => Reply::text(200, "ready\n"),
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -188,12 +188,14 @@
 }
 
 /// Sends the request to a target and waits for the response. Dropping the future closes the
-/// connection, which makes the target stop working on the request.
+/// connection, which makes the target stop working on the request. It is not sent after `send_by`, if
+/// there is such a time.
 pub async fn run(
     gateway: Rc<Gateway>,
     service: ServiceId,
     usable: UsableTarget,
     forwarded: Rc<ForwardedRequest>,
+    send_by: Option<Instant>,
 ) -> (UsableTarget, AttemptEnd) {
     let started = Instant::now();
     let outlook = &usable.connections.outlook;
@@ -221,7 +223,7 @@
         .borrow_mut()
         .started(started, active.attempt, expected);
     let was_ideal = target_selector::was_ideal(started, report);
-    let end = exchange(&gateway, &usable, &forwarded).await;
+    let end = exchange(&gateway, &usable, &forwarded, send_by).await;
     let ratio = active.ratio();
     if was_ideal && end.is_success() {
         let took = started.elapsed().as_secs_f64();
@@ -264,6 +266,7 @@
     gateway: &Gateway,
     usable: &UsableTarget,
     forwarded: &ForwardedRequest,
+    send_by: Option<Instant>,
 ) -> AttemptEnd {
     let connections = &usable.connections;
     let started = Instant::now();
@@ -281,7 +284,8 @@
     let deadline = gateway.exit.borrow().limit(forwarded.deadline);
     let remaining = deadline.saturating_duration_since(now);
     // Another answer of the target may have arrived while the connection was opened.
-    if remaining.is_zero() || !target_notices::is_available(gateway, connections) {
+    let is_late = remaining.is_zero() || send_by.is_some_and(|send_by| now >= send_by);
+    if is_late || !target_notices::is_available(gateway, connections) {
         connections.checkin(now, connection, StatedKeepAlive::None);
         return AttemptEnd::Withheld;
     }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -25,6 +25,7 @@
 use crate::failed_call::refuse;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
+use crate::quota_charge::QuotaCharge;
 use crate::reply::Refusal;
 use crate::reply::Reply;
 use crate::target_connections::TargetConnections;
@@ -64,6 +65,8 @@
     hedge_from: Instant,
     /// Whether the caller has disconnected, so that no further target gets the request.
     caller_left: bool,
+    /// What the request takes from the quota of its organisation.
+    charge: QuotaCharge,
 }
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (UsableTarget, AttemptEnd)>>>>;
@@ -76,6 +79,7 @@
         forwarded: ForwardedRequest,
         arrived: Instant,
     ) -> Self {
+        let charge = QuotaCharge::new(Rc::clone(&gateway), forwarded.grant.as_ref());
         Self {
             gateway,
             service,
@@ -90,6 +94,7 @@
             ends: Vec::new(),
             hedge_from: arrived,
             caller_left: false,
+            charge,
         }
     }
 
@@ -102,11 +107,12 @@
                 if self.caller_left {
                     break None;
                 }
+                let gateway = Rc::clone(&self.gateway);
                 let found = tokio::select! {
                     biased;
                     () = wait_for_disconnect(&mut caller_gone) => break None,
-                    found = self.search() => found,
-                    () = self.gateway.stop_deadline_passed() => Err(self.unserved(Refusal::Stopping)),
+                    found = self.charge_and_search() => found,
+                    () = gateway.stop_deadline_passed() => Err(self.unserved(Refusal::Stopping)),
                 };
                 match found {
                     Ok(_) if !self.may_send() => {
@@ -172,8 +178,12 @@
             }
             AttemptEnd::NotSent | AttemptEnd::Withheld => {
                 self.arrivals = self.arrivals.saturating_sub(1);
+                self.charge.not_run();
+            }
+            AttemptEnd::NotRun => {
+                self.refused = true;
+                self.charge.not_run();
             }
-            AttemptEnd::NotRun => self.refused = true,
             AttemptEnd::Unknown => {
                 self.unknown = true;
                 if !self.forwarded.is_repeatable() {
@@ -236,6 +246,23 @@
         }
     }
 
+    /// Searches a target with a token of the organisation's quota at hand.
+    async fn charge_and_search(&mut self) -> Result<UsableTarget, FailedCall> {
+        self.take_token().await?;
+        let usable = self.search().await?;
+        // The search may have outlasted the token.
+        self.take_token().await?;
+        Ok(usable)
+    }
+
+    async fn take_token(&mut self) -> Result<(), FailedCall> {
+        let taken = self.charge.take().await;
+        taken.map_err(|failed| match self.unknown {
+            true => self.unserved(failed.refusal),
+            false => failed,
+        })
+    }
+
     async fn search(&self) -> Result<UsableTarget, FailedCall> {
         let wait_end = self.times().wait_end(Instant::now());
         let search = self.search_for(wait_end);
@@ -274,7 +301,13 @@
         self.active.push(Rc::clone(&usable.connections));
         let gateway = Rc::clone(&self.gateway);
         let forwarded = Rc::clone(&self.forwarded);
-        let attempt = attempt::run(gateway, self.service.clone(), usable, forwarded);
+        let attempt = attempt::run(
+            gateway,
+            self.service.clone(),
+            usable,
+            forwarded,
+            self.charge.spend(),
+        );
         running.push(Box::pin(attempt));
     }
 
@@ -294,6 +327,7 @@
         let now = Instant::now();
         let found = target_search::find_ideal(&self.gateway, self.search_for(now), &self.tried);
         if let Some(usable) = found.await
+            && self.charge.take_quickly().await
             && self.gateway.take_retry(now, &self.service)
         {
             self.ends.push("hedged".into());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -49,6 +49,8 @@
 use crate::in_flight::InFlight;
 use crate::limits;
 use crate::metrics::Metrics;
+use crate::quota_client;
+use crate::quotas::Quotas;
 use crate::registrar::Registrar;
 use crate::service_estimates::ServiceEstimates;
 use crate::target_connections::TargetConnections;
@@ -108,6 +110,8 @@
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
     bodies: BodyMemory,
+    /// The quotas of organisations.
+    pub(crate) quotas: Quotas,
 }
 
 /// A target that may receive requests, with its connections.
@@ -167,6 +171,7 @@
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
             bodies: BodyMemory::default(),
+            quotas: Quotas::new(&boot),
             boot: RefCell::new(boot),
         }))
     }
@@ -258,6 +263,7 @@
 
     /// Replaces the list of VMs by a later one.
     pub(crate) fn replace_roster(&self, roster: VmRoster) {
+        self.quotas.set_roster(&roster, self.is_new.get());
         *self.roster.borrow_mut() = roster;
         self.registrar.list_changed();
         for connections in self.connections.borrow().values() {
@@ -410,6 +416,7 @@
         connections
             .values()
             .for_each(|connections| connections.sweep(now));
+        quota_client::sweep(self, now);
     }
 
     /// Counts a request for a service that is expected to take `work`, and adds the health checks
@@ -500,6 +507,7 @@
             "ready": self.is_ready(),
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
+            "quotas": self.quotas.dump(now),
             "body_bytes": self.bodies.used(),
             "malformed_entries": self.malformed.borrow().len(),
             "targets": targets,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
     refused_configs: Counter<u64>,
+    quota_requests: Counter<u64>,
+    quota_tokens: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -90,6 +92,14 @@
                 "carobshore.refused_configs",
                 "Configurations of the store that are invalid or need a newer release",
             ),
+            quota_requests: counter(
+                "carobshore.quota_requests",
+                "Requests of organisations with a quota, by whether it allowed them",
+            ),
+            quota_tokens: counter(
+                "carobshore.quota_tokens",
+                "Tokens of quotas that this VM asked for, by what became of them",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -164,6 +174,20 @@
         self.refused_configs.add(1, &[]);
     }
 
+    /// Counts a request of an organisation with a quota. `outcome` is `within`, `over` or `unknown`.
+    pub fn quota_request(&self, organisation: &str, outcome: &'static str) {
+        let organisation = KeyValue::new("organisation", organisation.to_owned());
+        let labels = [organisation, KeyValue::new("outcome", outcome)];
+        self.quota_requests.add(1, &labels);
+    }
+
+    /// Counts tokens of an organisation's quota. `kind` is `granted`, `refused` or `expired`.
+    pub fn quota_tokens(&self, organisation: &str, kind: &'static str, count: u64) {
+        let organisation = KeyValue::new("organisation", organisation.to_owned());
+        let labels = [organisation, KeyValue::new("kind", kind)];
+        self.quota_tokens.add(count, &labels);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -33,6 +33,10 @@
     TargetsRefused,
     /// Request bodies use too much memory.
     NoMemory,
+    /// The organisation has used up its quota.
+    QuotaExceeded,
+    /// No owner of the organisation's quota answers.
+    QuotaUnknown,
     /// The process is about to exit.
     Stopping,
     /// The request was sent, and it is unknown whether it ran.
@@ -50,6 +54,7 @@
             Self::NoRoute => 404,
             Self::TooSlow => 408,
             Self::BodyTooLarge => 413,
+            Self::QuotaExceeded => 429,
             Self::HeadTooLarge => 431,
             Self::Broken => 502,
             Self::TimedOut => 504,
@@ -59,6 +64,7 @@
             | Self::NoRoom
             | Self::TargetsRefused
             | Self::NoMemory
+            | Self::QuotaUnknown
             | Self::Stopping => 503,
         }
     }
@@ -78,6 +84,8 @@
             Self::NoRoom => "no-room",
             Self::TargetsRefused => "targets-refused",
             Self::NoMemory => "no-memory",
+            Self::QuotaExceeded => "quota-exceeded",
+            Self::QuotaUnknown => "quota-unknown",
             Self::Stopping => "stopping",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
