gateway: running VMs learn of VMs that join, if quotas are in use

Owners of quotas follow from the list of VMs, which a VM read only when it started. Answers to polls now carry the length and a hash of the sender's list (Vm-List). A VM whose list differs reads that of its source, or asks the source to register a VM that it lacks.

--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -7,6 +7,7 @@
 use carobshore_http::persistent_client::CallFailure;
 use carobshore_http::persistent_client::PersistentClient;
 use carobshore_lib::record_age;
+use carobshore_lib::roster_digest::RosterDigest;
 use carobshore_lib::source_selector::SourceFailure;
 use carobshore_lib::store_mirror::Changes;
 
@@ -16,6 +17,7 @@
 use crate::feed::Poll;
 use crate::feed_format;
 use crate::limits::NEWS_FIELD;
+use crate::vm_list_sync::LIST_FIELD;
 
 /// Time allowed for the response in addition to [`POLL_HOLD`].
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
@@ -61,6 +63,8 @@
     pub bytes: usize,
     /// What the other VM knows of the limits of targets.
     pub news: Option<Box<str>>,
+    /// The digest of its list of VMs, if it tells that.
+    pub list: Option<RosterDigest>,
 }
 
 /// Client of the feed of one VM.
@@ -113,6 +117,11 @@
                     }),
                     bytes: response.body.len(),
                     news: response.head.fields.text(NEWS_FIELD).map(Box::from),
+                    list: response
+                        .head
+                        .fields
+                        .text(LIST_FIELD)
+                        .and_then(|list| list.parse().ok()),
                 })
             }
             status => Err(PollFailure {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod target_connections;
 mod target_notices;
 pub mod target_search;
+mod vm_list_sync;
 pub mod vm_registration;
--- a/gateway/src/quotas.rs
+++ b/gateway/src/quotas.rs
@@ -12,6 +12,7 @@
 use carobshore_lib::quota::owner_contact::OwnerContact;
 use carobshore_lib::quota::quota_account::QuotaAccount;
 use carobshore_lib::quota::quota_table::QuotaTable;
+use carobshore_lib::roster_sync::RosterSync;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_platform::boot_settings::BootSettings;
 use serde_json::Value;
@@ -29,6 +30,8 @@
     pub(crate) connections: OwnerConnections,
     /// The organisations with metrics of their own.
     pub(crate) named: RefCell<LargestOrganisations>,
+    /// When to compare the list of VMs with that of another VM.
+    pub(crate) sync: RefCell<RosterSync>,
     questions: RefCell<HashMap<OrganisationId, Rc<Question>>>,
 }
 
@@ -50,12 +53,14 @@
             table: RefCell::new(QuotaTable::new(&boot.vm_name, boot.domain.clone())),
             connections: OwnerConnections::default(),
             named: RefCell::default(),
+            sync: RefCell::default(),
             questions: RefCell::default(),
         }
     }
 
     /// Sets the list of VMs. `is_new` says whether other VMs may not know this one.
     pub(crate) fn set_roster(&self, roster: &VmRoster, is_new: bool) {
+        self.sync.borrow_mut().set(roster);
         let mut table = self.table.borrow_mut();
         table.set_roster(Instant::now(), roster, is_new);
     }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -35,6 +35,7 @@
 use crate::store_probes::ProbeAnswer;
 use crate::store_probes::ProbeResult;
 use crate::store_probes::StoreProbes;
+use crate::vm_list_sync;
 
 /// Pause after a page of records, so that the changes of that time are read in one call. A change
 /// must be in force within 2 s.
@@ -194,7 +195,11 @@
             confirmed,
             bytes,
             news,
+            list,
         } = polled;
+        if let Some(list) = list {
+            vm_list_sync::compare(&self.gateway, peer.client.addr(), list);
+        }
         if let Some(message) = news {
             limits::read_news(&self.gateway, "its source", &message);
         }
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -175,7 +175,8 @@
     Ok(Registration { roster, is_new })
 }
 
-fn own_record(gateway: &Gateway) -> VmRecord {
+/// Returns the record under which this VM registers.
+pub(crate) fn own_record(gateway: &Gateway) -> VmRecord {
     let boot = gateway.boot.borrow();
     VmRecord {
         name: boot.vm_name.clone(),
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -253,6 +253,21 @@
     assert_eq!(quotas(&gateway), json!({"used": [], "owned": []}));
 }
 
+#[test]
+fn running_vms_learn_of_one_that_joins() {
+    let site = site("quota-joining", 1);
+    let gateways = gateways(&site, &["a", "a", "a"]);
+    // Only the VM that it asks first registers the fourth one.
+    let seeds = [gateways[1].admin];
+    let _joined = site.start_seeded("edge-3", &seeds);
+    for gateway in [&gateways[0], &gateways[2]] {
+        wait("the list is extended", || {
+            gateway.has_line(&["list of VMs extended", "4"])
+                || gateway.has_line(&["other VMs registered"])
+        });
+    }
+}
+
 /// The settings of older platforms name no bounds, and a quota means nothing without them.
 #[test]
 fn without_bounds_in_the_settings_quotas_do_not_count() {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -107,6 +107,8 @@
 pub mod retry_allowance;
 pub mod retry_budget;
 pub mod roster;
+pub mod roster_digest;
+pub mod roster_sync;
 pub mod route;
 pub mod route_access;
 mod route_checks;
