--- a/lib/tests/test_quotas.rs
+++ b/lib/tests/test_quotas.rs
@@ -11,6 +11,7 @@
 use carobshore_lib::access::quota::Quota;
 use carobshore_lib::quota::owner_answer::OwnerAnswer;
 use carobshore_lib::quota::owner_pools::OwnerPools;
+use carobshore_lib::quota::quota_account::QuotaAccount;
 use carobshore_lib::quota::quota_bounds::QuotaBounds;
 use carobshore_lib::quota::quota_step::QuotaStep;
 use carobshore_lib::quota::quota_table::QuotaTable;
@@ -72,31 +73,23 @@
     retries: u32,
 }
 
+/// A take or its answer.
+#[derive(Clone, Copy)]
+struct Message {
+    vm: usize,
+    owner: usize,
+    organisation: usize,
+    asked: Instant,
+}
+
 #[derive(Clone, Copy)]
 enum Event {
     Request(usize),
     Retry(usize, Asked),
-    Take {
-        from: usize,
-        to: usize,
-        organisation: usize,
-        want: TokenCount,
-        asked: Instant,
-        kept: bool,
-    },
-    Answer {
-        to: usize,
-        from: usize,
-        organisation: usize,
-        asked: Instant,
-        answer: OwnerAnswer,
-    },
-    Send {
-        vm: usize,
-        organisation: usize,
-        token: QuotaToken,
-        request: Asked,
-    },
+    /// A take arrives; only the answer to the first copy comes back.
+    Take(Message, TokenCount, bool),
+    Answer(Message, OwnerAnswer),
+    Send(usize, usize, QuotaToken, Asked),
     Kill,
     Start(usize),
     Learn(usize),
@@ -132,6 +125,13 @@
     /// Requests within the quota, and those of them that got a token.
     within: Vec<u32>,
     granted: Vec<u32>,
+    /// Takes that were sent to other VMs.
+    takes: u32,
+    requests: u32,
+}
+
+fn millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis / 1_000.0)
 }
 
 fn roster(vms: usize) -> VmRoster {
@@ -181,6 +181,8 @@
             sent: vec![Vec::new(); ORGANISATIONS],
             within: vec![0; ORGANISATIONS],
             granted: vec![0; ORGANISATIONS],
+            takes: 0,
+            requests: 0,
         };
         for index in 0..VMS {
             world.vms.push(Vm {
@@ -276,14 +278,8 @@
             return None;
         }
         let far = if from % 3 == to % 3 { 0.2 } else { 0.7 };
-        let late = if self.rng.random_bool(self.faults.late) {
-            300.0
-        } else {
-            0.0
-        };
-        Some(Duration::from_secs_f64(
-            (far + self.rng.random_range(0.0..=late)) / 1_000.0,
-        ))
+        let late = 300.0 * f64::from(u8::from(self.rng.random_bool(self.faults.late)));
+        Some(millis(far + self.rng.random_range(0.0..=late)))
     }
 
     fn run(&mut self) {
@@ -303,57 +299,17 @@
                 let vm = self.rng.random_range(0..VMS);
                 self.arrive(vm, organisation, request);
             }
-            Event::Take {
-                from,
-                to,
-                organisation,
-                want,
-                asked,
-                kept,
-            } if self.vms[to].running => {
-                let quota = self.quota(to, organisation);
-                let answer = self.vms[to].table.grant(
-                    self.now,
-                    &self.ids[organisation],
-                    (quota, &BOUNDS),
-                    want,
-                );
-                if let Some(delay) = self.delay(to, from).filter(|_| kept) {
-                    self.add(
-                        delay,
-                        Event::Answer {
-                            to: from,
-                            from: to,
-                            organisation,
-                            asked,
-                            answer,
-                        },
-                    );
-                }
-            }
-            Event::Take { .. } => {}
-            Event::Answer {
-                to,
-                from,
-                organisation,
-                asked,
-                answer,
-            } => {
-                let line = self.line(to, organisation);
-                // A late answer, or the time-out of a take that was answered.
-                if line.asked != Some(asked) {
-                    return;
+            Event::Take(message, want, kept) => self.take(message, want, kept),
+            // Else a late answer, or the time-out of a take that was answered.
+            Event::Answer(message, answer) => {
+                let line = self.line(message.vm, message.organisation);
+                if line.asked == Some(message.asked) {
+                    line.asked = None;
+                    self.hear(message, answer);
+                    self.serve(message.vm, message.organisation);
                 }
-                line.asked = None;
-                self.hear(to, from, organisation, asked, answer);
-                self.serve(to, organisation);
             }
-            Event::Send {
-                vm,
-                organisation,
-                token,
-                request,
-            } if self.vms[vm].running => {
+            Event::Send(vm, organisation, token, request) if self.vms[vm].running => {
                 if token.is_valid(self.now) {
                     self.sent[organisation].push(self.now);
                     self.granted[organisation] += u32::from(request.within);
@@ -362,7 +318,7 @@
                     self.serve(vm, organisation);
                 }
             }
-            Event::Send { .. } => {}
+            Event::Send(..) => {}
             Event::Kill => {
                 if self.rng.random_bool(self.faults.kills.min(1.0)) {
                     let vm = self.rng.random_range(0..VMS - self.faults.joining);
@@ -385,6 +341,7 @@
         if !self.vms[vm].running {
             return;
         }
+        self.requests += 1;
         let skipped = self.faults.retries == 0 && self.is_cut_off(vm);
         let request = Asked {
             within: self.is_within(organisation) && !skipped,
@@ -395,8 +352,8 @@
     }
 
     fn arrive(&mut self, vm: usize, organisation: usize, request: Asked) {
-        let (now, id) = (self.now, &self.ids[organisation]);
-        self.vms[vm].table.account(now, id, &BOUNDS).arrive(now);
+        let now = self.now;
+        self.account(vm, organisation).arrive(now);
         self.line(vm, organisation).waiting.push_back(request);
         self.serve(vm, organisation);
     }
@@ -405,18 +362,33 @@
         self.vms[vm].lines.entry(organisation).or_default()
     }
 
-    fn hear(
-        &mut self,
-        vm: usize,
-        owner: usize,
-        organisation: usize,
-        asked: Instant,
-        answer: OwnerAnswer,
-    ) {
-        let account = self.vms[vm]
-            .table
-            .account(self.now, &self.ids[organisation], &BOUNDS);
-        account.hear(self.now, &format!("edge-{owner}"), asked, answer);
+    fn hear(&mut self, message: Message, answer: OwnerAnswer) {
+        let (now, owner) = (self.now, format!("edge-{}", message.owner));
+        let account = self.account(message.vm, message.organisation);
+        account.hear(now, &owner, message.asked, answer);
+    }
+
+    fn account(&mut self, vm: usize, organisation: usize) -> &mut QuotaAccount {
+        let id = &self.ids[organisation];
+        self.vms[vm].table.account(self.now, id, &BOUNDS)
+    }
+
+    fn grant(&mut self, message: Message, want: TokenCount) -> OwnerAnswer {
+        let quota = self.quota(message.owner, message.organisation);
+        let id = &self.ids[message.organisation];
+        let table = &mut self.vms[message.owner].table;
+        table.grant(self.now, id, (quota, &BOUNDS), want)
+    }
+
+    fn take(&mut self, message: Message, want: TokenCount, kept: bool) {
+        if !self.vms[message.owner].running {
+            return;
+        }
+        let answer = self.grant(message, want);
+        let delay = self.delay(message.owner, message.vm);
+        if let Some(delay) = delay.filter(|_| kept) {
+            self.add(delay, Event::Answer(message, answer));
+        }
     }
 
     /// Does what the decisions ask for until all requests of a VM wait or have ended.
@@ -427,33 +399,17 @@
             let Some(request) = line.waiting.front().copied() else {
                 return;
             };
-            let account = self.vms[vm]
-                .table
-                .account(self.now, &self.ids[organisation], &BOUNDS);
-            match account.step(self.now, waiting) {
+            let now = self.now;
+            match self.account(vm, organisation).step(now, waiting) {
+                // One request in fifty is not sent, and one in ten waits for a target.
+                QuotaStep::Token(token) if self.rng.random_bool(0.02) => {
+                    self.account(vm, organisation).give_back(now, token);
+                    self.within[organisation] -= u32::from(request.within);
+                }
                 QuotaStep::Token(token) => {
-                    // One request in ten waits for a target, and one in fifty is then not sent.
-                    let wait = if self.rng.random_bool(0.1) {
-                        700.0
-                    } else {
-                        0.0
-                    };
-                    let wait = Duration::from_secs_f64(self.rng.random_range(0.0..=wait) / 1_000.0);
-                    match self.rng.random_bool(0.02) {
-                        true => {
-                            account.give_back(self.now, token);
-                            self.within[organisation] -= u32::from(request.within);
-                        }
-                        false => self.add(
-                            wait,
-                            Event::Send {
-                                vm,
-                                organisation,
-                                token,
-                                request,
-                            },
-                        ),
-                    }
+                    let longest = 700.0 * f64::from(u8::from(self.rng.random_bool(0.1)));
+                    let wait = millis(self.rng.random_range(0.0..=longest));
+                    self.add(wait, Event::Send(vm, organisation, token, request));
                 }
                 QuotaStep::Ask(..) if asked.is_some() => return,
                 QuotaStep::Ask(owner, want) => {
@@ -474,44 +430,26 @@
         }
     }
 
-    fn ask(&mut self, from: usize, to: usize, organisation: usize, want: TokenCount) {
-        let asked = self.now;
-        if from == to {
-            let quota = self.quota(to, organisation);
-            let answer =
-                self.vms[to]
-                    .table
-                    .grant(asked, &self.ids[organisation], (quota, &BOUNDS), want);
-            return self.hear(from, to, organisation, asked, answer);
+    fn ask(&mut self, vm: usize, owner: usize, organisation: usize, want: TokenCount) {
+        let message = Message {
+            vm,
+            owner,
+            organisation,
+            asked: self.now,
+        };
+        if vm == owner {
+            let answer = self.grant(message, want);
+            return self.hear(message, answer);
         }
-        self.vms[from].lines.entry(organisation).or_default().asked = Some(asked);
+        self.takes += 1;
+        self.line(vm, organisation).asked = Some(self.now);
         let doubled = self.rng.random_bool(self.faults.doubled);
         for kept in [true, false].into_iter().take(1 + usize::from(doubled)) {
-            if let Some(delay) = self.delay(from, to) {
-                self.add(
-                    delay,
-                    Event::Take {
-                        from,
-                        to,
-                        organisation,
-                        want,
-                        asked,
-                        kept,
-                    },
-                );
+            if let Some(delay) = self.delay(vm, owner) {
+                self.add(delay, Event::Take(message, want, kept));
             }
         }
-        let answer = OwnerAnswer::Silent;
-        self.add(
-            TIMEOUT,
-            Event::Answer {
-                to: from,
-                from: to,
-                organisation,
-                asked,
-                answer,
-            },
-        );
+        self.add(TIMEOUT, Event::Answer(message, OwnerAnswer::Silent));
     }
 
     /// Checks every window that begins with a request.
@@ -555,105 +493,68 @@
         world.check_bound();
         let hot = world.sent[0].len() as f64 / (RUN.as_secs_f64() * world.usual[0] * QUOTA);
         let share = world.share();
-        println!("{name}, seed {seed}: share {share:.4}, use of the first quota {hot:.3}");
+        let takes = f64::from(world.takes) / f64::from(world.requests);
+        println!("{name}, seed {seed}: share {share:.4}, use of the first quota {hot:.3}, takes a request {takes:.3}");
         if faults.hot && faults.cut_off.is_none() {
-            assert!(
-                hot > 0.9,
-                "the quota of the hot organisation is used to {hot}"
-            );
+            assert!(hot > 0.9, "the hot organisation's quota is used to {hot}");
         }
         share
     });
     shares.fold(1.0, f64::min)
 }
 
-const USUAL: Faults = Faults {
-    lost: 0.0,
-    late: 0.0,
-    doubled: 0.0,
-    kills: 0.0,
-    cut_off: None,
-    joining: 0,
-    lowered: false,
-    hot: false,
-    retries: 0,
-};
-
 #[test]
 fn requests_within_the_quota_get_tokens_under_normal_conditions() {
-    assert!(play("normal", USUAL) >= 0.99);
-    assert!(play("hot", Faults { hot: true, ..USUAL }) >= 0.99);
+    let mut faults = Faults::default();
+    assert!(play("normal", faults) >= 0.99);
+    faults.hot = true;
+    assert!(play("hot", faults) >= 0.99);
 }
 
 #[test]
 fn the_bound_holds_with_faulty_links_and_owners() {
-    let faulty = Faults {
+    let hot = Faults {
+        hot: true,
+        ..Faults::default()
+    };
+    let killed = Faults { kills: 0.5, ..hot };
+    assert!(play("owners killed", killed) >= 0.95);
+    let mut faults = Faults {
         lost: 0.02,
         late: 0.02,
         doubled: 0.05,
-        hot: true,
-        ..USUAL
+        ..hot
     };
-    assert!(play("faulty links", faulty) >= 0.95);
-    assert!(
-        play(
-            "owners killed",
-            Faults {
-                kills: 0.5,
-                hot: true,
-                ..USUAL
-            }
-        ) >= 0.95
-    );
-    play(
-        "all faults",
-        Faults {
-            kills: 1.0,
-            cut_off: Some(6),
-            joining: 9,
-            lowered: true,
-            ..faulty
-        },
-    );
+    assert!(play("faulty links", faults) >= 0.95);
+    (faults.kills, faults.cut_off) = (1.0, Some(6));
+    (faults.joining, faults.lowered) = (9, true);
+    play("all faults", faults);
 }
 
 /// A VM that reaches no owner can grant nothing, and one request in six arrives at such a VM. So only
 /// requests at the other VMs count here, or else callers return to any VM, twice at most.
 #[test]
 fn most_requests_get_tokens_with_one_vm_in_six_cut_off() {
-    let cut_off = Faults {
+    let mut faults = Faults {
         cut_off: Some(6),
         hot: true,
-        ..USUAL
+        ..Faults::default()
     };
-    assert!(play("cut off", cut_off) >= 0.95);
-    let returning = Faults {
-        retries: 2,
-        ..cut_off
-    };
-    assert!(play("cut off, callers return", returning) >= 0.95);
+    assert!(play("cut off", faults) >= 0.95);
+    faults.retries = 2;
+    assert!(play("cut off, callers return", faults) >= 0.95);
 }
 
 #[test]
 fn two_lists_of_vms_and_lowered_quotas_keep_the_bound() {
-    assert!(
-        play(
-            "joining",
-            Faults {
-                joining: 9,
-                hot: true,
-                ..USUAL
-            }
-        ) >= 0.95
-    );
-    play(
-        "lowered",
-        Faults {
-            lowered: true,
-            hot: true,
-            ..USUAL
-        },
-    );
+    let mut faults = Faults {
+        hot: true,
+        joining: 9,
+        ..Faults::default()
+    };
+    assert!(play("joining", faults) >= 0.95);
+    (faults.joining, faults.lowered) = (0, true);
+    play("lowered", faults);
 }
 
 #[test]
