--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -26,8 +26,13 @@
 /// Compares this VM's list with the digest that its source has told, and reads the list of the source if
 /// they differ.
 pub(crate) fn compare(gateway: &Rc<Gateway>, source: SocketAddr, other: RosterDigest) {
-    if digest(gateway).is_none() {
-        return;
+    match digest(gateway) {
+        None => return,
+        Some(own) if own == other => {
+            let mut table = gateway.quotas.table.borrow_mut();
+            return table.list_confirmed(Instant::now());
+        }
+        Some(_) => {}
     }
     let due = gateway
         .quotas
--- a/lib/src/quota/quota_table.rs
+++ b/lib/src/quota/quota_table.rs
@@ -33,6 +33,8 @@
     domain: DomainId,
     /// Whether VMs that have not started since this one registered do not know it.
     is_new: bool,
+    /// When other VMs that are connected know this one, if it is new.
+    known_from: Option<Instant>,
     pools: OwnerPools,
     /// Lists that other VMs may still use, and until when.
     earlier: Vec<(Instant, OwnerPools)>,
@@ -47,6 +49,7 @@
             me: me.into(),
             domain,
             is_new: true,
+            known_from: None,
             pools: OwnerPools::default(),
             earlier: Vec::new(),
             accounts: HashMap::new(),
@@ -61,6 +64,7 @@
         if pools == self.pools {
             return;
         }
+        self.known_from = None;
         let before = std::mem::replace(&mut self.pools, pools);
         self.earlier.retain(|(until, _)| *until > now);
         if !before.is_empty() {
@@ -71,6 +75,12 @@
         }
     }
 
+    /// Records that another VM has the same list. A VM that is new may own quotas some time after that;
+    /// until then others may ask the owners of an older list.
+    pub fn list_confirmed(&mut self, now: Instant) {
+        self.known_from.get_or_insert(now + HANDOVER);
+    }
+
     /// Grants tokens as an owner. Returns [`OwnerAnswer::NotOwner`] if this VM is none.
     pub fn grant(
         &mut self,
@@ -146,7 +156,7 @@
 
     /// Returns the number of owners of the quota if this VM is one by all lists that VMs may use now.
     fn owners_with_me(&self, now: Instant, organisation: &OrganisationId) -> Option<usize> {
-        if self.is_new {
+        if self.is_new && self.known_from.is_none_or(|from| now < from) {
             return None;
         }
         let owners = self.pools.owners(organisation);
