gateway: a target that ends idle connections early must answer a health check

A target that restarts closes its idle connections, and a VM opened new ones to the cold process without a word. The early end of an idle connection now counts like a refused one, for services with a warm-up rule.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -283,6 +283,7 @@
     if let Some(reason) = connection.opened {
         gateway.metrics.connection_opened(reason);
     }
+    warmup::note_ended(gateway, connections);
     let now = Instant::now();
     let deadline = gateway.exit.borrow().limit(forwarded.deadline);
     let remaining = deadline.saturating_duration_since(now);
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -86,6 +86,8 @@
     pub malformed_pause: Cell<bool>,
     /// Whether the target has stated a keep-alive time that could not be read.
     pub malformed_keep_alive: Cell<bool>,
+    /// Whether an idle connection has ended before the time that the target had stated.
+    pub(crate) ended_early: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     keep_alive: Cell<KeepAlive>,
 }
@@ -105,6 +107,7 @@
             displaced: Cell::new(false),
             malformed_pause: Cell::new(false),
             malformed_keep_alive: Cell::new(false),
+            ended_early: Cell::new(false),
             idle: RefCell::default(),
             keep_alive: Cell::default(),
         }
@@ -170,7 +173,12 @@
         let keep_alive = self.keep_alive.get();
         let mut idle = self.idle.borrow_mut();
         idle.retain_mut(|idle| {
-            keep_alive.allows_reuse(idle.last_response, now) && idle.client.is_idle()
+            let may_be_used = keep_alive.allows_reuse(idle.last_response, now);
+            let is_idle = idle.client.is_idle();
+            if may_be_used && !is_idle {
+                self.ended_early.set(true);
+            }
+            may_be_used && is_idle
         });
     }
 
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -416,6 +416,7 @@
     let connected =
         connected.inspect_err(|error| warmup::not_connected(gateway, connections, error));
     let mut connection = connected.ok()?;
+    warmup::note_ended(gateway, connections);
     if let Some(reason) = connection.opened {
         gateway.metrics.connection_opened(reason);
     }
--- a/gateway/src/warmup.rs
+++ b/gateway/src/warmup.rs
@@ -89,6 +89,7 @@
 
 /// Brings the state of a target up to date with its entry, the configuration and the list of VMs.
 pub(crate) fn refresh(gateway: &Gateway, connections: &TargetConnections, entry: &AnnouncedTarget) {
+    note_ended(gateway, connections);
     let mut outlook = connections.outlook.borrow_mut();
     let Some(bounds) = gateway.boot.borrow().warmup else {
         outlook.set_cold_until(entry.cold_until);
@@ -144,6 +145,14 @@
     }
 }
 
+/// Records that an idle connection to a target has ended early, if one has: the target may have started
+/// again.
+pub(crate) fn note_ended(gateway: &Gateway, connections: &TargetConnections) {
+    if connections.ended_early.take() {
+        doubt(gateway, connections, "it ended an idle connection early");
+    }
+}
+
 /// Records that the evacuation of a domain was withdrawn: its targets may have become cold.
 pub(crate) fn domain_returned(gateway: &Gateway, domain: &DomainId) {
     let directory = gateway.directory.borrow();
--- a/gateway/tests/test_warmup.rs
+++ b/gateway/tests/test_warmup.rs
@@ -185,6 +185,27 @@
     assert!(served >= 3, "{served} in {time:?}");
 }
 
+/// Guards against requests of the moment in which a target has restarted and nobody knows it yet.
+#[test]
+fn a_target_whose_connections_end_gets_no_more_than_its_bound_before_its_entry_tells() {
+    let site = warming("cold-unannounced", 2, true);
+    let gateways = acquainted(&site, 2);
+    call_all(&gateways, Duration::from_secs(1));
+    let target = &site.targets[0];
+    target.set_cold(WARMUP);
+    target.reset_connections();
+    let restarted = Instant::now();
+    call_all(&gateways, Duration::from_secs(2));
+    let most = most_in_a_second(target, restarted, restarted + WARMUP);
+    assert!(
+        most as f64 <= BOUND,
+        "{most} requests in a second, at most {BOUND}"
+    );
+    let doubted =
+        |gateway: &Gateway| gateway.has_line(&["before it has answered a health check", "i-0"]);
+    assert!(gateways.iter().all(doubted));
+}
+
 /// Without a rule in the configuration, a target that says it is cold is used as before.
 #[test]
 fn without_a_rule_a_cold_target_has_no_limit() {
