lib: the test of cold rates has groups without common members

With group rates and savings at the whole bound instead of half, the property test still passed: the two lists shared most members of their groups. Each VM now begins with the list of its half. The same fault is found (15 requests in a second where 8 are allowed); the code as it is passes 32 cases.

--- a/lib/tests/test_warmup.rs
+++ b/lib/tests/test_warmup.rs
@@ -104,8 +104,11 @@
             sent: Vec::new(),
         };
         if two_lists {
-            model.lists.push(roster(vms / 2..vms));
-            (0..vms).for_each(|index| model.change_list(now, index));
+            // Groups without common members send most: each VM begins with the list that has it.
+            model.lists = vec![roster(0..vms / 2), roster(vms / 2..vms)];
+            for (index, vm) in model.vms.iter_mut().enumerate() {
+                vm.roster = model.lists[usize::from(index >= vms / 2)].clone();
+            }
         }
         (0..vms).for_each(|index| model.set_share(now, index));
         model
