--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -100,6 +100,7 @@
 pub mod replicated_state;
 pub mod request_count;
 pub mod request_key;
+pub mod request_queue;
 pub mod request_rate;
 pub mod requested_pause;
 pub mod result_code;
--- /dev/null
+++ b/lib/src/request_queue/queued_request.rs
@@ -0,0 +1,20 @@
+//! A request that needs a target.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::access::organisation_id::OrganisationId;
+use crate::request_queue::priority::Priority;
+
+/// What the queue needs to know of a request.
+#[derive(Clone, Debug)]
+pub struct QueuedRequest {
+    /// How urgent it is.
+    pub priority: Priority,
+    /// The organisation that sent it. All requests without one share a place in the fair order.
+    pub organisation: Option<OrganisationId>,
+    /// How long it is expected to occupy a slot.
+    pub work: Duration,
+    /// Until when it may wait for a target.
+    pub wait_end: Instant,
+}
