gateway: requests without a target wait in the queue of their service

Change: if the configuration has organisations, target_search::find hands over to request_queue::find; one pass of the old loop became look(). Requests look one after the other, the head is woken by each change and by freed slots, and a dropped future leaves the queue. Refusals stay no-room, with the place, the pace and the expected wait. Dump and metrics show the queues. Without organisations the loop is as before.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
+use crate::access::Grant;
 use crate::attempt;
 use crate::attempt::AttemptEnd;
 use crate::attempt::ForwardedRequest;
@@ -233,6 +234,8 @@
                 soft_deadline: self.times().soft_deadline(),
                 deadline: self.forwarded.deadline,
             },
+            priority: self.forwarded.priority().into(),
+            organisation: self.forwarded.grant.as_ref().and_then(Grant::id),
         }
     }
 
@@ -246,6 +249,11 @@
                 retry: Some(found.retry),
                 why: Some(found.to_string().into()),
             }),
+            SearchResult::Overloaded(refusal) if !self.unknown => Err(FailedCall {
+                refusal: Refusal::NoRoom,
+                retry: Some(refusal.retry),
+                why: Some(refusal.to_string().into()),
+            }),
             SearchResult::Unavailable(reason) if !self.unknown => Err(unavailable(reason)),
             _ if self.refused => Err(self.unserved(Refusal::TargetsRefused)),
             _ => Err(self.unserved(Refusal::NoTarget)),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -50,6 +50,7 @@
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::registrar::Registrar;
+use crate::request_queue::RequestQueues;
 use crate::service_estimates::ServiceEstimates;
 use crate::target_connections::TargetConnections;
 
@@ -108,6 +109,8 @@
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
     bodies: BodyMemory,
+    /// The requests that wait for a target.
+    pub(crate) queues: RequestQueues,
 }
 
 /// A target that may receive requests, with its connections.
@@ -167,6 +170,7 @@
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
             bodies: BodyMemory::default(),
+            queues: RequestQueues::default(),
             boot: RefCell::new(boot),
         }))
     }
@@ -501,6 +505,7 @@
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
             "body_bytes": self.bodies.used(),
+            "queues": self.queues.dump(now),
             "malformed_entries": self.malformed.borrow().len(),
             "targets": targets,
         })
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod record_source;
 mod registrar;
 pub mod reply;
+mod request_queue;
 mod response_memory;
 pub mod service_estimates;
 pub mod store_probes;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::request_queue::priority::Priority;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::UpDownCounter;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -32,6 +34,8 @@
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
     refused_configs: Counter<u64>,
+    queue_waiting: UpDownCounter<i64>,
+    queue_refusals: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -90,6 +94,14 @@
                 "carobshore.refused_configs",
                 "Configurations of the store that are invalid or need a newer release",
             ),
+            queue_waiting: meter
+                .i64_up_down_counter("carobshore.queue_waiting")
+                .with_description("Requests that wait for a target, by priority")
+                .build(),
+            queue_refusals: counter(
+                "carobshore.queue_refusals",
+                "Requests that the queue refused, by reason",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -164,6 +176,18 @@
         self.refused_configs.add(1, &[]);
     }
 
+    /// Counts a request that begins (1) or ends (-1) to wait for a target.
+    pub fn queue_waiting(&self, priority: Priority, change: i64) {
+        let labels = [KeyValue::new("priority", priority.to_string())];
+        self.queue_waiting.add(change, &labels);
+    }
+
+    /// Counts a request that the queue refused.
+    pub fn queue_refusal(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.queue_refusals.add(1, &labels);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -7,8 +7,11 @@
 
 use carobshore_http::client::EncodedRequest;
 use carobshore_http::head::ResponseHead;
+use carobshore_lib::access::organisation_id::OrganisationId;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
+use carobshore_lib::request_queue::priority::Priority;
+use carobshore_lib::request_queue::queue_refusal::QueueRefusal;
 use carobshore_lib::search_step::BestTarget;
 use carobshore_lib::search_step::SEARCH_PAUSE;
 use carobshore_lib::search_step::SearchDeadlines;
@@ -29,10 +32,12 @@
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limit_client;
+use crate::limited_targets::LimitTurn;
 use crate::limited_targets::unused_limit;
 use crate::limited_targets::wait_for_limit;
 use crate::limited_targets::within_limits;
 use crate::limits;
+use crate::request_queue;
 use crate::response_memory;
 use crate::target_connections::Purpose;
 use crate::target_connections::TargetConnections;
@@ -57,6 +62,10 @@
     pub demand: Demand,
     /// How long the request may wait, and when the response must have arrived.
     pub times: SearchDeadlines,
+    /// How urgent the request is.
+    pub priority: Priority,
+    /// The organisation that sent it, if any.
+    pub organisation: Option<&'a OrganisationId>,
 }
 
 /// The result of a search.
@@ -70,6 +79,8 @@
     Unavailable(Unavailable),
     /// No target has capacity in time.
     NoRoom(NoRoom),
+    /// The request cannot be served in time in the order of its queue.
+    Overloaded(QueueRefusal),
 }
 
 /// What a refusal for lack of capacity is based on. The log shows it.
@@ -105,82 +116,120 @@
     }
 }
 
+/// The end of one look for a target.
+#[derive(Clone, Debug)]
+pub(crate) enum Look {
+    /// The search has ended.
+    Ended(SearchResult),
+    /// Another request took the limit of the target; look again now.
+    Again,
+    /// All targets are limited; look again later.
+    Limited,
+    /// No target has capacity; look again later.
+    Full,
+}
+
 /// Finds the best target that is not in `excluded`, and waits for capacity while there is time.
 pub async fn find(
     gateway: &Rc<Gateway>,
     search: Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> SearchResult {
+    if request_queue::is_used(gateway) {
+        return request_queue::find(gateway, search, excluded).await;
+    }
     let slot_freed = gateway.services.slot_freed(search.service);
     // Whether an attempt of this VM has just ended. Its response reported the load of its target.
     let mut just_freed = false;
     let mut turn = None;
     loop {
-        let usable = untried(gateway, search.service, excluded);
-        if usable.is_empty() {
-            return match target_notices::all_unavailable(gateway, search.service) {
-                Some(reason) => SearchResult::Unavailable(reason),
-                None => SearchResult::NoTarget,
-            };
-        }
-        let usable = match within_limits(usable) {
-            Ok(open) => open,
-            Err(limited) => {
-                if let Some(borrowed) = limit_client::borrow(gateway, &limited).await {
-                    return SearchResult::Target(borrowed);
-                }
-                if let Err(no_room) = wait_for_limit(gateway, &search, &limited, &mut turn) {
-                    return SearchResult::NoRoom(no_room);
-                }
-                sleep(SEARCH_PAUSE).await;
-                continue;
+        match look(gateway, &search, excluded, &mut turn, just_freed).await {
+            Look::Ended(result) => return result,
+            Look::Again => {}
+            Look::Limited => sleep(SEARCH_PAUSE).await,
+            Look::Full => {
+                just_freed = timeout(SEARCH_PAUSE, slot_freed.notified()).await.is_ok();
             }
-        };
-        if let Some(unused) = unused_limit(&search, &usable) {
-            return SearchResult::Target(unused);
         }
-        if !just_freed && let Some(ideal) = query_targets(gateway, &search, &usable).await {
-            // Another request may have used the limit meanwhile.
-            if !limits::take(&ideal.connections) {
-                continue;
+    }
+}
+
+/// Looks for a target once.
+pub(crate) async fn look(
+    gateway: &Rc<Gateway>,
+    search: &Search<'_>,
+    excluded: &[Rc<TargetConnections>],
+    turn: &mut Option<LimitTurn>,
+    just_freed: bool,
+) -> Look {
+    let usable = untried(gateway, search.service, excluded);
+    if usable.is_empty() {
+        return Look::Ended(
+            match target_notices::all_unavailable(gateway, search.service) {
+                Some(reason) => SearchResult::Unavailable(reason),
+                None => SearchResult::NoTarget,
+            },
+        );
+    }
+    let usable = match within_limits(usable) {
+        Ok(open) => open,
+        Err(limited) => {
+            if let Some(borrowed) = limit_client::borrow(gateway, &limited).await {
+                return Look::Ended(SearchResult::Target(borrowed));
             }
-            return SearchResult::Target(ideal);
+            return match wait_for_limit(gateway, search, &limited, turn) {
+                Ok(()) => Look::Limited,
+                Err(no_room) => Look::Ended(SearchResult::NoRoom(no_room)),
+            };
         }
-        let now = Instant::now();
-        let Some(best) = best(gateway, now, search.demand, &usable) else {
-            return SearchResult::NoTarget;
+    };
+    if let Some(unused) = unused_limit(search, &usable) {
+        return Look::Ended(SearchResult::Target(unused));
+    }
+    if !just_freed && let Some(ideal) = query_targets(gateway, search, &usable).await {
+        // Another request may have used the limit meanwhile.
+        return match limits::take(&ideal.connections) {
+            true => Look::Ended(SearchResult::Target(ideal)),
+            false => Look::Again,
         };
-        let outlook = best.connections.outlook.borrow().clone();
-        let limit = gateway.services.slot_limit(now, search.service, best.slots);
-        let queued = outlook.queue_ahead(now, best.slots);
-        let mut ahead = queued + f64::from(best.slots - limit);
-        let expected = outlook.expected(now, search.demand.work, best.slots);
-        if ahead > 0.0
-            && queued <= 0.0
-            && gateway
-                .services
-                .start_trial(now, search.service, limit, best.slots)
-        {
-            ahead = 0.0;
-        }
-        match SearchStep::decide(now, search.times, BestTarget { ahead, expected }) {
-            SearchStep::Take if limits::take(&best.connections) => {
-                return SearchResult::Target(best);
-            }
-            SearchStep::Take => {}
-            SearchStep::Wait => {}
-            SearchStep::Refuse => {
-                return SearchResult::NoRoom(NoRoom {
-                    retry: search.demand.work / 2,
-                    best: best.connections.id.clone(),
-                    ahead,
-                    expected,
-                    known: usable.len(),
-                    limited: false,
-                });
-            }
+    }
+    look_for_best(gateway, search, &usable)
+}
+
+/// Takes the best target if it has capacity.
+fn look_for_best(gateway: &Gateway, search: &Search<'_>, usable: &[UsableTarget]) -> Look {
+    let now = Instant::now();
+    let Some(best) = best(gateway, now, search.demand, usable) else {
+        return Look::Ended(SearchResult::NoTarget);
+    };
+    let outlook = best.connections.outlook.borrow().clone();
+    let limit = gateway.services.slot_limit(now, search.service, best.slots);
+    let queued = outlook.queue_ahead(now, best.slots);
+    let mut ahead = queued + f64::from(best.slots - limit);
+    let expected = outlook.expected(now, search.demand.work, best.slots);
+    if ahead > 0.0
+        && queued <= 0.0
+        && gateway
+            .services
+            .start_trial(now, search.service, limit, best.slots)
+    {
+        ahead = 0.0;
+    }
+    let kept_free = gateway.queues.kept_free(gateway, now, search, best.slots);
+    ahead += f64::from(kept_free);
+    match SearchStep::decide(now, search.times, BestTarget { ahead, expected }) {
+        SearchStep::Take if limits::take(&best.connections) => {
+            Look::Ended(SearchResult::Target(best))
         }
-        just_freed = timeout(SEARCH_PAUSE, slot_freed.notified()).await.is_ok();
+        SearchStep::Take | SearchStep::Wait => Look::Full,
+        SearchStep::Refuse => Look::Ended(SearchResult::NoRoom(NoRoom {
+            retry: search.demand.work / 2,
+            best: best.connections.id.clone(),
+            ahead,
+            expected,
+            known: usable.len(),
+            limited: false,
+        })),
     }
 }
 
