lib: fair shares do not depend on rounding

Cause: sums in the order of a hash map round differently, so that an organisation with exactly its share could count as above it, and two runs of a simulation differed.

Change: ordered map, and 0.1% of tolerance.

--- a/lib/src/request_queue/fair_share.rs
+++ b/lib/src/request_queue/fair_share.rs
@@ -1,7 +1,6 @@
 //! Which organisations have got more than their fair share, as far as this VM has seen.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +14,9 @@
 const TIME_CONSTANT: Duration = Duration::from_secs(30);
 /// Work, in seconds, below which an organisation is forgotten.
 const FORGOTTEN: f64 = 1e-3;
+/// Factor on the fair share from which an organisation is above it. Sums are rounded, so that one that
+/// has got just its share could be above it otherwise.
+const ABOVE: f64 = 1.001;
 
 /// The work of the requests of a service by priority and organisation; older requests count less.
 ///
@@ -23,7 +25,7 @@
 /// than its fair share leaves a slot of each target free for the others, at all VMs.
 #[derive(Clone, Debug, Default)]
 pub struct FairShare {
-    classes: BTreeMap<Priority, HashMap<Option<OrganisationId>, Work>>,
+    classes: BTreeMap<Priority, BTreeMap<Option<OrganisationId>, Work>>,
     updated: Option<Instant>,
 }
 
@@ -69,7 +71,7 @@
             return false;
         };
         let work = class.get(&owner.cloned());
-        work.is_some_and(|work| work.given > fair_level(class.values()))
+        work.is_some_and(|work| work.given > fair_level(class.values()) * ABOVE)
     }
 
     fn work(&mut self, request: &QueuedRequest) -> &mut Work {
