lib, gateway: organisations above their fair share go last in a priority

Cause: their requests leave slots free, and several of them at the front of the queue held up requests that could have used these slots.

Change: QueuedRequest says whether its organisation is above its share; FairOrder puts such requests behind others of the priority.

--- a/gateway/src/request_queue.rs
+++ b/gateway/src/request_queue.rs
@@ -130,8 +130,13 @@
     gateway.routes.borrow().config().access.is_some()
 }
 
-fn queued(search: &Search<'_>) -> QueuedRequest {
+fn queued(gateway: &Gateway, search: &Search<'_>) -> QueuedRequest {
+    let (priority, owner) = (search.priority, search.organisation);
+    let above_share = gateway
+        .queues
+        .with(search.service, |state| state.fair.is_over(priority, owner));
     QueuedRequest {
+        above_share,
         priority: search.priority,
         organisation: search.organisation.cloned(),
         work: search.demand.work,
@@ -147,7 +152,7 @@
 ) -> SearchResult {
     let mut limit_turn = None;
     let mut looked = None;
-    let request = queued(&search);
+    let request = queued(gateway, &search);
     let at_once = gateway.queues.with(search.service, |state| {
         let now = Instant::now();
         state.urgent.observe(now, request.priority, request.work);
--- a/lib/src/request_queue/fair_order.rs
+++ b/lib/src/request_queue/fair_order.rs
@@ -1,4 +1,5 @@
 //! The order of waiting requests: by priority, then fair between organisations, then by arrival.
+//! Organisations that have got more than their fair share elsewhere go after others.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -17,18 +18,25 @@
 pub struct FairOrder {
     places: BTreeMap<Place, Waiting>,
     by_id: HashMap<EntryId, Place>,
-    classes: HashMap<Priority, Class>,
+    classes: HashMap<Tier, Class>,
     next: u64,
 }
 
 /// A request's place. `start` is the work that its organisation has been given before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
-    priority: Priority,
+    tier: Tier,
     start: Duration,
     id: EntryId,
 }
 
+/// Requests of organisations above their fair share come after others of the same priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Tier {
+    priority: Priority,
+    above_share: bool,
+}
+
 type Owner = Option<OrganisationId>;
 
 #[derive(Clone, Debug)]
@@ -37,7 +45,7 @@
     wait_end: Instant,
 }
 
-/// The requests of one priority.
+/// The requests of one tier.
 #[derive(Clone, Debug, Default)]
 struct Class {
     /// The largest start of a request that was served.
@@ -66,12 +74,17 @@
         let QueuedRequest {
             priority,
             organisation: owner,
+            above_share,
             work,
             wait_end,
         } = request;
+        let tier = Tier {
+            priority,
+            above_share,
+        };
         let id = EntryId::from(self.next);
         self.next += 1;
-        let class = self.classes.entry(priority).or_default();
+        let class = self.classes.entry(tier).or_default();
         class.waiting += 1;
         let lane = class.lanes.entry(owner.clone()).or_default();
         if lane.entries.is_empty() {
@@ -80,11 +93,7 @@
         let ahead: Duration = lane.entries.iter().map(|entry| entry.work).sum();
         let start = lane.start + ahead;
         lane.entries.push_back(Entry { id, work });
-        let place = Place {
-            priority,
-            start,
-            id,
-        };
+        let place = Place { tier, start, id };
         self.place(place, Waiting { owner, wait_end });
         id
     }
@@ -101,7 +110,9 @@
 
     /// Returns the requests in the order in which they are to be served.
     pub fn iter(&self) -> impl Iterator<Item = (Priority, EntryId)> {
-        self.places.keys().map(|place| (place.priority, place.id))
+        self.places
+            .keys()
+            .map(|place| (place.tier.priority, place.id))
     }
 
     /// Returns the requests in the same order, with the ends of their waits.
@@ -141,13 +152,13 @@
         let Some(Waiting { owner, .. }) = self.places.remove(&place) else {
             return;
         };
-        let Some(class) = self.classes.get_mut(&place.priority) else {
+        let Some(class) = self.classes.get_mut(&place.tier) else {
             return;
         };
         class.waiting -= 1;
         if class.waiting == 0 {
             // Nobody competes any more, so what was served before doesn't count.
-            self.classes.remove(&place.priority);
+            self.classes.remove(&place.tier);
             return;
         }
         let Some(lane) = class.lanes.get_mut(&owner) else {
@@ -163,7 +174,7 @@
             class.lanes.remove(&owner);
             return;
         }
-        let moved = moved_places(place.priority, lane, &self.by_id);
+        let moved = moved_places(place.tier, lane, &self.by_id);
         for (old, new) in moved {
             if let Some(waiting) = self.places.remove(&old) {
                 self.place(new, waiting);
@@ -173,20 +184,12 @@
 }
 
 /// Returns the old and new places of the requests of a lane whose start has changed.
-fn moved_places(
-    priority: Priority,
-    lane: &Lane,
-    by_id: &HashMap<EntryId, Place>,
-) -> Vec<(Place, Place)> {
+fn moved_places(tier: Tier, lane: &Lane, by_id: &HashMap<EntryId, Place>) -> Vec<(Place, Place)> {
     let mut start = lane.start;
     let mut moved = Vec::new();
     for Entry { id, work } in &lane.entries {
         let id = *id;
-        let new = Place {
-            priority,
-            start,
-            id,
-        };
+        let new = Place { tier, start, id };
         if let Some(old) = by_id.get(&id).filter(|old| **old != new) {
             moved.push((*old, new));
         }
--- a/lib/tests/test_request_queue.rs
+++ b/lib/tests/test_request_queue.rs
@@ -57,6 +57,7 @@
     QueuedRequest {
         priority: Priority::from(kind.0),
         organisation: Some(organisation(organisation_index)),
+        above_share: false,
         work: ms(kind.2),
         wait_end: now + ms(kind.3),
     }
@@ -137,7 +138,9 @@
     fn arrive(&mut self, kind: Kind, organisation: usize) {
         let vm = self.random.random_range(0..self.vms.len());
         self.counts.entry((kind.0, organisation)).or_default().0 += 1;
-        let request = queued(kind, organisation, self.now);
+        let mut request = queued(kind, organisation, self.now);
+        let owner = request.organisation.as_ref();
+        request.above_share = self.fair[vm].is_over(request.priority, owner);
         let wait_end = request.wait_end;
         let entry = Request {
             kind,
@@ -263,7 +266,7 @@
 /// Load: three of 83 organisations at 7 times their demand, and slots for the usual demand only.
 #[test]
 fn a_hot_organisation_takes_nothing_from_the_others() {
-    for (vms, seed) in [(1, 1), (131, 2)] {
+    for (vms, seed) in [(1, 1), (20, 3), (131, 2)] {
         let Kind(_, rate, work, _) = CUE_READ;
         let slots = (rate * work as f64 / 1e3).round() as usize;
         let mut simulation = Simulation::new(seed, vms, slots);
