--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -54,6 +54,7 @@
 use crate::quota_client;
 use crate::quotas::Quotas;
 use crate::registrar::Registrar;
+use crate::request_queue::RequestQueues;
 use crate::service_estimates::ServiceEstimates;
 use crate::target_connections::TargetConnections;
 use crate::warmup;
@@ -120,6 +121,8 @@
     bodies: BodyMemory,
     /// The quotas of organisations.
     pub(crate) quotas: Quotas,
+    /// The requests that wait for a target.
+    pub(crate) queues: RequestQueues,
 }
 
 /// A target that may receive requests, with its connections.
@@ -182,6 +185,7 @@
             attempts: Cell::new(0),
             bodies: BodyMemory::default(),
             quotas: Quotas::new(&boot),
+            queues: RequestQueues::default(),
             boot: RefCell::new(boot),
         }))
     }
@@ -534,6 +538,7 @@
             "in_flight": self.in_flight.count(),
             "quotas": self.quotas.dump(now),
             "body_bytes": self.bodies.used(),
+            "queues": self.queues.dump(now),
             "malformed_entries": self.malformed.borrow().len(),
             "evacuated": evacuation::dump(self, now),
             "targets": targets,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod record_source;
 mod registrar;
 pub mod reply;
+mod request_queue;
 mod response_memory;
 pub mod service_estimates;
 pub mod store_probes;
