--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use carobshore_platform::header_fields::StatedLoad;
 
 use crate::access::Grant;
+use crate::crossing;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limits;
@@ -161,9 +162,11 @@
             )
         });
         let usable = &self.usable;
+        let departure = self.gateway.crossing.departure(usable);
+        let left = departure.map(|departure| departure.to_string());
         log::info!(
             id = self.forwarded.id.as_deref().unwrap_or_default(), target = usable.connections.id.as_str(),
-            local = usable.local, preferred = usable.preferred, missing = usable.missing,
+            local = usable.local, left = left.as_deref(), preferred = usable.preferred, missing = usable.missing,
             report = report.as_deref().unwrap_or("none"),
             limit = self.limit.map(|rate| rate.per_second()),
             expected_ms = self.expected.as_millis() as u64,
@@ -250,6 +253,9 @@
     };
     let (name, success) = (end.as_str(), end.is_success());
     gateway.metrics.attempt(&service, name, started.elapsed());
+    if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld) {
+        crossing::count(&gateway, &usable, transferred(&forwarded, &end));
+    }
     active.end = Some(LoggedEnd {
         name,
         success,
@@ -260,6 +266,15 @@
     (usable, end)
 }
 
+/// Returns the size of the bodies of a request and its response, in bytes.
+fn transferred(forwarded: &ForwardedRequest, end: &AttemptEnd) -> usize {
+    let answered = match end {
+        AttemptEnd::Answered(response) => response.body.len(),
+        _ => 0,
+    };
+    forwarded.body.len() + answered
+}
+
 async fn exchange(
     gateway: &Gateway,
     usable: &UsableTarget,
@@ -312,6 +327,9 @@
                 connections.checkin(Instant::now(), connection, response_fields.keep_alive);
             }
             if !response_fields.misdirected {
+                if let StatedLoad::Report(report) = response_fields.load {
+                    crossing::hear_load(gateway, connections, report);
+                }
                 limits::hear(gateway, connections, started, &response_fields);
             }
             classify(usable, response, &response_fields)
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -20,6 +20,7 @@
 use crate::attempt::AttemptEnd;
 use crate::attempt::ForwardedRequest;
 use crate::attempt::GIVEN_UP;
+use crate::crossing;
 use crate::failed_call::FailedCall;
 use crate::failed_call::RequestName;
 use crate::failed_call::refuse;
@@ -227,7 +228,9 @@
             demand: Demand {
                 work: self.forwarded.work,
                 bytes: self.forwarded.body.len() + RESPONSE_BYTES,
+                price: self.gateway.crossing.price(),
             },
+            scope: self.gateway.crossing.usual_scope(),
             times: SearchDeadlines {
                 wait_end,
                 soft_deadline: self.times().soft_deadline(),
@@ -239,7 +242,7 @@
     async fn search(&self) -> Result<UsableTarget, FailedCall> {
         let wait_end = self.times().wait_end(Instant::now());
         let search = self.search_for(wait_end);
-        match target_search::find(&self.gateway, search, &self.tried).await {
+        match crossing::find(&self.gateway, search, &self.tried).await {
             SearchResult::Target(usable) => Ok(usable),
             SearchResult::NoRoom(found) if !self.unknown => Err(FailedCall {
                 refusal: Refusal::NoRoom,
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use carobshore_lib::domain_choice::crossing_settings::CrossingSettings;
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_platform::store_client::Topic;
 use eyre::WrapErr;
@@ -44,6 +45,8 @@
     pub path: PathBuf,
     /// Log lines of successful requests per second.
     pub log_rate: u32,
+    /// Which requests leave the failure domain.
+    pub crossing: CrossingSettings,
 }
 
 /// Serves until a planned stop is complete. Blocks the calling thread.
@@ -66,14 +69,14 @@
         let boot = settings.boot;
         log::info!(
             vm = &*boot.vm_name, domain = boot.domain.as_str(), callers:% = boot.callers,
-            store:% = boot.store; "the gateway starts"
+            store:% = boot.store, crossing:% = settings.crossing.mode; "the gateway starts"
         );
         let callers = listen(boot.callers).wrap_err("cannot listen for callers")?;
         let readiness = listen(boot.readiness).wrap_err("cannot listen for readiness")?;
         let admin = listen(boot.admin()).wrap_err("cannot listen for metrics")?;
         let control = boot.control.map(listen).transpose();
         let control = control.wrap_err("cannot listen for other VMs")?;
-        let gateway = Gateway::new(boot, settings.log_rate, rand::random())?;
+        let gateway = Gateway::new(boot, settings.log_rate, settings.crossing, rand::random())?;
         spawn(
             "callers",
             caller_connection::accept(Rc::clone(&gateway), callers),
--- a/gateway/src/flags.rs
+++ b/gateway/src/flags.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use carobshore_lib::domain_choice::crossing_mode::CrossingMode;
+use carobshore_lib::domain_choice::crossing_price::CrossingPrice;
 use clap::Parser;
 use log::LevelFilter;
 
@@ -34,4 +36,14 @@
         value_parser = clap::value_parser!(u32).range(..=MAX_LOG_RATE)
     )]
     pub log_rate: u32,
+
+    /// How it is decided whether a request leaves its failure domain: `cost` (wherever the expected
+    /// cost is lowest) or `share` (only as many as the load of the domains calls for).
+    #[arg(long, env = "CAROBSHORE_CROSSING", default_value_t)]
+    pub crossing: CrossingMode,
+
+    /// The price of a KiB sent to another failure domain, in milliseconds of a request's time, from 0
+    /// to 1000. A request costs 150 ms at most.
+    #[arg(long, env = "CAROBSHORE_CROSSING_MS_PER_KIB", default_value_t)]
+    pub crossing_ms_per_kib: CrossingPrice,
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,6 +13,8 @@
 use carobshore_lib::access::organisation::Organisation;
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::check_budget::CheckBudget;
+use carobshore_lib::domain_choice::crossing_settings::CrossingSettings;
+use carobshore_lib::domain_choice::departure::Departure;
 use carobshore_lib::graceful_exit::GracefulExit;
 use carobshore_lib::limit_lenders::Lender;
 use carobshore_lib::limit_lenders::LimitLenders;
@@ -45,6 +47,7 @@
 
 use crate::body_memory::BodyMemory;
 use crate::body_memory::ReservedBody;
+use crate::crossing::Crossing;
 use crate::feed::Feed;
 use crate::in_flight::InFlight;
 use crate::limits;
@@ -104,6 +107,8 @@
     retry_budgets: RefCell<HashMap<ServiceId, RetryAllowance>>,
     /// What has been learned about services and routes.
     pub services: ServiceEstimates,
+    /// Which requests leave the failure domain.
+    pub crossing: Crossing,
     success_lines: RefCell<LogRateLimiter>,
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
@@ -123,6 +128,8 @@
     pub preferred: bool,
     /// Whether the target's entry is missing from the store.
     pub missing: bool,
+    /// Why the request that got this target leaves the failure domain, if that was decided.
+    pub departure: Option<Departure>,
 }
 
 impl UsableTarget {
@@ -136,7 +143,12 @@
 
 impl Gateway {
     /// Creates the state of a process that has neither a configuration nor targets yet.
-    pub fn new(boot: BootSettings, log_rate: u32, seed: u64) -> eyre::Result<Rc<Self>> {
+    pub fn new(
+        boot: BootSettings,
+        log_rate: u32,
+        crossing: CrossingSettings,
+        seed: u64,
+    ) -> eyre::Result<Rc<Self>> {
         let now = Instant::now();
         Ok(Rc::new(Self {
             routes: RefCell::new(RouteTable::new(seed)),
@@ -163,6 +175,7 @@
             connections: RefCell::default(),
             retry_budgets: RefCell::default(),
             services: ServiceEstimates::default(),
+            crossing: Crossing::new(crossing, boot.domain.clone(), seed),
             success_lines: RefCell::new(LogRateLimiter::new(now, log_rate)),
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
@@ -234,6 +247,7 @@
                 local: target.domain == boot.domain,
                 preferred: false,
                 missing: directory.is_missing(&target.id),
+                departure: None,
             })
             .filter(|usable| !usable.connections.displaced.get())
             .collect();
@@ -502,6 +516,7 @@
             "in_flight": self.in_flight.count(),
             "body_bytes": self.bodies.used(),
             "malformed_entries": self.malformed.borrow().len(),
+            "crossing": self.crossing.dump(now),
             "targets": targets,
         })
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod caller_connection;
 pub mod compressed_body;
 mod connection_race;
+pub mod crossing;
 pub mod daemon;
 mod failed_call;
 pub mod feed;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,6 +7,7 @@
 use carobshore_gateway::daemon::DaemonSettings;
 use carobshore_gateway::flags::Flags;
 use carobshore_gateway::log_output;
+use carobshore_lib::domain_choice::crossing_settings::CrossingSettings;
 use carobshore_lib::prelude::Error;
 use carobshore_lib::prelude::ResultCode;
 use carobshore_platform::boot_settings::BootSettings;
@@ -52,5 +53,9 @@
         boot: BootSettings::read(&path)?,
         path,
         log_rate: flags.log_rate,
+        crossing: CrossingSettings {
+            mode: flags.crossing,
+            price: flags.crossing_ms_per_kib,
+        },
     })
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobshore_lib::domain_choice::departure_reason::DepartureReason;
 use carobshore_lib::prelude::ServiceId;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -32,6 +33,8 @@
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
     refused_configs: Counter<u64>,
+    crossings: Counter<u64>,
+    crossing_bytes: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -90,6 +93,14 @@
                 "carobshore.refused_configs",
                 "Configurations of the store that are invalid or need a newer release",
             ),
+            crossings: counter(
+                "carobshore.crossings",
+                "Requests sent to another failure domain, by service and reason",
+            ),
+            crossing_bytes: counter(
+                "carobshore.crossing_bytes",
+                "Bytes of the bodies of these requests and their responses",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -164,6 +175,14 @@
         self.refused_configs.add(1, &[]);
     }
 
+    /// Counts a request that was sent to another failure domain.
+    pub fn crossing(&self, service: &ServiceId, reason: DepartureReason, bytes: usize) {
+        let service = KeyValue::new("service", service.to_string());
+        let labels = [service, KeyValue::new("reason", reason.as_str())];
+        self.crossings.add(1, &labels);
+        self.crossing_bytes.add(bytes as u64, &labels);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -12,6 +12,8 @@
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::carried_ids::CarriedIds;
 use carobshore_lib::keep_alive::KeepAlive;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_estimator::TargetEstimator;
 use carobshore_lib::target_limit::TargetLimit;
@@ -63,6 +65,10 @@
 pub struct TargetConnections {
     /// The id of the target instance.
     pub id: TargetId,
+    /// The service that the target serves.
+    pub service: ServiceId,
+    /// The failure domain of the target.
+    pub domain: DomainId,
     /// Address on which the target accepts connections.
     pub addr: SocketAddr,
     /// The generation of the target that was announced when this was created.
@@ -88,6 +94,8 @@
     pub fn new(target: &AnnouncedTarget, rank: u64) -> Self {
         Self {
             id: target.id.clone(),
+            service: target.service.clone(),
+            domain: target.domain.clone(),
             addr: target.addr,
             generation: target.generation(),
             rank,
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -7,6 +7,9 @@
 
 use carobshore_http::client::EncodedRequest;
 use carobshore_http::head::ResponseHead;
+use carobshore_lib::check_value::check_plan::CheckPlan;
+use carobshore_lib::check_value::prospect::Prospect;
+use carobshore_lib::domain_choice::search_scope::SearchScope;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::search_step::BestTarget;
@@ -26,6 +29,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::crossing;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
 use crate::limit_client;
@@ -57,6 +61,8 @@
     pub demand: Demand,
     /// How long the request may wait, and when the response must have arrived.
     pub times: SearchDeadlines,
+    /// Which targets are considered.
+    pub scope: &'a SearchScope,
 }
 
 /// The result of a search.
@@ -116,7 +122,7 @@
     let mut just_freed = false;
     let mut turn = None;
     loop {
-        let usable = untried(gateway, search.service, excluded);
+        let usable = untried(gateway, &search, excluded);
         if usable.is_empty() {
             return match target_notices::all_unavailable(gateway, search.service) {
                 Some(reason) => SearchResult::Unavailable(reason),
@@ -191,24 +197,58 @@
     search: Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> Option<UsableTarget> {
-    let usable = untried(gateway, search.service, excluded);
+    let usable = untried(gateway, &search, excluded);
     let usable = within_limits(usable).ok()?;
-    let ideal = query_targets(gateway, &search, &usable).await?;
+    let found = query_targets(gateway, &search, &usable).await?;
+    let is_ideal = target_selector::is_ideal(Instant::now(), &found.connections.outlook.borrow());
+    // A target that was not asked may have other requests.
+    let ideal = is_ideal.then_some(found)?;
     limits::take(&ideal.connections).then_some(ideal)
 }
 
+/// Queries targets once, and returns the best one that has a free slot by a recent report.
+pub(crate) async fn find_free(
+    gateway: &Rc<Gateway>,
+    search: Search<'_>,
+    excluded: &[Rc<TargetConnections>],
+) -> Option<UsableTarget> {
+    let usable = untried(gateway, &search, excluded);
+    let mut usable = within_limits(usable).ok()?;
+    let ideal = query_targets(gateway, &search, &usable).await;
+    let now = Instant::now();
+    let free = ideal.or_else(|| {
+        usable.retain(|usable| is_free(gateway, now, &search, usable));
+        best(gateway, now, search.demand, &usable)
+    })?;
+    limits::take(&free.connections).then_some(free)
+}
+
+/// Checks a target only to learn its load, if the budget allows it.
+pub(crate) fn check(gateway: &Rc<Gateway>, service: &ServiceId, target: &Rc<TargetConnections>) {
+    if gateway.services.reports_load(service) && gateway.take_check(Instant::now()) {
+        let (sender, _) = mpsc::unbounded_channel();
+        start_check(gateway, service, target, 0, sender);
+    }
+}
+
 fn untried(
     gateway: &Gateway,
-    service: &ServiceId,
+    search: &Search<'_>,
     excluded: &[Rc<TargetConnections>],
 ) -> Vec<UsableTarget> {
-    let usable = gateway.usable_targets(service).into_iter();
+    let usable = gateway.usable_targets(search.service).into_iter();
     let tried = |usable: &UsableTarget| {
         excluded
             .iter()
             .any(|other| Rc::ptr_eq(other, &usable.connections))
     };
-    usable.filter(|usable| !tried(usable)).collect()
+    let mut usable = usable.filter(|usable| !tried(usable)).collect();
+    search.scope.retain(
+        &mut usable,
+        |usable| usable.local,
+        |usable| &usable.connections.domain,
+    );
+    usable
 }
 
 /// Queries targets in rounds, the most promising first, and returns the first ideal one.
@@ -225,22 +265,36 @@
             .iter()
             .map(|u| u.connections.outlook.borrow())
             .collect();
-        let candidates = candidates(usable, &outlooks);
+        let candidates = candidates(gateway, usable, &outlooks);
         let mut choice = gateway.choice.borrow_mut();
         let mut order = choice.order(Instant::now(), search.demand, &candidates);
         order.retain(|(_, index)| is_worth_querying(search, &usable[*index]));
-        order.truncate(match gateway.is_check_budget_low(Instant::now()) {
+        if search.scope.weighs_checks() {
+            order.retain(|(_, index)| !is_known_full(gateway, search, &usable[*index]));
+        }
+        let usual = match gateway.is_check_budget_low(Instant::now()) {
             true => MAX_QUERIED_WHEN_LOW,
             false => MAX_QUERIED,
-        });
+        };
+        order.truncate(search.scope.max_queried(usual));
         let indices = order.into_iter().map(|(_, index)| index);
         indices.collect::<Vec<usize>>()
     };
-    let is_connected = |index: usize| usable[index].connections.is_connected();
+    let connected: Vec<bool> = usable
+        .iter()
+        .map(|usable| usable.connections.is_connected())
+        .collect();
+    let mut rest = &*order;
     let (sender, mut ended) = mpsc::unbounded_channel();
-    for round in target_selector::rounds(&order, is_connected) {
+    while let Some(round) = target_selector::rounds(rest, |index| connected[index]).first() {
+        let count = worth_asking(gateway, search, usable, rest).min(round.targets.len());
+        if count == 0 {
+            return unasked(gateway, search, usable);
+        }
+        let asked;
+        (asked, rest) = rest.split_at(count);
         let mut pending = 0;
-        for index in round.targets {
+        for index in asked {
             let connections = &usable[*index].connections;
             if has_current_report(connections) {
                 let _ = sender.send(CheckEnd::answered(*index));
@@ -257,7 +311,7 @@
                 timeout_at(end.into(), ended.recv()).await
         {
             // Late answers to earlier rounds count, too.
-            pending -= usize::from(round.targets.contains(&index));
+            pending -= usize::from(asked.contains(&index));
             let outlook = usable[index].connections.outlook.borrow();
             if answered && target_selector::is_ideal(Instant::now(), &outlook) {
                 return Some(usable[index].clone());
@@ -270,6 +324,88 @@
     None
 }
 
+/// Returns how many of the targets at the indices `next`, which are in the order in which to ask them,
+/// are worth asking.
+fn worth_asking(
+    gateway: &Gateway,
+    search: &Search<'_>,
+    usable: &[UsableTarget],
+    next: &[usize],
+) -> usize {
+    if !search.scope.weighs_checks() {
+        return next.len();
+    }
+    let now = Instant::now();
+    let cost_ms =
+        |usable: &UsableTarget| cost(gateway, now, search, usable).as_secs_f64() * 1_000.0;
+    let known = usable.iter();
+    let known = known.filter(|usable| is_free(gateway, now, search, usable));
+    let known = known.map(cost_ms).reduce(f64::min);
+    let spread = gateway.crossing.spread(search.service);
+    let prospect = |index: &usize| {
+        let reported = usable[*index].connections.outlook.borrow().last_report();
+        Prospect {
+            mean: cost_ms(&usable[*index]),
+            spread: spread.get(now, search.demand.work, reported.map(|(at, _)| at)),
+        }
+    };
+    let next: Vec<Prospect> = next.iter().map(prospect).collect();
+    CheckPlan::new(gateway.is_check_budget_low(now)).count(known, &next)
+}
+
+/// Returns the best target that has a free slot by a recent report, if it is good enough to be used
+/// without asking others.
+fn unasked(
+    gateway: &Gateway,
+    search: &Search<'_>,
+    usable: &[UsableTarget],
+) -> Option<UsableTarget> {
+    let now = Instant::now();
+    let free = usable.iter();
+    let free = free.filter(|usable| is_free(gateway, now, search, usable));
+    let best = free.min_by_key(|usable| cost(gateway, now, search, usable))?;
+    let (ahead, expected) = expectation(gateway, now, search, best);
+    let step = SearchStep::decide(now, search.times, BestTarget { ahead, expected });
+    (step == SearchStep::Take).then(|| best.clone())
+}
+
+/// Returns whether a target has just reported that it has no free slot.
+fn is_known_full(gateway: &Gateway, search: &Search<'_>, usable: &UsableTarget) -> bool {
+    let now = Instant::now();
+    let report = usable.connections.outlook.borrow().last_report();
+    target_selector::is_recent(now, report) && !is_free(gateway, now, search, usable)
+}
+
+fn cost(gateway: &Gateway, now: Instant, search: &Search<'_>, usable: &UsableTarget) -> Duration {
+    let outlook = usable.connections.outlook.borrow();
+    let candidate = candidate(gateway, usable, &outlook);
+    target_selector::cost(now, search.demand, &candidate)
+}
+
+/// Returns how many requests would be ahead of a request on a target, and its expected time there.
+fn expectation(
+    gateway: &Gateway,
+    now: Instant,
+    search: &Search<'_>,
+    usable: &UsableTarget,
+) -> (f64, Duration) {
+    let outlook = usable.connections.outlook.borrow();
+    let limit = gateway
+        .services
+        .slot_limit(now, search.service, usable.slots);
+    let ahead = outlook.queue_ahead(now, usable.slots) + f64::from(usable.slots - limit);
+    let expected = outlook.expected(now, search.demand.work, usable.slots);
+    (ahead, expected)
+}
+
+/// Returns whether a request finds a free slot on a target, by a recent report.
+fn is_free(gateway: &Gateway, now: Instant, search: &Search<'_>, usable: &UsableTarget) -> bool {
+    let report = usable.connections.outlook.borrow().last_report();
+    let (ahead, expected) = expectation(gateway, now, search, usable);
+    let in_time = now + expected <= search.times.deadline;
+    target_selector::is_recent(now, report) && ahead <= 0.0 && in_time
+}
+
 /// The end of a health check.
 #[derive(Clone, Copy, Debug)]
 struct CheckEnd {
@@ -298,26 +434,32 @@
         .iter()
         .map(|u| u.connections.outlook.borrow())
         .collect();
-    let candidates = candidates(usable, &outlooks);
+    let candidates = candidates(gateway, usable, &outlooks);
     let best = gateway.choice.borrow_mut().best(now, demand, &candidates)?;
     Some(usable[best].clone())
 }
 
 fn candidates<'a>(
+    gateway: &Gateway,
     usable: &[UsableTarget],
     outlooks: &'a [Ref<'_, TargetEstimator>],
 ) -> Vec<Candidate<'a>> {
     let pairs = usable.iter().zip(outlooks);
     pairs
-        .map(|(usable, outlook)| candidate(usable, outlook))
+        .map(|(usable, outlook)| candidate(gateway, usable, outlook))
         .collect()
 }
 
-fn candidate<'a>(usable: &UsableTarget, estimator: &'a TargetEstimator) -> Candidate<'a> {
+fn candidate<'a>(
+    gateway: &Gateway,
+    usable: &UsableTarget,
+    estimator: &'a TargetEstimator,
+) -> Candidate<'a> {
     Candidate {
         estimator,
         slots: usable.slots,
         local: usable.local,
+        round_trip: gateway.crossing.round_trip(usable),
         connected: usable.connections.is_connected(),
         preferred: usable.preferred,
         missing: usable.missing,
@@ -364,6 +506,7 @@
             Ok(Some(StatedLoad::Report(report))) => {
                 gateway.metrics.health_check("answered");
                 gateway.services.set_reports_load(&service, true);
+                crossing::hear_check(&gateway, &connections, report);
                 connections.outlook.borrow_mut().report(now, report);
                 gateway.services.observe_load(now, &service, report);
             }
@@ -406,6 +549,7 @@
         belongs
     };
     let may_use = |bytes| bytes <= response_memory::SMALL;
+    let sent = Instant::now();
     let response = connection
         .client
         .exchange_within(&request, belongs, may_use);
@@ -415,6 +559,7 @@
         mark_displaced(connections);
         return None;
     }
+    crossing::hear_round_trip(gateway, connections, sent.elapsed());
     connections.checkin(Instant::now(), connection, response_fields.keep_alive);
     Some(response_fields.load)
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -133,6 +133,14 @@
         gateway
     }
 
+    /// Starts a gateway that lets only a share of the requests leave its domain, and waits until it is
+    /// ready.
+    pub(crate) fn sharing_gateway(&self, name: &str) -> Gateway {
+        let gateway = self.start(self.store_addr, name, &[], spawn_sharing);
+        wait("the gateway is ready", || gateway.is_ready());
+        gateway
+    }
+
     /// Starts a gateway with the addresses of some others.
     pub(crate) fn start_seeded(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
         self.start(self.store_addr, name, seeds, spawn)
@@ -223,6 +231,12 @@
         try_call(self.callers, &request(kind, id, 1_500, ""))
     }
 
+    /// Returns the metrics, or an empty text if the process does not respond.
+    pub(crate) fn metrics(&self) -> String {
+        let response = try_call(self.admin, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+        response.map(|response| response.body).unwrap_or_default()
+    }
+
     /// Returns the state dump, or an empty text if the process does not respond.
     pub(crate) fn dump(&self) -> String {
         let response = try_call(self.admin, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -313,6 +327,13 @@
     (child, None)
 }
 
+/// Starts a process with `--crossing share` and collects its log.
+fn spawn_sharing(settings: &Path, lines: &Lines) -> (Child, Option<JoinHandle<()>>) {
+    let mut child = start_process(command(settings).args(["--crossing", "share"]));
+    let reader = collect(&mut child, lines);
+    (child, Some(reader))
+}
+
 fn command(settings: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"));
     command
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -67,6 +67,25 @@
     }
 }
 
+#[test]
+fn odd_settings_of_crossings_are_refused() {
+    let path = write("crossing", &settings());
+    for odd in [
+        ["--crossing", "shares"],
+        ["--crossing-ms-per-kib", "-0.5"],
+        ["--crossing-ms-per-kib", "1001"],
+        ["--crossing-ms-per-kib", "NaN"],
+    ] {
+        let status = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"))
+            .arg("--settings")
+            .arg(&path)
+            .args(odd)
+            .stderr(Stdio::null())
+            .status();
+        assert_eq!(status.expect("an exit status").code(), Some(2), "{odd:?}");
+    }
+}
+
 #[test]
 fn a_log_rate_that_cannot_be_multiplied_is_refused() {
     let path = write("log-rate", &settings());
--- a/lib/src/service_load.rs
+++ b/lib/src/service_load.rs
@@ -45,6 +45,11 @@
         self.slots = report.slots.max(1);
     }
 
+    /// Returns the slots of the target that reported last.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Records how long an answered request occupied its target.
     pub fn observe_hold(&mut self, time: Duration) {
         let past = self.hold_time.unwrap_or(time);
--- a/lib/src/target_selector.rs
+++ b/lib/src/target_selector.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::domain_choice::crossing_price::CrossingPrice;
 use crate::load_report::LoadReport;
 use crate::target_estimator::NORMAL_PACE;
 use crate::target_estimator::TargetEstimator;
@@ -29,9 +30,6 @@
 const CONNECT_COST: Duration = Duration::from_millis(150);
 /// Extra cost of a target whose announcement is missing.
 const MISSING_COST: Duration = Duration::from_secs(10);
-/// Extra cost of a target in another failure domain per KiB transferred, and its upper bound.
-const CROSSING_COST_PER_KIB: Duration = Duration::from_millis(2);
-const MAX_CROSSING_COST: Duration = Duration::from_millis(150);
 /// Random extra cost of up to this much, which spreads the load over targets that differ by less;
 /// such differences are noise.
 const JITTER: Duration = Duration::from_millis(15);
@@ -49,6 +47,8 @@
     pub slots: u32,
     /// Whether the target is in the VM's own failure domain.
     pub local: bool,
+    /// The round-trip time to its domain, if that counts.
+    pub round_trip: Duration,
     /// Whether an idle connection to the target is open.
     pub connected: bool,
     /// Whether the VM prefers the target and keeps a connection to it.
@@ -64,6 +64,8 @@
     pub work: Duration,
     /// The size of the request and its response, in bytes.
     pub bytes: usize,
+    /// The price of these bytes between failure domains.
+    pub price: CrossingPrice,
 }
 
 /// Chooses among the candidate targets of a request.
@@ -153,8 +155,12 @@
 /// Returns whether a request that starts now finds an idle, quiet target, by a recent enough
 /// report. The duration of such a request is that of the work itself.
 pub fn was_ideal(now: Instant, report: Option<(Instant, LoadReport)>) -> bool {
-    let recent = |at| now.saturating_duration_since(at) <= MAX_REPORT_AGE;
-    report.is_some_and(|(at, report)| recent(at) && is_quiet(report))
+    is_recent(now, report) && report.is_some_and(|(_, report)| is_quiet(report))
+}
+
+/// Returns whether a report still describes the target's state.
+pub fn is_recent(now: Instant, report: Option<(Instant, LoadReport)>) -> bool {
+    report.is_some_and(|(at, _)| now.saturating_duration_since(at) <= MAX_REPORT_AGE)
 }
 
 fn is_quiet(report: LoadReport) -> bool {
@@ -173,8 +179,7 @@
         cost += MISSING_COST;
     }
     if !candidate.local {
-        let kib = demand.bytes as f64 / 1024.0;
-        cost += CROSSING_COST_PER_KIB.mul_f64(kib).min(MAX_CROSSING_COST);
+        cost += candidate.round_trip + demand.price.delay(demand.bytes);
     }
     cost
 }
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use carobshore_lib::check_budget::CheckBudget;
+use carobshore_lib::domain_choice::crossing_price::CrossingPrice;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::service_load::ServiceLoad;
 use carobshore_lib::target_estimator::AttemptOutcome;
@@ -230,6 +231,7 @@
     Demand {
         work: WORK,
         bytes: 0,
+        price: CrossingPrice::default(),
     }
 }
 
@@ -238,6 +240,7 @@
         estimator,
         slots: SLOTS as u32,
         local: true,
+        round_trip: Duration::ZERO,
         connected: true,
         preferred: true,
         missing: false,
--- a/lib/tests/test_target_selector.rs
+++ b/lib/tests/test_target_selector.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::domain_choice::crossing_price::CrossingPrice;
 use carobshore_lib::load_report::LoadReport;
 use carobshore_lib::search_step::BestTarget;
 use carobshore_lib::search_step::SearchDeadlines;
@@ -42,6 +43,7 @@
         estimator,
         slots: SLOTS,
         local: true,
+        round_trip: Duration::ZERO,
         connected: true,
         preferred: true,
         missing: false,
@@ -49,7 +51,11 @@
 }
 
 fn demand(bytes: usize) -> Demand {
-    Demand { work: WORK, bytes }
+    Demand {
+        work: WORK,
+        bytes,
+        price: CrossingPrice::default(),
+    }
 }
 
 /// Returns the index that is chosen among the estimators. Twenty random seeds have to agree.
