--- a/gateway/tests/test_crossing.rs
+++ b/gateway/tests/test_crossing.rs
@@ -39,6 +39,19 @@
     });
 }
 
+fn checks(gateway: &Gateway) -> u32 {
+    let metrics = gateway.metrics();
+    let counts = metrics
+        .lines()
+        .filter(|line| line.starts_with("carobshore_health_checks_total{"));
+    let count = |line: &str| {
+        line.rsplit(' ')
+            .next()
+            .and_then(|count| count.parse::<u32>().ok())
+    };
+    counts.filter_map(count).sum()
+}
+
 fn call_all(gateway: &Gateway, name: &str, count: usize) {
     for index in 0..count {
         let response = gateway.call("safe", &format!("{name}-{index}"), "");
@@ -47,7 +60,8 @@
 }
 
 /// Load: single requests while all targets are idle. With the lowest cost, the random part of the cost
-/// is larger than the price of a small request, so that half of them cross.
+/// is larger than the price of a small request, so that half of them cross. Guards against checks of targets
+/// that have just reported, too.
 #[test]
 fn with_idle_local_targets_nothing_crosses_by_share_but_requests_cross_by_cost() {
     let site = site("crossing-idle", 2);
@@ -59,6 +73,12 @@
     assert!(!by_share.metrics().contains("carobshore_crossings"));
     let by_cost = site.gateway("cost");
     wait_for_targets(&by_cost, &["i-0", "i-1", "r-0", "r-1"], true);
+    call_all(&by_cost, "cost", 60);
+    let (shared, costed) = (checks(&by_share), checks(&by_cost));
+    assert!(
+        shared < costed,
+        "{shared} checks by share, {costed} by cost"
+    );
     let mut calls = 0;
     wait("requests cross by cost", || {
         calls += 1;
--- a/gateway/tests/test_log.rs
+++ b/gateway/tests/test_log.rs
@@ -102,7 +102,7 @@
         gateway.has_line(&["the gateway ends"])
     });
     expect![[r#"
-        INFO attempt end="answered" id="id-served" left_out=0 limit=null local=true missing=false preferred=true target="i-0"
+        INFO attempt end="answered" id="id-served" left=null left_out=0 limit=null local=true missing=false preferred=true target="i-0"
         INFO list of VMs read is_new=true vms=1
         INFO planned stop in_flight=0
         INFO request attempts="" id="id-denied" left_out=0 organisation=null outcome="no-route" route="" status=404 version=1
@@ -117,7 +117,7 @@
         INFO the configuration is in force bytes=495 routes=1 version=2
         INFO the configuration is in force bytes=917 routes=3 version=1
         INFO the gateway ends
-        INFO the gateway starts domain="a" vm="edge-1"
+        INFO the gateway starts crossing="cost" domain="a" vm="edge-1"
     "#]].assert_eq(&sorted_log(&gateway));
 }
 
