--- a/load/src/cmd_simulate.rs
+++ b/load/src/cmd_simulate.rs
@@ -6,6 +6,10 @@
 use clap::Args;
 use eyre::ensure;
 
+use crate::sim_domain_report;
+use crate::sim_domains;
+use crate::sim_domains::DomainRouting;
+use crate::sim_domains::DomainSpec;
 use crate::sim_matrix;
 use crate::sim_plot;
 use crate::sim_report;
@@ -68,6 +72,11 @@
     #[arg(long, default_value_t = 4)]
     pub threads: usize,
 
+    /// Compares ways to choose among three failure domains whose demand swings, instead of the ways to
+    /// choose among targets. Uses the load, mean, sigma, seconds, seed and plot.
+    #[arg(long)]
+    pub domains: bool,
+
     /// File for the plot, in SVG.
     #[arg(long)]
     pub plot: Option<PathBuf>,
@@ -128,6 +137,9 @@
 /// Runs the subcommand.
 pub fn run(args: &SimulateArgs) -> eyre::Result<()> {
     let specs = args.specs()?;
+    if args.domains {
+        return compare_domains(args);
+    }
     let comparisons = sim_matrix::run_all(&specs, args.seeds.max(1), args.threads);
     println!("{}", sim_report::table(&comparisons));
     println!(
@@ -146,3 +158,25 @@
     }
     Ok(())
 }
+
+fn compare_domains(args: &SimulateArgs) -> eyre::Result<()> {
+    let of_load = |load: &f64| {
+        let spec = DomainSpec {
+            load: *load,
+            mean: Duration::from_secs_f64(args.mean_ms / 1e3),
+            sigma: args.sigma,
+            length: Duration::from_secs_f64(args.seconds),
+            seed: args.seed,
+        };
+        let results = DomainRouting::ALL.map(|routing| sim_domains::run(&spec, routing));
+        (*load, results.to_vec())
+    };
+    let results: Vec<_> = args.loads.iter().map(of_load).collect();
+    println!("{}", sim_domain_report::table(&results));
+    println!("latencies in ms; the central queue has no delay between domains");
+    if let Some(path) = &args.plot {
+        sim_domain_report::draw(&results, path)?;
+        println!("plot in {}", path.display());
+    }
+    Ok(())
+}
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -21,6 +21,8 @@
 mod sim_answers;
 pub mod sim_central;
 pub mod sim_conditions;
+pub mod sim_domain_report;
+pub mod sim_domains;
 pub mod sim_event;
 pub mod sim_matrix;
 pub mod sim_plot;
--- a/load/tests/test_simulate.rs
+++ b/load/tests/test_simulate.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use carobshore_lib::prelude::Policy;
+use carobshore_load::sim_domains;
+use carobshore_load::sim_domains::DomainRouting;
+use carobshore_load::sim_domains::DomainSpec;
 use carobshore_load::sim_matrix;
 use carobshore_load::sim_matrix::Comparison;
 use carobshore_load::sim_plot;
@@ -188,3 +191,21 @@
         assert!(plot.contains(&routing.to_string()));
     }
 }
+
+/// Guards against domains that exchange requests which their own targets serve at once, and against a
+/// comparison on different arrivals.
+#[test]
+fn below_their_capacity_domains_exchange_requests_by_cost_but_not_by_share() {
+    let spec = DomainSpec {
+        load: 0.3,
+        mean: Duration::from_millis(430),
+        sigma: 0.6,
+        length: Duration::from_secs(8),
+        seed: 3,
+    };
+    let run = |routing| sim_domains::run(&spec, routing);
+    let (cost, share) = (run(DomainRouting::Cost), run(DomainRouting::Share));
+    assert_eq!(cost.latencies.count(), share.latencies.count());
+    assert!(cost.crossed > 0);
+    assert_eq!(share.crossed, 0);
+}
