--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobshore_lib::domain_choice::departure_reason::DepartureReason;
 use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::request_queue::priority::Priority;
 use opentelemetry::KeyValue;
@@ -40,6 +41,8 @@
     quota_tokens: Counter<u64>,
     queue_waiting: UpDownCounter<i64>,
     queue_refusals: Counter<u64>,
+    crossings: Counter<u64>,
+    crossing_bytes: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -122,6 +125,14 @@
                 "carobshore.queue_refusals",
                 "Requests that the queue refused, by reason",
             ),
+            crossings: counter(
+                "carobshore.crossings",
+                "Requests sent to another failure domain, by service and reason",
+            ),
+            crossing_bytes: counter(
+                "carobshore.crossing_bytes",
+                "Bytes of the bodies of these requests and their responses",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -233,6 +244,14 @@
         self.queue_refusals.add(1, &labels);
     }
 
+    /// Counts a request that was sent to another failure domain.
+    pub fn crossing(&self, service: &ServiceId, reason: DepartureReason, bytes: usize) {
+        let service = KeyValue::new("service", service.to_string());
+        let labels = [service, KeyValue::new("reason", reason.as_str())];
+        self.crossings.add(1, &labels);
+        self.crossing_bytes.add(bytes as u64, &labels);
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/target_connections.rs
+++ b/gateway/src/target_connections.rs
@@ -13,6 +13,7 @@
 use carobshore_lib::carried_ids::CarriedIds;
 use carobshore_lib::keep_alive::KeepAlive;
 use carobshore_lib::prelude::DomainId;
+use carobshore_lib::prelude::ServiceId;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::target_estimator::TargetEstimator;
 use carobshore_lib::target_limit::TargetLimit;
@@ -66,10 +67,12 @@
 pub struct TargetConnections {
     /// The id of the target instance.
     pub id: TargetId,
+    /// The service that the target serves.
+    pub service: ServiceId,
+    /// The failure domain of the target.
+    pub domain: DomainId,
     /// Address on which the target accepts connections.
     pub addr: SocketAddr,
-    /// The failure domain in which the target runs.
-    pub domain: DomainId,
     /// The generation of the target that was announced when this was created.
     pub generation: u64,
     /// The target's rank in this VM's order of preference.
@@ -97,6 +100,7 @@
     pub(crate) fn new(target: &AnnouncedTarget, rank: u64, cold: SharedTarget) -> Self {
         Self {
             id: target.id.clone(),
+            service: target.service.clone(),
             addr: target.addr,
             domain: target.domain.clone(),
             generation: target.generation(),
