--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -33,6 +33,7 @@
 use carobshore_standin::site_store::SiteStore;
 use carobshore_standin::site_target::SiteTarget;
 use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::VmLimits;
 use carobshore_standin::site_wire::VmSettings;
 pub(crate) use carobshore_standin::site_wire::request;
 pub(crate) use carobshore_standin::site_wire::routes;
@@ -46,12 +47,17 @@
 /// The number of ports that one test process uses before it may meet another one.
 const PROCESS_PORTS: u32 = 256;
 
+/// The number of files that a process with a lower limit may open.
+pub(crate) const LOW_DESCRIPTORS: u32 = 400;
+
 /// A store with targets.
 pub(crate) struct Site {
     pub(crate) store: SiteStore,
     pub(crate) targets: Vec<SiteTarget>,
     /// Address on which gateways reach the store: its own, or that of a proxy.
     pub(crate) store_addr: SocketAddr,
+    /// What the settings of gateways state.
+    pub(crate) limits: VmLimits,
     dir: PathBuf,
 }
 
@@ -93,6 +99,7 @@
         store_addr: store.addr(),
         store,
         targets,
+        limits: VmLimits::default(),
         dir,
     };
     site.configure(1, &routes(1_500, "status"));
@@ -133,6 +140,13 @@
         gateway
     }
 
+    /// Starts a gateway whose process may open [`LOW_DESCRIPTORS`] files, and waits until it is ready.
+    pub(crate) fn limited_gateway(&self, name: &str) -> Gateway {
+        let gateway = self.start(self.store_addr, name, &[], spawn_limited);
+        wait("the gateway is ready", || gateway.is_ready());
+        gateway
+    }
+
     /// Starts a gateway with the addresses of some others.
     pub(crate) fn start_seeded(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
         self.start(self.store_addr, name, seeds, spawn)
@@ -148,6 +162,7 @@
             admin,
             seeds,
             store,
+            limits: self.limits,
         });
         std::fs::write(&settings, text).expect("a settings file");
         let lines = Lines::default();
@@ -313,13 +328,33 @@
     (child, None)
 }
 
+/// Starts a process with a lower limit of open files, and collects its log. The shell replaces itself
+/// by the process.
+fn spawn_limited(settings: &Path, lines: &Lines) -> (Child, Option<JoinHandle<()>>) {
+    let mut shell = Command::new("sh");
+    let script = format!("ulimit -n {LOW_DESCRIPTORS} && exec \"$@\"");
+    shell.args([
+        "-c",
+        &script,
+        "sh",
+        env!("CARGO_BIN_EXE_carobshore-gateway"),
+    ]);
+    let mut child = start_process(with_settings(&mut shell, settings));
+    let reader = collect(&mut child, lines);
+    (child, Some(reader))
+}
+
 fn command(settings: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_carobshore-gateway"));
+    with_settings(&mut command, settings);
+    command
+}
+
+fn with_settings<'a>(command: &'a mut Command, settings: &Path) -> &'a mut Command {
     command
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::piped());
-    command
+        .stdout(Stdio::piped())
 }
 
 /// Collects the log of a process in a thread.
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -8,6 +8,7 @@
 
 use carobshore_platform::boot_settings::BootSettings;
 use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::VmLimits;
 use carobshore_standin::site_wire::VmSettings;
 use serde_json::Value;
 use serde_json::json;
@@ -21,6 +22,7 @@
         admin: addr(3),
         seeds: &[addr(4), addr(0)],
         store: addr(5),
+        limits: VmLimits::default(),
     });
     serde_json::from_str(&text).expect("settings")
 }
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -17,6 +17,24 @@
 /// The header field in which a target that refuses a request asks for a pause.
 pub const RETRY_AFTER: &str = "Retry-After";
 
+/// What a gateway's VM allows its process, as the settings state it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmLimits {
+    /// `MemoryMb`, in units of 2^20 bytes.
+    pub memory_mb: u32,
+    /// `MaxFds`, the number of open descriptors.
+    pub descriptors: u32,
+}
+
+impl Default for VmLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 160,
+            descriptors: 4_100,
+        }
+    }
+}
+
 /// The settings that differ between gateway VMs.
 #[derive(Clone, Copy, Debug)]
 pub struct VmSettings<'a> {
@@ -32,6 +50,8 @@
     pub seeds: &'a [SocketAddr],
     /// The address of the store.
     pub store: SocketAddr,
+    /// What the VM allows the process.
+    pub limits: VmLimits,
 }
 
 /// Returns the JSON text of a VM's settings file.
@@ -42,7 +62,7 @@
         "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r"},
         "Listen": {"Frontend": vm.callers.to_string(), "Readiness": vm.readiness.to_string()},
         "InternalPorts": [vm.admin.port(), vm.admin.port()], "Seeds": seeds, "Bootstrap": false,
-        "Limits": {"CpuShare": 0.2, "MemoryMb": 160, "MaxFds": 4100},
+        "Limits": {"CpuShare": 0.2, "MemoryMb": vm.limits.memory_mb, "MaxFds": vm.limits.descriptors},
         "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
             "RetryBudgetExtra": 60, "ProbesPerS": 60},
         "Platform": {"Address": vm.store.to_string(), "form": "log"},
