--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod malformed_entries;
 pub mod measuring_budget;
 pub mod membership;
+pub mod memory_budget;
 pub mod name;
 pub mod offset;
 pub mod operator_id;
