http: bodies are not copied for a request, nor grow beyond their length

Cause: a body took twice its length while it was sent, and up to twice its length while it was read; the largest one of the configuration did not fit into the smallest VM.

Change: EncodedRequest borrows a body of more than 16 KiB. BodyReader's buffer grows up to the stated length or the limit. The send buffer of a socket can be bounded.

--- a/http/src/body.rs
+++ b/http/src/body.rs
@@ -82,6 +82,11 @@
         self.body.capacity()
     }
 
+    /// Returns the number of bytes decoded so far.
+    pub fn decoded(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the bytes decoded so far, without chunk framing and trailers.
     pub fn into_body(self) -> Vec<u8> {
         self.body
@@ -150,10 +155,25 @@
         if self.body.len() + length > self.max_len {
             return Err(MessageError::BodyTooLarge);
         }
+        self.grow(length);
         self.body.extend_from_slice(&buffer[..length]);
         buffer.advance(length);
         Ok(())
     }
+
+    /// Makes room for more bytes: twice as many as before, but no more than the body can have.
+    fn grow(&mut self, length: usize) {
+        let needed = self.body.len() + length;
+        if needed <= self.body.capacity() {
+            return;
+        }
+        let most = match self.framing {
+            Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            Framing::Chunked | Framing::UntilClose => self.max_len,
+        };
+        let capacity = needed.max(self.body.capacity() * 2).min(most.max(needed));
+        self.body.reserve_exact(capacity - self.body.len());
+    }
 }
 
 /// Returns `false` because the line is incomplete, or an error if it is already too long.
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -20,16 +20,20 @@
 const MAX_HEAD: usize = 64 << 10;
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 16 << 10;
+/// Bodies up to this length are sent with their head, in bytes.
+const JOINED_BODY: usize = 16 << 10;
 
 /// A request in wire format.
 #[derive(Clone, Debug)]
-pub struct EncodedRequest {
+pub struct EncodedRequest<'a> {
     /// The method, which determines whether the response may have a body.
     pub method: Box<str>,
-    /// The encoded head and body.
+    /// The encoded head, followed by the body if that is short.
     pub bytes: Vec<u8>,
     /// The length of the head, in bytes.
     pub head_len: usize,
+    /// The rest of the body, which is not copied.
+    pub body: &'a [u8],
 }
 
 /// A complete response.
@@ -70,11 +74,15 @@
     max_body: usize,
 }
 
-impl EncodedRequest {
+impl<'a> EncodedRequest<'a> {
     /// Encodes a request. `Content-Length` is added if there is a body or the method usually has
     /// one.
-    pub fn new(method: &str, target: &str, fields: &Fields, body: &[u8]) -> Self {
-        let mut bytes = Vec::with_capacity(512 + body.len());
+    pub fn new(method: &str, target: &str, fields: &Fields, body: &'a [u8]) -> Self {
+        let (joined, apart) = match body.len() <= JOINED_BODY {
+            true => (body, &[][..]),
+            false => (&[][..], body),
+        };
+        let mut bytes = Vec::with_capacity(512 + joined.len());
         bytes.extend_from_slice(method.as_bytes());
         bytes.push(b' ');
         bytes.extend_from_slice(target.as_bytes());
@@ -86,11 +94,25 @@
         }
         bytes.extend_from_slice(b"\r\n");
         let head_len = bytes.len();
-        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(joined);
         Self {
             method: method.into(),
             bytes,
             head_len,
+            body: apart,
+        }
+    }
+
+    /// Returns the length of the head and the body, in bytes.
+    fn len(&self) -> usize {
+        self.bytes.len() + self.body.len()
+    }
+
+    /// Returns the bytes that can be written next, after so many.
+    fn unsent(&self, written: usize) -> &[u8] {
+        match written.checked_sub(self.bytes.len()) {
+            Some(of_body) => &self.body[of_body..],
+            None => &self.bytes[written..],
         }
     }
 }
@@ -132,7 +154,7 @@
     /// exchange. Dropping the future also makes the connection unusable.
     pub async fn exchange(
         &mut self,
-        request: &EncodedRequest,
+        request: &EncodedRequest<'_>,
         belongs: impl FnMut(&ResponseHead) -> bool,
     ) -> Result<Response, ExchangeFailure> {
         self.exchange_within(request, belongs, |_| true).await
@@ -143,7 +165,7 @@
     /// fails.
     pub async fn exchange_within(
         &mut self,
-        request: &EncodedRequest,
+        request: &EncodedRequest<'_>,
         mut belongs: impl FnMut(&ResponseHead) -> bool,
         mut may_use: impl FnMut(usize) -> bool,
     ) -> Result<Response, ExchangeFailure> {
@@ -171,7 +193,7 @@
                 return Err(failure(written, MessageError::NoMemory));
             }
             self.buffer.reserve(READ_SIZE);
-            let unsent = &request.bytes[written..];
+            let unsent = request.unsent(written);
             tokio::select! {
                 // Bytes that have arrived already are read before more is sent.
                 biased;
@@ -193,7 +215,7 @@
                 },
             }
         };
-        let fully_sent = written == request.bytes.len();
+        let fully_sent = written == request.len();
         self.reusable = reusable && fully_sent && skipped == 0 && response.head.keep_alive;
         Ok(response)
     }
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -46,6 +46,11 @@
     socket.set_tcp_nodelay(true)
 }
 
+/// Bounds what the kernel takes of a response before the peer has read it.
+pub fn limit_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(bytes)
+}
+
 /// Connects within `limit` and sets the socket options.
 pub async fn connect(
     addr: SocketAddr,
--- a/http/tests/test_client.rs
+++ b/http/tests/test_client.rs
@@ -48,7 +48,7 @@
         .expect("a connection")
 }
 
-fn get() -> EncodedRequest {
+fn get() -> EncodedRequest<'static> {
     EncodedRequest::new("GET", "/", &Fields::default(), &[])
 }
 
