gateway: what clients make a process hold is bounded

Cause: responses that wait for slow readers, read-ahead, heads and connections were not counted, and the kernel took up to 4 MB of responses for each connection.

Change: one account of the process (clients, held_bytes) for heads, bodies, read-ahead, responses while they arrive and until they are written. Reading stops without memory; those that hold most for longest without progress are closed. Connections are bounded by MaxFds and memory, also for each address and on the listeners for readiness, admin and other VMs. Responses of which nothing is taken for 10 s close their connection. A connection with bytes at hand yields after each read: without that, one-byte chunks kept ordinary callers out for 20 s, which test_endless_bodies caught while this was built. Discarding input ends one second after the last response, whatever the caller sends. Eight flags, one metric, the account in the dump, docs/design/untrusted-clients.md. test_body_memory is rewritten for the new interface with the same checks, and one more.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use carobshore_http::head::RequestHead;
 use carobshore_http::message_error::MessageError;
+use carobshore_lib::memory_budget::phase::Phase;
 use carobshore_platform::header_fields::READINESS_PATH;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -15,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::accept_loop;
+use crate::clients::ClientConnection;
 use crate::feed;
 use crate::feed::Told;
 use crate::gateway::Gateway;
@@ -29,12 +31,24 @@
 /// How long a connection may stay idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long a client may take no byte of a response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Accepts connections until the process exits.
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
-    accept_loop::run(listener, "admin", |stream| {
+pub async fn accept(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    name: &'static str,
+) -> eyre::Result<()> {
+    let clients = gateway.kept_clients(name)?;
+    accept_loop::run(listener, name, clients, |stream, client| {
         let gateway = Rc::clone(&gateway);
         async move {
-            if let Err(error) = serve(&gateway, stream).await {
+            let served = tokio::select! {
+                served = serve(&gateway, stream, &client) => served,
+                () = client.closed() => Ok(()),
+            };
+            if let Err(error) = served {
                 log::debug!(reason:% = error; "an admin connection failed");
             }
         }
@@ -42,7 +56,11 @@
     .await
 }
 
-async fn serve(gateway: &Gateway, mut stream: TcpStream) -> Result<(), MessageError> {
+async fn serve(
+    gateway: &Gateway,
+    mut stream: TcpStream,
+    client: &ClientConnection,
+) -> Result<(), MessageError> {
     let mut buffer = BytesMut::new();
     let mut told = Told::default();
     loop {
@@ -54,13 +72,28 @@
             };
             continue;
         };
+        client.progress(Phase::Serving);
         let mut reply = respond(gateway, &head, &mut told).await;
         reply.close |= !head.keep_alive;
-        stream.write_all(&reply.to_bytes()).await?;
+        write(&mut stream, &reply.to_bytes()).await?;
         if reply.close {
             return Ok(());
         }
+        client.progress(Phase::Idle);
+    }
+}
+
+/// Writes a response to a client that takes some of it every [`WRITE_TIMEOUT`].
+async fn write(stream: &mut TcpStream, mut rest: &[u8]) -> Result<(), MessageError> {
+    while !rest.is_empty() {
+        let written = timeout(WRITE_TIMEOUT, stream.write(rest)).await;
+        let written = written.map_err(|_| MessageError::Closed)??;
+        if written == 0 {
+            return Err(MessageError::Closed);
+        }
+        rest = &rest[written..];
     }
+    Ok(())
 }
 
 async fn respond(gateway: &Gateway, head: &RequestHead, told: &mut Told) -> Reply {
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -17,7 +17,8 @@
 use carobshore_http::socket;
 use carobshore_http::socket::KeepAliveOptions;
 use carobshore_lib::call_limits::CallLimits;
-use tokio::io::AsyncReadExt;
+use carobshore_lib::memory_budget::phase::Phase;
+use carobshore_lib::memory_budget::pipeline_bounds::OwedResponses;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -32,18 +33,27 @@
 use crate::accept_loop;
 use crate::admission;
 use crate::admission::ReceivedRequest;
-use crate::body_memory::ReservedBody;
+use crate::clients::ClientConnection;
 use crate::gateway::Gateway;
+use crate::held_bytes::HeldBytes;
 use crate::in_flight::InFlightGuard;
 use crate::reply::Refusal;
 use crate::reply::Reply;
+use crate::reply_writer;
 
-/// Requests of one connection that are served concurrently.
-const MAX_PIPELINED: usize = 32;
-/// Size of one read, in bytes.
-const READ_SIZE: usize = 16 << 10;
-/// Largest number of bytes that are read ahead while earlier requests are served.
-const READ_AHEAD: usize = 256 << 10;
+/// Size of one read of a head, in bytes.
+const HEAD_READ: usize = 4 << 10;
+/// Size of one read of a body, in bytes.
+const BODY_READ: usize = 16 << 10;
+/// Least size of one read of a body in tiny chunks, in bytes.
+const MIN_READ: usize = 1 << 10;
+/// What a caller must send of a body until it counts as progress, in bytes.
+const PROGRESS_STEP: usize = 16 << 10;
+/// What a decoded head takes, as a multiple of its length.
+const HEAD_FACTOR: u64 = 2;
+/// What the kernel may take of a response before the caller has read it, in bytes. The kernel takes up
+/// to 4 MB of memory for a connection otherwise, which no account of the process shows.
+const SEND_BUFFER: usize = 128 << 10;
 /// How long input is still read after the last response, so that the caller receives the response
 /// even if it is still sending.
 const LINGER: Duration = Duration::from_secs(1);
@@ -51,19 +61,29 @@
 /// A response that may still be in progress, queued in request order.
 struct PendingReply {
     /// The reply. The channel closes without one if the call ends without a response.
-    reply: oneshot::Receiver<Reply>,
+    reply: oneshot::Receiver<HeldReply>,
     /// Whether the caller asked to close the connection after the response.
     last: bool,
     in_flight: InFlightGuard,
 }
 
+/// A reply, and what is held for it until it is written.
+struct HeldReply {
+    reply: Reply,
+    held: HeldBytes,
+}
+
 /// State shared by the reader and the writer of a connection.
 struct Shared {
     gateway: Rc<Gateway>,
     /// Set to `true` when the caller has disconnected.
     caller_gone: watch::Sender<bool>,
-    /// Number of requests whose response is not written yet.
-    unanswered: Cell<usize>,
+    /// The connection, as all connections of callers are counted.
+    client: ClientConnection,
+    /// The responses that are not written yet.
+    owed: Cell<OwedResponses>,
+    /// Whether a response is being written.
+    writing: Cell<bool>,
     /// Notified when a response is written, and when the connection ends.
     answered: Notify,
     /// Whether no further request is accepted.
@@ -72,22 +92,28 @@
 
 /// Accepts connections from callers until the process exits.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) -> eyre::Result<()> {
-    let serve = |stream| serve(Rc::clone(&gateway), stream);
-    accept_loop::run(listener, "callers", serve).await
+    let clients = gateway.clients.clone();
+    let serve = |stream, client| serve(Rc::clone(&gateway), stream, client);
+    accept_loop::run(listener, "callers", clients, serve).await
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    if let Err(error) = socket::configure(&stream, KeepAliveOptions::SHORT) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, client: ClientConnection) {
+    let configured = socket::configure(&stream, KeepAliveOptions::SHORT)
+        .and_then(|()| socket::limit_send_buffer(&stream, SEND_BUFFER));
+    if let Err(error) = configured {
         log::debug!(reason:% = error; "cannot set socket options for a caller");
         return;
     }
     let (read, write) = stream.into_split();
-    let (pending, replies) = mpsc::channel(MAX_PIPELINED);
+    let pipelined = gateway.client_settings.pipeline.requests as usize;
+    let (pending, replies) = mpsc::channel(pipelined);
     let (caller_gone, _) = watch::channel(false);
     let shared = Rc::new(Shared {
         gateway,
         caller_gone,
-        unanswered: Cell::new(0),
+        client,
+        owed: Cell::default(),
+        writing: Cell::new(false),
         answered: Notify::new(),
         closing: Cell::new(false),
     });
@@ -95,42 +121,107 @@
     let mut reader = Reader {
         shared: Rc::clone(&shared),
         read,
+        held: shared.client.hold(),
         buffer: BytesMut::new(),
         pending,
     };
     reader.run().await;
 }
 
+impl Shared {
+    /// Records that a request has begun to be served.
+    fn begin(&self) {
+        let mut owed = self.owed.get();
+        owed.unanswered += 1;
+        self.owed.set(owed);
+        self.rest();
+    }
+
+    /// Records that a response is complete, and holds its memory until it is written.
+    fn complete(&self, reply: Reply) -> HeldReply {
+        let mut held = self.client.hold();
+        held.force(reply.memory());
+        let mut owed = self.owed.get();
+        owed.waiting += held.bytes();
+        owed.longest = owed.longest.max(held.bytes());
+        self.owed.set(owed);
+        HeldReply { reply, held }
+    }
+
+    /// Records that a response is written or given up.
+    fn written(&self, bytes: u64) {
+        let mut owed = self.owed.get();
+        owed.unanswered -= 1;
+        owed.waiting -= bytes;
+        self.owed.set(owed);
+        self.writing.set(false);
+        self.rest();
+        self.answered.notify_one();
+    }
+
+    /// Records that the connection waits: for responses, or for the next request.
+    fn rest(&self) {
+        if !self.writing.get() {
+            self.client.progress(match self.owed.get().unanswered {
+                0 => Phase::Idle,
+                _ => Phase::Serving,
+            });
+        }
+    }
+
+    /// Records that a request arrives. Earlier responses decide while there are some.
+    fn receive(&self) {
+        if self.owed.get().unanswered == 0 {
+            self.client.progress(Phase::Receiving);
+        }
+    }
+}
+
 /// Writes the responses in the order of the requests.
 async fn write_replies(
     shared: Rc<Shared>,
     mut write: OwnedWriteHalf,
     mut replies: mpsc::Receiver<PendingReply>,
 ) {
+    tokio::select! {
+        biased;
+        () = shared.client.closed() => {}
+        () = write_all(&shared, &mut write, &mut replies) => {}
+    }
+    shared.closing.set(true);
+    let _ = write.shutdown().await;
+    shared.answered.notify_one();
+}
+
+async fn write_all(
+    shared: &Shared,
+    write: &mut OwnedWriteHalf,
+    replies: &mut mpsc::Receiver<PendingReply>,
+) {
+    let stall = shared.gateway.client_settings.stall;
     while let Some(pending) = replies.recv().await {
         // The call ended without a response because the caller has disconnected.
-        let Ok(mut reply) = pending.reply.await else {
-            break;
+        let Ok(HeldReply { mut reply, held }) = pending.reply.await else {
+            return;
         };
         let stopping = shared.gateway.exit.borrow().is_stopping();
         reply.close |= pending.last || stopping;
-        let sent = write.write_all(&reply.to_bytes()).await;
+        shared.writing.set(true);
+        let sent = reply_writer::write(&shared.client, write, &reply, stall).await;
         drop(pending.in_flight);
-        shared.unanswered.set(shared.unanswered.get() - 1);
-        shared.answered.notify_one();
+        shared.written(held.bytes());
         if sent.is_err() || reply.close {
-            break;
+            return;
         }
     }
-    shared.closing.set(true);
-    let _ = write.shutdown().await;
-    shared.answered.notify_one();
 }
 
 /// Reads the requests of a connection.
 struct Reader {
     shared: Rc<Shared>,
     read: OwnedReadHalf,
+    /// What is held for the buffer.
+    held: HeldBytes,
     buffer: BytesMut,
     pending: mpsc::Sender<PendingReply>,
 }
@@ -166,6 +257,16 @@
 
 impl Reader {
     async fn run(&mut self) {
+        let shared = Rc::clone(&self.shared);
+        tokio::select! {
+            biased;
+            () = shared.client.closed() => {}
+            () = self.serve() => {}
+        }
+        shared.caller_gone.send_replace(true);
+    }
+
+    async fn serve(&mut self) {
         let mut next = NextStep::Request;
         while next == NextStep::Request {
             next = self.request().await;
@@ -173,15 +274,18 @@
         if next == NextStep::Linger {
             self.linger().await;
         }
-        self.shared.caller_gone.send_replace(true);
     }
 
     /// Reads one request and starts to serve it.
     async fn request(&mut self) -> NextStep {
         let limits = self.shared.gateway.routes.borrow().config().limits;
-        if self.buffer.is_empty() && !self.first_bytes(limits.idle_time).await {
-            return self.after_idle();
+        if self.buffer.is_empty() {
+            self.release_buffer();
+            if !self.first_bytes(limits.idle_time).await {
+                return self.after_idle();
+            }
         }
+        self.shared.receive();
         let at = Instant::now();
         let gateway = Rc::clone(&self.shared.gateway);
         let in_flight = gateway.in_flight.enter();
@@ -190,7 +294,7 @@
             () = gateway.stop_deadline_passed() => Err(Unread::Refused(Refusal::Stopping)),
         };
         match read {
-            Ok((received, reserved)) => self.start(received, in_flight, reserved).await,
+            Ok((received, held)) => self.start(received, in_flight, held).await,
             Err(Unread::Refused(refusal)) => self.refuse(refusal, in_flight).await,
             Err(Unread::Ended) => NextStep::End,
         }
@@ -201,25 +305,31 @@
         &mut self,
         at: Instant,
         limits: &CallLimits,
-    ) -> Result<(ReceivedRequest, ReservedBody), Unread> {
+    ) -> Result<(ReceivedRequest, HeldBytes), Unread> {
         let head = timeout(limits.header_time, self.head(limits)).await;
-        let head = head.map_err(|_| Unread::Refused(Refusal::TooSlow))??;
+        let (head, head_length) = head.map_err(|_| Unread::Refused(Refusal::TooSlow))??;
         let length = head.fields.text("content-length");
         let length = length.and_then(|length| length.parse::<u64>().ok());
-        let reserved = self.shared.gateway.reserve_body(length.unwrap_or(0));
-        let mut reserved = reserved.ok_or(Unread::Refused(Refusal::NoMemory))?;
-        let body = self.body(&head, limits, &mut reserved).await?;
-        Ok((ReceivedRequest { head, body, at }, reserved))
+        let mut held = self.shared.client.hold();
+        // A body that is too large is refused as that, whether or not there is memory for it.
+        let length = length.filter(|length| *length <= limits.body.0);
+        let of_head = HEAD_FACTOR * head_length as u64;
+        let needed = of_head + length.unwrap_or(0);
+        if !self.shared.client.grow(&mut held, needed).await {
+            return Err(Unread::Refused(Refusal::NoMemory));
+        }
+        let body = self.body(&head, limits, &mut held, of_head).await?;
+        Ok((ReceivedRequest { head, body, at }, held))
     }
 
     /// Waits for the first bytes of a request. Returns whether any arrived. The idle limit does not
     /// apply while earlier requests are served.
     async fn first_bytes(&mut self, idle: Duration) -> bool {
         loop {
-            let busy = self.shared.unanswered.get() > 0;
+            let busy = self.shared.owed.get().unanswered > 0;
             let shared = Rc::clone(&self.shared);
             tokio::select! {
-                result = read_some(&mut self.read, &mut self.buffer) => return result.is_ok(),
+                result = self.read.readable() => return result.is_ok(),
                 () = shared.answered.notified() => if shared.closing.get() {
                     return false;
                 },
@@ -236,32 +346,48 @@
         }
     }
 
-    async fn head(&mut self, limits: &CallLimits) -> Result<RequestHead, MessageError> {
+    /// Reads a head. Returns it with its length.
+    async fn head(&mut self, limits: &CallLimits) -> Result<(RequestHead, usize), MessageError> {
         loop {
             let max_len = limits.header.as_usize();
+            let received = self.buffer.len();
             if let Some(head) = RequestHead::take(&mut self.buffer, max_len)? {
-                return Ok(head);
+                return Ok((head, received - self.buffer.len()));
             }
-            read_some(&mut self.read, &mut self.buffer).await?;
+            self.read_some(HEAD_READ).await?;
         }
     }
 
-    /// Reads the body of a request. `reserved` grows with it if its length is not stated.
+    /// Reads the body of a request. `held` grows with it, above `of_head`, if its length is not stated.
     async fn body(
         &mut self,
         head: &RequestHead,
         limits: &CallLimits,
-        reserved: &mut ReservedBody,
+        held: &mut HeldBytes,
+        of_head: u64,
     ) -> Result<Vec<u8>, MessageError> {
         let mut body = BodyReader::new(head.framing()?, limits.body.as_usize())?;
+        let mut step = 0;
+        let mut most = BODY_READ;
+        let mut decoded = 0;
         while !body.advance(&mut self.buffer)? {
-            let limit = self.shared.gateway.body_limit();
-            if !reserved.grow_to(body.memory() as u64, limit) {
+            if body.decoded() > 0 {
+                // Tiny chunks take much time to decode. Fewer at a time let other callers in between.
+                most = (2 * (body.decoded() - decoded)).clamp(MIN_READ, BODY_READ);
+                decoded = body.decoded();
+            }
+            let needed = of_head + body.memory() as u64;
+            let enough = needed <= held.bytes();
+            if !enough && !self.shared.client.grow(held, needed).await {
                 return Err(MessageError::NoMemory);
             }
-            let read = read_some(&mut self.read, &mut self.buffer);
+            let read = self.read_some(most);
             let in_time = timeout(limits.idle_time, read).await;
-            in_time.map_err(|_| MessageError::Closed)??;
+            step += in_time.map_err(|_| MessageError::Closed)??;
+            if step >= PROGRESS_STEP {
+                step = 0;
+                self.shared.receive();
+            }
         }
         Ok(body.into_body())
     }
@@ -271,7 +397,7 @@
         &mut self,
         received: ReceivedRequest,
         in_flight: InFlightGuard,
-        reserved: ReservedBody,
+        held: HeldBytes,
     ) -> NextStep {
         let last = !received.head.keep_alive;
         let gateway = Rc::clone(&self.shared.gateway);
@@ -279,7 +405,7 @@
         // change while the request waits.
         let route = admission::route(&gateway, &received.head);
         let repeatable = route.is_ok_and(|route| route.rule.kind.is_repeatable());
-        if !repeatable && !self.wait_until_answered().await {
+        if !self.wait_for_turn(repeatable).await {
             return self.after_idle();
         }
         let (sender, reply) = oneshot::channel();
@@ -289,16 +415,18 @@
             last,
             in_flight,
         };
-        self.shared.unanswered.set(self.shared.unanswered.get() + 1);
+        self.shared.begin();
         if self.pending.send(pending).await.is_err() {
             return NextStep::Linger;
         }
+        let held = held.detach();
+        let shared = Rc::downgrade(&self.shared);
         ntex::rt::spawn(async move {
             let reply = admission::serve(gateway, received, caller_gone).await;
-            drop(reserved);
-            if let Some(reply) = reply {
-                // The connection may have ended in the meantime.
-                let _ = sender.send(reply);
+            drop(held);
+            // The connection may have ended in the meantime.
+            if let (Some(reply), Some(shared)) = (reply, shared.upgrade()) {
+                let _ = sender.send(shared.complete(reply));
             }
         });
         match last {
@@ -307,17 +435,20 @@
         }
     }
 
-    /// Waits until all earlier requests are answered. Returns whether another one may follow.
-    async fn wait_until_answered(&mut self) -> bool {
-        while self.shared.unanswered.get() > 0 && !self.shared.closing.get() {
+    /// Waits until a request may start: one that may be repeated when the responses that wait for the
+    /// caller allow it, and another one when all earlier requests are answered. Returns whether it may.
+    async fn wait_for_turn(&mut self, repeatable: bool) -> bool {
+        let bounds = self.shared.gateway.client_settings.pipeline;
+        let may_start = |owed: OwedResponses| match repeatable {
+            true => bounds.may_start(owed),
+            false => owed.unanswered == 0,
+        };
+        while !may_start(self.shared.owed.get()) && !self.shared.closing.get() {
             let shared = Rc::clone(&self.shared);
-            if self.buffer.len() >= READ_AHEAD {
-                shared.answered.notified().await;
-                continue;
-            }
+            let may_read = bounds.may_read(self.buffer.len());
             tokio::select! {
                 () = shared.answered.notified() => {}
-                result = read_some(&mut self.read, &mut self.buffer) => if result.is_err() {
+                result = self.read_some(BODY_READ), if may_read => if result.is_err() {
                     return false;
                 },
             }
@@ -332,13 +463,14 @@
             log::info!(outcome = refusal.as_str(), status = refusal.status(), left_out; "request not read");
         }
         let (sender, reply) = oneshot::channel();
-        let _ = sender.send(Reply::from_refusal(refusal, None, None));
+        let refused = Reply::from_refusal(refusal, None, None);
+        let _ = sender.send(self.shared.complete(refused));
         let pending = PendingReply {
             reply,
             last: true,
             in_flight,
         };
-        self.shared.unanswered.set(self.shared.unanswered.get() + 1);
+        self.shared.begin();
         let _ = self.pending.send(pending).await;
         NextStep::Linger
     }
@@ -346,27 +478,57 @@
     /// Reads and discards input until the caller closes the connection, or for [`LINGER`] after the
     /// last response. Closing at once would reset the connection and could lose the response.
     async fn linger(&mut self) {
+        let mut until = None;
         loop {
             self.buffer.clear();
-            let closing = self.shared.closing.get();
+            if self.shared.closing.get() {
+                until.get_or_insert_with(|| Instant::now() + LINGER);
+            }
+            let end = until.unwrap_or_else(Instant::now);
             let shared = Rc::clone(&self.shared);
             tokio::select! {
-                result = read_some(&mut self.read, &mut self.buffer) => if result.is_err() {
+                biased;
+                () = tokio::time::sleep_until(end.into()), if until.is_some() => return,
+                () = shared.answered.notified() => {}
+                result = self.read_some(HEAD_READ) => if result.is_err() {
                     return;
                 },
-                () = shared.answered.notified() => {}
-                () = tokio::time::sleep(LINGER), if closing => return,
             }
         }
     }
-}
 
-/// Reads the available bytes. The end of the connection is an error.
-async fn read_some(read: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<(), MessageError> {
-    buffer.reserve(READ_SIZE);
-    match read.read_buf(buffer).await {
-        Ok(0) => Err(MessageError::Closed),
-        Ok(_) => Ok(()),
-        Err(error) => Err(io::Error::into(error)),
+    /// Reads the bytes that have arrived, up to `most`. Returns how many. The end of the connection is an
+    /// error. Memory for them is taken only once there are some, so that a connection without any holds
+    /// none; without memory, nothing is read for a while.
+    async fn read_some(&mut self, most: usize) -> Result<usize, MessageError> {
+        // A connection with bytes at hand would keep the thread for itself otherwise.
+        tokio::task::yield_now().await;
+        loop {
+            self.read.readable().await?;
+            self.grow_buffer(most).await?;
+            match self.read.try_read_buf(&mut self.buffer) {
+                Ok(0) => return Err(MessageError::Closed),
+                Ok(count) => return Ok(count),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    async fn grow_buffer(&mut self, more: usize) -> Result<(), MessageError> {
+        let needed = (self.buffer.len() + more) as u64;
+        let enough = needed <= self.held.bytes();
+        if !enough && !self.shared.client.grow(&mut self.held, needed).await {
+            return Err(MessageError::NoMemory);
+        }
+        self.buffer.reserve(more);
+        self.held.force(self.buffer.capacity() as u64);
+        Ok(())
+    }
+
+    /// Frees the empty buffer, because the connection may be idle for long.
+    fn release_buffer(&mut self) {
+        self.buffer = BytesMut::new();
+        self.held.resize(0);
     }
 }
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::admin_server;
 use crate::apply_records;
 use crate::caller_connection;
+use crate::client_settings::ClientSettings;
 use crate::gateway::Gateway;
 use crate::registrar;
 use crate::store_watch;
@@ -44,6 +45,8 @@
     pub path: PathBuf,
     /// Log lines of successful requests per second.
     pub log_rate: u32,
+    /// What clients may make the process hold.
+    pub clients: ClientSettings,
 }
 
 /// Serves until a planned stop is complete. Blocks the calling thread.
@@ -73,20 +76,23 @@
         let admin = listen(boot.admin()).wrap_err("cannot listen for metrics")?;
         let control = boot.control.map(listen).transpose();
         let control = control.wrap_err("cannot listen for other VMs")?;
-        let gateway = Gateway::new(boot, settings.log_rate, rand::random())?;
+        let gateway = Gateway::new(boot, settings.clients, settings.log_rate, rand::random())?;
         spawn(
             "callers",
             caller_connection::accept(Rc::clone(&gateway), callers),
         );
         spawn(
             "readiness",
-            admin_server::accept(Rc::clone(&gateway), readiness),
+            admin_server::accept(Rc::clone(&gateway), readiness, "readiness"),
+        );
+        spawn(
+            "admin",
+            admin_server::accept(Rc::clone(&gateway), admin, "admin"),
         );
-        spawn("admin", admin_server::accept(Rc::clone(&gateway), admin));
         if let Some(control) = control {
             spawn(
                 "control",
-                admin_server::accept(Rc::clone(&gateway), control),
+                admin_server::accept(Rc::clone(&gateway), control, "control"),
             );
         }
         spawn("store", follow_store(Rc::clone(&gateway)));
@@ -161,7 +167,7 @@
         match BootSettings::read(&self.path) {
             Ok(boot) => {
                 log::info!(cause, store:% = boot.store; "settings read again");
-                *self.gateway.boot.borrow_mut() = boot;
+                self.gateway.set_boot(boot);
             }
             Err(error) => log::warn!(cause, reason:% = error; "reload failed; old settings kept"),
         }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use carobshore_lib::limit_share::LimitShare;
 use carobshore_lib::log_rate_limiter::LogRateLimiter;
 use carobshore_lib::malformed_entries::MalformedEntries;
+use carobshore_lib::memory_budget::connection_bounds::ConnectionBounds;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::preferred_targets::RankedTarget;
 use carobshore_lib::prelude::DomainId;
@@ -43,8 +44,8 @@
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
-use crate::body_memory::BodyMemory;
-use crate::body_memory::ReservedBody;
+use crate::client_settings::ClientSettings;
+use crate::clients::Clients;
 use crate::feed::Feed;
 use crate::in_flight::InFlight;
 use crate::limits;
@@ -57,8 +58,6 @@
 const ASSUMED_VMS: usize = 64;
 /// Log lines about failed requests for each line about successful ones.
 const FAILED_LINES_FACTOR: u32 = 4;
-/// Bodies may use the memory limit of the process divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// State shared by all requests of a process. All of it belongs to one thread.
 #[derive(Debug)]
@@ -107,7 +106,10 @@
     success_lines: RefCell<LogRateLimiter>,
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
-    bodies: BodyMemory,
+    /// The connections of callers, and what is held for them.
+    pub clients: Clients,
+    /// What clients may make the process hold.
+    pub client_settings: ClientSettings,
 }
 
 /// A target that may receive requests, with its connections.
@@ -136,8 +138,16 @@
 
 impl Gateway {
     /// Creates the state of a process that has neither a configuration nor targets yet.
-    pub fn new(boot: BootSettings, log_rate: u32, seed: u64) -> eyre::Result<Rc<Self>> {
+    pub fn new(
+        boot: BootSettings,
+        client_settings: ClientSettings,
+        log_rate: u32,
+        seed: u64,
+    ) -> eyre::Result<Rc<Self>> {
         let now = Instant::now();
+        let metrics = Metrics::new()?;
+        let bounds = client_settings.bounds(&boot)?;
+        let clients = Clients::new("callers", bounds, metrics.client_closures());
         Ok(Rc::new(Self {
             routes: RefCell::new(RouteTable::new(seed)),
             refused_config: RefCell::default(),
@@ -150,7 +160,7 @@
             signals: RefCell::default(),
             in_flight: InFlight::default(),
             started: now,
-            metrics: Metrics::new()?,
+            metrics,
             roster: RefCell::default(),
             is_new: Cell::new(true),
             limit_news: RefCell::default(),
@@ -166,7 +176,8 @@
             success_lines: RefCell::new(LogRateLimiter::new(now, log_rate)),
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
-            bodies: BodyMemory::default(),
+            clients,
+            client_settings,
             boot: RefCell::new(boot),
         }))
     }
@@ -406,6 +417,7 @@
 
     /// Closes connections to targets that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
+        self.clients.tick(now);
         let connections = self.connections.borrow();
         connections
             .values()
@@ -452,14 +464,23 @@
         budget.borrow_mut().take(now)
     }
 
-    /// Reserves memory for a request body. Returns nothing if the limit would be exceeded.
-    pub(crate) fn reserve_body(&self, bytes: u64) -> Option<ReservedBody> {
-        self.bodies.reserve(bytes, self.body_limit())
-    }
-
-    /// Returns the memory, in bytes, that all bodies together may use.
-    pub(crate) fn body_limit(&self) -> u64 {
-        self.boot.borrow().memory / BODY_MEMORY_DIVISOR
+    /// Returns the clients of a listener for the admin address or other VMs.
+    pub(crate) fn kept_clients(&self, listener: &'static str) -> eyre::Result<Clients> {
+        let boot = self.boot.borrow();
+        let most = self.client_settings.control;
+        let connections = ConnectionBounds::derive_kept(boot.descriptors, most);
+        let (_, memory) = self.client_settings.bounds(&boot)?;
+        let closures = self.metrics.client_closures();
+        Ok(Clients::new(listener, (connections, memory), closures))
+    }
+
+    /// Applies what the settings, read again, say of the VM.
+    pub(crate) fn set_boot(&self, boot: BootSettings) {
+        match self.client_settings.bounds(&boot) {
+            Ok(bounds) => self.clients.set_bounds(bounds),
+            Err(error) => log::warn!(reason:% = error; "the bounds of callers are kept"),
+        }
+        *self.boot.borrow_mut() = boot;
     }
 
     /// Returns the state that `/dump` shows.
@@ -500,7 +521,8 @@
             "ready": self.is_ready(),
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
-            "body_bytes": self.bodies.used(),
+            "body_bytes": self.clients.held(),
+            "clients": self.clients.dump(),
             "malformed_entries": self.malformed.borrow().len(),
             "targets": targets,
         })
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -52,5 +52,6 @@
         boot: BootSettings::read(&path)?,
         path,
         log_rate: flags.log_rate,
+        clients: flags.clients()?,
     })
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -32,6 +32,7 @@
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
     refused_configs: Counter<u64>,
+    client_closures: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -90,6 +91,10 @@
                 "carobshore.refused_configs",
                 "Configurations of the store that are invalid or need a newer release",
             ),
+            client_closures: counter(
+                "carobshore.client_closures",
+                "Connections of clients that were closed or refused because of a bound, by reason",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -164,6 +169,11 @@
         self.refused_configs.add(1, &[]);
     }
 
+    /// Returns the counter of connections that a bound closes.
+    pub fn client_closures(&self) -> Counter<u64> {
+        self.client_closures.clone()
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -6,6 +6,9 @@
 use carobshore_http::fields::Fields;
 use carobshore_platform::header_fields;
 
+/// What the head of a response takes, in bytes; an estimate.
+const HEAD_MEMORY: usize = 1 << 10;
+
 /// Why the gateway responds to a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -176,9 +179,21 @@
         self.body.len()
     }
 
+    /// Returns the memory that the response takes, in bytes.
+    pub fn memory(&self) -> u64 {
+        (self.body.capacity() + HEAD_MEMORY) as u64
+    }
+
     /// Encodes the response. `Content-Length` is added if the fields have none.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(256 + self.body.len());
+        let mut bytes = self.head_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Encodes the response without its body.
+    pub fn head_bytes(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(256);
         bytes.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", self.status, self.reason).as_bytes());
         self.fields.write_to(&mut bytes);
         let bodiless = matches!(self.status, 204 | 304);
@@ -189,7 +204,6 @@
             bytes.extend_from_slice(b"Connection: close\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
         bytes
     }
 }
--- a/gateway/src/response_memory.rs
+++ b/gateway/src/response_memory.rs
@@ -3,21 +3,20 @@
 //! Guards the process against targets that send responses without end, and other requests against
 //! the lack of memory that these would cause.
 
-use crate::body_memory::ReservedBody;
+use std::time::Instant;
+
 use crate::gateway::Gateway;
+use crate::held_bytes::HeldBytes;
 use crate::target_connections::TargetConnections;
 
-/// Memory that each response may use without being counted, in bytes, so that most responses arrive
-/// although there is no memory left for large ones.
+/// Largest response to a health check, in bytes.
 pub(crate) const SMALL: usize = 128 << 10;
-/// One response may use the memory for all bodies divided by this.
-const RESPONSE_DIVISOR: u64 = 4;
 
-/// The reserved memory of one response.
+/// The memory that is held for one response.
 pub(crate) struct ResponseMemory<'a> {
     gateway: &'a Gateway,
     connections: &'a TargetConnections,
-    reserved: Option<ReservedBody>,
+    held: HeldBytes,
 }
 
 impl<'a> ResponseMemory<'a> {
@@ -26,28 +25,18 @@
         Self {
             gateway,
             connections,
-            reserved: None,
+            held: gateway.clients.begin_response(Instant::now()),
         }
     }
 
-    /// Reserves memory for a response of this many bytes. Returns whether there is that much.
+    /// Holds memory for a response of this many bytes. Returns whether there is that much.
     pub(crate) fn may_use(&mut self, bytes: usize) -> bool {
-        if bytes <= SMALL {
-            return true;
-        }
-        let limit = self.gateway.body_limit();
+        let limit = self.gateway.clients.memory().response.0;
         let bytes = bytes as u64;
-        let reserved = bytes <= limit / RESPONSE_DIVISOR
-            && match &mut self.reserved {
-                Some(reserved) => reserved.resize(bytes, limit),
-                None => {
-                    self.reserved = self.gateway.reserve_body(bytes);
-                    self.reserved.is_some()
-                }
-            };
-        if !reserved {
+        let fits = bytes <= limit && self.held.resize(bytes);
+        if !fits {
             log::warn!(target = self.connections.id.as_str(), bytes, limit; "a response needs too much memory");
         }
-        reserved
+        fits
     }
 }
