--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use carobshore_lib::limit_share::LimitShare;
 use carobshore_lib::log_rate_limiter::LogRateLimiter;
 use carobshore_lib::malformed_entries::MalformedEntries;
+use carobshore_lib::memory_budget::connection_bounds::ConnectionBounds;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::preferred_targets::RankedTarget;
 use carobshore_lib::prelude::DomainId;
@@ -46,8 +47,8 @@
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
-use crate::body_memory::BodyMemory;
-use crate::body_memory::ReservedBody;
+use crate::client_settings::ClientSettings;
+use crate::clients::Clients;
 use crate::crossing::Crossing;
 use crate::evacuation;
 use crate::feed::Feed;
@@ -67,8 +68,6 @@
 const ASSUMED_VMS: usize = 64;
 /// Log lines about failed requests for each line about successful ones.
 const FAILED_LINES_FACTOR: u32 = 4;
-/// Bodies may use the memory limit of the process divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// State shared by all requests of a process. All of it belongs to one thread.
 #[derive(Debug)]
@@ -123,11 +122,14 @@
     success_lines: RefCell<LogRateLimiter>,
     failed_lines: RefCell<LogRateLimiter>,
     attempts: Cell<u64>,
-    bodies: BodyMemory,
     /// The quotas of organisations.
     pub(crate) quotas: Quotas,
     /// The requests that wait for a target.
     pub(crate) queues: RequestQueues,
+    /// The connections of callers, and what is held for them.
+    pub clients: Clients,
+    /// What clients may make the process hold.
+    pub client_settings: ClientSettings,
 }
 
 /// A target that may receive requests, with its connections.
@@ -160,11 +162,15 @@
     /// Creates the state of a process that has neither a configuration nor targets yet.
     pub fn new(
         boot: BootSettings,
+        client_settings: ClientSettings,
         log_rate: u32,
         crossing: CrossingSettings,
         seed: u64,
     ) -> eyre::Result<Rc<Self>> {
         let now = Instant::now();
+        let metrics = Metrics::new()?;
+        let bounds = client_settings.bounds(&boot)?;
+        let clients = Clients::new("callers", bounds, metrics.client_closures());
         Ok(Rc::new(Self {
             routes: RefCell::new(RouteTable::new(seed)),
             refused_config: RefCell::default(),
@@ -177,7 +183,7 @@
             signals: RefCell::default(),
             in_flight: InFlight::default(),
             started: now,
-            metrics: Metrics::new()?,
+            metrics,
             roster: RefCell::default(),
             is_new: Cell::new(true),
             limit_news: RefCell::default(),
@@ -196,9 +202,10 @@
             success_lines: RefCell::new(LogRateLimiter::new(now, log_rate)),
             failed_lines: RefCell::new(LogRateLimiter::new(now, log_rate * FAILED_LINES_FACTOR)),
             attempts: Cell::new(0),
-            bodies: BodyMemory::default(),
             quotas: Quotas::new(&boot),
             queues: RequestQueues::default(),
+            clients,
+            client_settings,
             boot: RefCell::new(boot),
         }))
     }
@@ -454,6 +461,7 @@
 
     /// Closes connections to targets that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
+        self.clients.tick(now);
         let connections = self.connections.borrow();
         connections
             .values()
@@ -501,14 +509,23 @@
         budget.borrow_mut().take(now)
     }
 
-    /// Reserves memory for a request body. Returns nothing if the limit would be exceeded.
-    pub(crate) fn reserve_body(&self, bytes: u64) -> Option<ReservedBody> {
-        self.bodies.reserve(bytes, self.body_limit())
-    }
-
-    /// Returns the memory, in bytes, that all bodies together may use.
-    pub(crate) fn body_limit(&self) -> u64 {
-        self.boot.borrow().memory / BODY_MEMORY_DIVISOR
+    /// Returns the clients of a listener for the admin address or other VMs.
+    pub(crate) fn kept_clients(&self, listener: &'static str) -> eyre::Result<Clients> {
+        let boot = self.boot.borrow();
+        let most = self.client_settings.control;
+        let connections = ConnectionBounds::derive_kept(boot.descriptors, most);
+        let (_, memory) = self.client_settings.bounds(&boot)?;
+        let closures = self.metrics.client_closures();
+        Ok(Clients::new(listener, (connections, memory), closures))
+    }
+
+    /// Applies what the settings, read again, say of the VM.
+    pub(crate) fn set_boot(&self, boot: BootSettings) {
+        match self.client_settings.bounds(&boot) {
+            Ok(bounds) => self.clients.set_bounds(bounds),
+            Err(error) => log::warn!(reason:% = error; "the bounds of callers are kept"),
+        }
+        *self.boot.borrow_mut() = boot;
     }
 
     /// Returns the state that `/dump` shows.
@@ -551,8 +568,9 @@
             "stopping": self.exit.borrow().is_stopping(),
             "in_flight": self.in_flight.count(),
             "quotas": self.quotas.dump(now),
-            "body_bytes": self.bodies.used(),
             "queues": self.queues.dump(now),
+            "body_bytes": self.clients.held(),
+            "clients": self.clients.dump(),
             "malformed_entries": self.malformed.borrow().len(),
             "evacuated": evacuation::dump(self, now),
             "crossing": self.crossing.dump(now),
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -57,5 +57,6 @@
             mode: flags.crossing,
             price: flags.crossing_ms_per_kib,
         },
+        clients: flags.clients()?,
     })
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     queue_refusals: Counter<u64>,
     crossings: Counter<u64>,
     crossing_bytes: Counter<u64>,
+    client_closures: Counter<u64>,
     request_time: Histogram<f64>,
     target_time: Histogram<f64>,
     in_flight: Gauge<u64>,
@@ -133,6 +134,10 @@
                 "carobshore.crossing_bytes",
                 "Bytes of the bodies of these requests and their responses",
             ),
+            client_closures: counter(
+                "carobshore.client_closures",
+                "Connections of clients that were closed or refused because of a bound, by reason",
+            ),
             request_time: histogram("carobshore.request", "Time from a request to its response"),
             target_time: histogram("carobshore.attempt", "Time of an attempt at a target"),
             in_flight: gauge("carobshore.in_flight", "Requests in flight"),
@@ -252,6 +257,11 @@
         self.crossing_bytes.add(bytes as u64, &labels);
     }
 
+    /// Returns the counter of connections that a bound closes.
+    pub fn client_closures(&self) -> Counter<u64> {
+        self.client_closures.clone()
+    }
+
     /// Records the age of the configuration.
     pub fn config_age(&self, millis: u64) {
         self.config_age.record(millis, &[]);
