--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::process::Output;
 
+use carobshore_standin::site_wire;
 use expect_test::expect;
 use serde_json::Value;
 use serde_json::json;
@@ -18,23 +19,16 @@
 const NO_LOG: &str = "127.0.0.1:1";
 
 fn route(name: &str, prefix: &str) -> Value {
-    json!({"Type": "Routes", "Metadata": {"Name": name}, "Spec": {"Host": "a.example",
-        "PathPrefix": prefix, "Kind": "safe", "Timeout": "2s", "TargetLatency": "500ms",
-        "MaxAttempts": 2, "Service": "s"}})
-}
-
-fn organisation(name: &str, spec: &Value) -> Value {
-    json!({"Type": "Tenants", "Metadata": {"Name": name}, "Spec": spec})
+    let route = json!({"Type": "Routes", "Metadata": {"Name": name}, "Spec": {"Host": "a.example",
+        "Kind": "safe", "Timeout": "2s", "TargetLatency": "500ms", "MaxAttempts": 2, "Service": "s"}});
+    site_wire::with_prefix(route, prefix)
 }
 
 fn sound() -> Vec<Value> {
     vec![
         route("r-1", "/x/"),
         json!({"Type": "Services", "Metadata": {"Name": "s"}, "Spec": {}}),
-        organisation(
-            "org-a",
-            &json!({"ApiKeys": ["ka"], "RatePerS": 10, "Burst": 20}),
-        ),
+        site_wire::with_quota(site_wire::organisation("org-a", &["ka"]), 10.0, 20.0),
     ]
 }
 
@@ -73,28 +67,23 @@
     resources.push(route("r-2", "/x/"));
     let mut slow = route("r-3", "/y/");
     slow["Spec"]["MaxAttempts"] = 9.into();
-    slow["Spec"]["TrafficSplit"] =
-        json!([{"Service": "s", "Weight": 1}, {"Service": "t", "Weight": 0}]);
-    resources.push(slow);
+    resources.push(site_wire::with_split(slow, &[("s", 1), ("t", 0)]));
     let mut odd = route("r-4", "/z");
     odd["Spec"]["Kind"] = "safe".into();
     resources.push(odd);
     resources.push(json!({"Type": "Services", "Metadata": {"Name": "u"}, "Spec": {}}));
-    resources.push(organisation(
-        "org-b",
-        &json!({"RatePerS": 0.5, "Burst": 600}),
-    ));
-    resources.push(organisation(
-        "org-c",
-        &json!({"ApiKeys": ["kc"], "RatePerS": "many"}),
-    ));
+    let keyless = site_wire::organisation("org-b", &[]);
+    resources.push(site_wire::with_quota(keyless, 0.5, 600.0));
+    let mut odd = site_wire::organisation("org-c", &["kc"]);
+    odd["Spec"]["Priority"] = "many".into();
+    resources.push(odd);
     resources.push(json!({"Type": "Walls", "Metadata": {"Name": "w"}, "Spec": {}}));
     let file = file("check-odd.json", "r4", &resources);
     let output = check(&[path(&file), "--memory", "160"]);
     assert_eq!(output.status.code(), Some(1));
     expect![[r#"
         error: Routes `r-4`: the configuration in the store cannot be decoded: route `r-4`: the path prefix must start and end with `/`
-        error: Tenants `org-c`: the configuration in the store cannot be decoded: invalid type: string "many", expected f64
+        error: Tenants `org-c`: the configuration in the store cannot be decoded: invalid type: string "many", expected u32
         error: Walls `w`: the configuration in the store cannot be decoded: unknown resource type `Walls`
         no effect: organisation org-b: has no key, so that it can send nothing
         no effect: route r-2: never matches: route r-1 has the same host and prefix
@@ -111,7 +100,7 @@
 #[test]
 fn a_key_that_two_organisations_share_is_an_error() {
     let mut resources = sound();
-    resources.push(organisation("org-b", &json!({"ApiKeys": ["ka"]})));
+    resources.push(site_wire::organisation("org-b", &["ka"]));
     let output = check(&[path(&file("check-shared.json", "r4", &resources))]);
     assert_eq!(output.status.code(), Some(1));
     let text = combined_output(&output);
@@ -124,7 +113,7 @@
     let old = file("check-old.json", "r3", &sound());
     let mut resources = sound();
     resources[0]["Spec"]["Timeout"] = "3s".into();
-    resources[2]["Spec"]["ApiKeys"] = json!(["kb"]);
+    resources[2] = site_wire::with_quota(site_wire::organisation("org-a", &["kb"]), 10.0, 20.0);
     resources.push(route("r-2", "/y/"));
     let new = file("check-new.json", "r5", &resources);
     let output = check(&[path(&new), "--in-force", path(&old), "--format", "json"]);
--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -27,6 +27,7 @@
 use crate::quota_server;
 use crate::registrar;
 use crate::reply::Reply;
+use crate::state_dump;
 use crate::vm_list_sync;
 use crate::vm_list_sync::LIST_FIELD;
 
@@ -152,7 +153,7 @@
                 Err(error) => Reply::text(500, format!("{error}\n")),
             }
         }
-        ("GET", "/dump") => Reply::text(200, gateway.dump(Instant::now()).to_string()),
+        ("GET", "/dump") => Reply::text(200, state_dump::dump(gateway, Instant::now()).to_string()),
         _ => Reply::text(404, "use /ready, /metrics, /config or /dump\n"),
     }
 }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -25,11 +25,11 @@
 use crate::crossing;
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
+use crate::health_check;
 use crate::limits;
 use crate::response_memory::ResponseMemory;
 use crate::target_connections::Purpose;
 use crate::target_notices;
-use crate::target_search;
 use crate::warmup;
 
 /// A request as it is forwarded to targets.
@@ -372,7 +372,7 @@
         usable.connections.outlook.borrow_mut().report(now, report);
     }
     if response_fields.misdirected {
-        target_search::mark_displaced(&usable.connections);
+        health_check::mark_displaced(&usable.connections);
         return AttemptEnd::NotRun;
     }
     if response_fields.not_run {
--- a/gateway/src/crossing.rs
+++ b/gateway/src/crossing.rs
@@ -24,6 +24,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::UsableTarget;
+use crate::health_check;
 use crate::target_connections::TargetConnections;
 use crate::target_search;
 use crate::target_search::Search;
@@ -272,7 +273,7 @@
             )
         });
         if let Some(target) = longest_unknown {
-            target_search::check(gateway, service, &target.connections);
+            health_check::check(gateway, service, &target.connections);
         }
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -6,11 +6,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use carobshore_lib::access::organisation::Organisation;
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::check_budget::CheckBudget;
 use carobshore_lib::domain_choice::crossing_settings::CrossingSettings;
@@ -36,7 +34,6 @@
 use carobshore_lib::retry_allowance::RetryAllowance;
 use carobshore_lib::retry_allowance::RetryLimits;
 use carobshore_lib::route_table::RouteTable;
-use carobshore_lib::routing_config::RoutingConfig;
 use carobshore_lib::target_directory::TargetDirectory;
 use carobshore_lib::target_selector::TargetSelector;
 use carobshore_lib::target_signals::TargetSignals;
@@ -528,56 +525,6 @@
         *self.boot.borrow_mut() = boot;
     }
 
-    /// Returns the state that `/dump` shows.
-    pub fn dump(&self, now: Instant) -> serde_json::Value {
-        let routes = self.routes.borrow();
-        let directory = self.directory.borrow();
-        let targets: Vec<_> = directory
-            .iter()
-            .map(|target| {
-                let connections = self.connections(target);
-                let outlook = connections.outlook.borrow();
-                serde_json::json!({
-                    "id": target.id,
-                    "service": target.service,
-                    "addr": target.addr.to_string(),
-                    "state": target.state,
-                    "limit": limits::dump(now, &connections),
-                    "warmup": warmup::dump(now, &connections),
-                    "unavailable": unavailable_text(&self.signals.borrow(), now, target),
-                    "displaced": connections.displaced.get(),
-                    "own_in_flight": outlook.own_in_flight(),
-                    "held": outlook.held(now, target.slots.get()),
-                    "slot_limit": self.services.slot_limit(now, &target.service, target.slots.get()),
-                    "failure_share": outlook.failure_share(now),
-                    "report": outlook.last_report().map(|(at, report)| serde_json::json!({
-                        "age_ms": now.saturating_duration_since(at).as_millis() as u64,
-                        "load": report,
-                    })),
-                })
-            })
-            .collect();
-        serde_json::json!({
-            "vm": self.boot.borrow().vm_name,
-            "version": routes.config().version,
-            "config_age_ms": self.config_age(now),
-            "refused_config": *self.refused_config.borrow(),
-            "routes": routes.config().routes.len(),
-            "organisations": organisations(routes.config()),
-            "ready": self.is_ready(),
-            "stopping": self.exit.borrow().is_stopping(),
-            "in_flight": self.in_flight.count(),
-            "quotas": self.quotas.dump(now),
-            "queues": self.queues.dump(now),
-            "body_bytes": self.clients.held(),
-            "clients": self.clients.dump(),
-            "malformed_entries": self.malformed.borrow().len(),
-            "evacuated": evacuation::dump(self, now),
-            "crossing": self.crossing.dump(now),
-            "targets": targets,
-        })
-    }
-
     fn with_checks<R>(&self, act: impl FnOnce(&mut CheckBudget) -> R) -> R {
         let targets = self.directory.borrow().len();
         let share = CheckBudget::share(self.boot.borrow().check_rate, targets, self.vm_count());
@@ -616,29 +563,3 @@
         act(retry_budget.or_insert_with(|| RetryAllowance::new(limits(), self.started)))
     }
 }
-
-/// Returns what the state dump shows of the organisations. Their keys are left out.
-fn organisations(config: &RoutingConfig) -> serde_json::Value {
-    let Some(access) = &config.access else {
-        return serde_json::Value::Null;
-    };
-    let of_one = |organisation: &Arc<Organisation>| {
-        serde_json::json!({
-            "id": organisation.id.as_str(),
-            "priority": organisation.priority,
-            "quota": organisation.quota.map(|quota| quota.to_string()),
-        })
-    };
-    let all: Vec<_> = access.iter().map(of_one).collect();
-    serde_json::json!({ "keys": access.keys(), "known": all })
-}
-
-/// Returns what the state dump shows of a target that wants no requests.
-fn unavailable_text(
-    signals: &TargetSignals,
-    now: Instant,
-    target: &AnnouncedTarget,
-) -> Option<Box<str>> {
-    let reason = signals.unavailable(now, &target.id, target.generation())?;
-    Some(reason.to_string().into())
-}
--- a/gateway/tests/test_access.rs
+++ b/gateway/tests/test_access.rs
@@ -32,8 +32,7 @@
     let mut resources = routes(1_500, "status");
     resources[2]["Spec"]["Public"] = true.into();
     for (name, keys) in organisations {
-        let spec = json!({"ApiKeys": keys});
-        resources.push(json!({"Type": "Tenants", "Metadata": {"Name": name}, "Spec": spec}));
+        resources.push(site_wire::organisation(name, keys));
     }
     resources
 }
--- a/gateway/tests/test_evacuation.rs
+++ b/gateway/tests/test_evacuation.rs
@@ -10,7 +10,6 @@
 use carobshore_standin::site_target::SiteTarget;
 use carobshore_standin::site_wire;
 use serde_json::Value;
-use serde_json::json;
 
 use crate::common::Gateway;
 use crate::common::Site;
@@ -128,8 +127,7 @@
     let mut resources = routes(1_500, "render");
     site_wire::restrict(&mut resources[0], &["s"]);
     for (name, key, regions) in [("org-r", "kr", &["r"][..]), ("org-any", "ka", &["r", "s"])] {
-        let spec = json!({"ApiKeys": [key]});
-        let mut organisation = json!({"Type": "Tenants", "Metadata": {"Name": name}, "Spec": spec});
+        let mut organisation = site_wire::organisation(name, &[key]);
         site_wire::restrict(&mut organisation, regions);
         resources.push(organisation);
     }
--- a/gateway/tests/test_largest_body.rs
+++ b/gateway/tests/test_largest_body.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::REQUEST_ID;
 use carobshore_standin::site_wire::VmLimits;
 
 use crate::common::read_response;
@@ -41,7 +42,7 @@
     });
     let mut stream = connect_from(1, gateway.callers).expect("a connection");
     let head = format!(
-        "POST /unsafe/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: largest\r\nRequest-Deadline: 10000\r\nContent-Length: {LENGTH}\r\n\r\n"
+        "POST /unsafe/x HTTP/1.1\r\nHost: site.example\r\n{REQUEST_ID}: largest\r\nRequest-Deadline: 10000\r\nContent-Length: {LENGTH}\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).expect("a head");
     // A refusal closes the connection before the body is sent.
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -32,12 +32,9 @@
 /// Returns routes and organisation `org/a` with a quota; another one, `free`, has none.
 fn resources(rate: f64, burst: u32) -> Vec<Value> {
     let mut resources = routes(1_500, "status");
-    let tenant = |name: &str, spec: Value| json!({"Type": "Tenants", "Metadata": {"Name": name}, "Spec": spec});
-    resources.push(tenant(
-        "org/a",
-        json!({"ApiKeys": ["ka"], "RatePerS": rate, "Burst": burst}),
-    ));
-    resources.push(tenant("free", json!({"ApiKeys": ["kf"]})));
+    let limited = site_wire::organisation("org/a", &["ka"]);
+    resources.push(site_wire::with_quota(limited, rate, f64::from(burst)));
+    resources.push(site_wire::organisation("free", &["kf"]));
     resources
 }
 
--- a/gateway/tests/test_request_queue.rs
+++ b/gateway/tests/test_request_queue.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use carobshore_standin::site_wire;
 use serde_json::Value;
 use serde_json::json;
 
@@ -32,8 +33,9 @@
         route["Spec"]["TargetLatency"] = "12000ms".into();
     }
     resources.extend(organisations.iter().map(|(name, priority)| {
-        json!({"Type": "Tenants", "Metadata": {"Name": name},
-            "Spec": {"ApiKeys": [format!("key-{name}")], "Priority": priority}})
+        let mut organisation = site_wire::organisation(name, &[&format!("key-{name}")]);
+        organisation["Spec"]["Priority"] = (*priority).into();
+        organisation
     }));
     resources
 }
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -141,3 +141,29 @@
         "{method} /{kind}/%2e/x?y=%zz HTTP/1.1\r\nHost: site.example\r\n{REQUEST_ID}: {id}\r\nRequest-Deadline: {deadline_ms}\r\n{length}\r\n{body}"
     )
 }
+
+/// Returns an organisation with its keys, for [`configuration`].
+pub fn organisation(name: &str, keys: &[&str]) -> Value {
+    json!({"Type": "Tenants", "Metadata": {"Name": name}, "Spec": {"ApiKeys": keys}})
+}
+
+/// Returns an organisation that may send `rate` requests a second, and `burst` at once in addition.
+pub fn with_quota(mut organisation: Value, rate: f64, burst: f64) -> Value {
+    organisation["Spec"]["RatePerS"] = rate.into();
+    organisation["Spec"]["Burst"] = burst.into();
+    organisation
+}
+
+/// Returns a route that divides its requests among services by their weights.
+pub fn with_split(mut route: Value, parts: &[(&str, u32)]) -> Value {
+    let part = |(service, weight): &(&str, u32)| json!({"Service": service, "Weight": weight});
+    let parts: Vec<Value> = parts.iter().map(part).collect();
+    route["Spec"]["TrafficSplit"] = parts.into();
+    route
+}
+
+/// Returns a route to another path.
+pub fn with_prefix(mut route: Value, prefix: &str) -> Value {
+    route["Spec"]["PathPrefix"] = prefix.into();
+    route
+}
