--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -35,6 +35,7 @@
 use crate::target_search;
 use crate::target_search::Search;
 use crate::target_search::SearchResult;
+use crate::warmup;
 
 /// Assumed size of a response in bytes, for the cost of crossing failure domains.
 const RESPONSE_BYTES: usize = 2 << 10;
@@ -72,6 +73,8 @@
     caller_left: bool,
     /// What the request takes from the quota of its organisation.
     charge: QuotaCharge,
+    /// Until when the next attempt must be sent, if its target is cold.
+    send_by: Option<Instant>,
 }
 
 type Running = FuturesUnordered<Pin<Box<dyn Future<Output = (UsableTarget, AttemptEnd)>>>>;
@@ -100,6 +103,7 @@
             hedge_from: arrived,
             caller_left: false,
             charge,
+            send_by: None,
         }
     }
 
@@ -120,9 +124,7 @@
                     () = gateway.stop_deadline_passed() => Err(self.unserved(Refusal::Stopping)),
                 };
                 match found {
-                    Ok(_) if !self.may_send() => {
-                        break Some(Err(self.unserved(Refusal::UnknownKey)));
-                    }
+                    Ok(_) if !self.may_send() => break Some(Err(self.right_lost())),
                     Ok(usable) => self.start(&mut running, usable),
                     Err(failed) => break Some(Err(failed)),
                 }
@@ -265,6 +267,7 @@
     async fn charge_and_search(&mut self) -> Result<UsableTarget, FailedCall> {
         self.take_token().await?;
         let usable = self.search().await?;
+        self.send_by = warmup::send_by(&usable.connections, Instant::now());
         // The search may have outlasted the token.
         self.take_token().await?;
         Ok(usable)
@@ -299,11 +302,22 @@
         }
     }
 
-    /// Returns whether the caller's organisation may still send the request.
+    /// Returns whether the request may still be sent by the configuration in force.
     fn may_send(&self) -> bool {
         let routes = self.gateway.routes.borrow();
-        let grant = self.forwarded.grant.as_ref();
-        grant.is_none_or(|grant| grant.holds(&routes))
+        match &self.forwarded.grant {
+            Some(grant) => grant.holds(&routes),
+            None => routes.config().access.is_none(),
+        }
+    }
+
+    /// Returns the failure of a call that may not be sent any more. One that was admitted before there
+    /// were organisations may return, to be admitted with its key.
+    fn right_lost(&self) -> FailedCall {
+        self.unserved(match self.forwarded.grant {
+            Some(_) => Refusal::UnknownKey,
+            None => Refusal::NotReady,
+        })
     }
 
     /// Returns the failure of a call that gets no target: `refusal`, unless an earlier attempt may
@@ -326,7 +340,10 @@
             self.service.clone(),
             usable,
             forwarded,
-            self.charge.spend(),
+            [self.charge.spend(), self.send_by.take()]
+                .into_iter()
+                .flatten()
+                .min(),
         );
         running.push(Box::pin(attempt));
     }
@@ -348,6 +365,7 @@
         let found = target_search::find_ideal(&self.gateway, self.search_for(now), &self.tried);
         if let Some(usable) = found.await
             && self.charge.take_quickly().await
+            && self.may_send()
             && self.gateway.take_retry(now, &self.service)
         {
             self.ends.push("hedged".into());
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -443,13 +443,17 @@
             true => bounds.may_start(owed),
             false => owed.unanswered == 0,
         };
+        let mut has_memory = true;
         while !may_start(self.shared.owed.get()) && !self.shared.closing.get() {
             let shared = Rc::clone(&self.shared);
-            let may_read = bounds.may_read(self.buffer.len());
+            let may_read = has_memory && bounds.may_read(self.buffer.len());
             tokio::select! {
                 () = shared.answered.notified() => {}
-                result = self.read_some(BODY_READ), if may_read => if result.is_err() {
-                    return false;
+                result = self.read_some(BODY_READ), if may_read => match result {
+                    Ok(_) => {}
+                    // Earlier requests still get their responses.
+                    Err(MessageError::NoMemory) => has_memory = false,
+                    Err(_) => return false,
                 },
             }
         }
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -294,6 +294,8 @@
             if Instant::now() >= until {
                 return false;
             }
+            // It waits for this VM, and must not be closed as one that waits for its client.
+            self.progress(Phase::Serving);
             let _ = timeout(MEMORY_TICK, self.clients.0.released.notified()).await;
         }
         true
--- a/gateway/src/crossing.rs
+++ b/gateway/src/crossing.rs
@@ -190,9 +190,9 @@
         return SearchResult::Target(found);
     }
     match target_search::find(gateway, search, excluded).await {
-        SearchResult::NoRoom(no_room) => {
+        result @ (SearchResult::NoRoom(_) | SearchResult::Overloaded(_)) => {
             let found = find_last_resort(gateway, search, excluded).await;
-            found.map_or(SearchResult::NoRoom(no_room), SearchResult::Target)
+            found.map_or(result, SearchResult::Target)
         }
         other => other,
     }
--- a/gateway/src/limit_client.rs
+++ b/gateway/src/limit_client.rs
@@ -119,7 +119,7 @@
 fn refusal(connections: &TargetConnections) -> Reply {
     let reply = Reply::text(409, "nothing to give up\n");
     match limits::next_in(connections) {
-        Some(next) => reply.with_field(NEXT_FIELD, &next.as_millis().to_string()),
+        Some(next) => reply.with_field(NEXT_FIELD, &next.as_micros().div_ceil(1_000).to_string()),
         None => reply,
     }
 }
--- a/gateway/src/target_search.rs
+++ b/gateway/src/target_search.rs
@@ -208,15 +208,16 @@
     let queued = outlook.queue_ahead(now, best.slots);
     let mut ahead = queued + f64::from(best.slots - limit);
     let expected = outlook.expected(now, search.demand.work, best.slots);
+    let kept_free = gateway.queues.kept_free(gateway, now, search, best.slots);
     if ahead > 0.0
         && queued <= 0.0
+        && kept_free == 0
         && gateway
             .services
             .start_trial(now, search.service, limit, best.slots)
     {
         ahead = 0.0;
     }
-    let kept_free = gateway.queues.kept_free(gateway, now, search, best.slots);
     ahead += f64::from(kept_free);
     match SearchStep::decide(now, search.times, BestTarget { ahead, expected }) {
         SearchStep::Take if limits::take(&best.connections) => {
--- a/gateway/src/warmup.rs
+++ b/gateway/src/warmup.rs
@@ -54,7 +54,8 @@
         let mut targets = self.targets.borrow_mut();
         if targets.len() >= MAX_TARGETS && !targets.contains_key(target) {
             let now = Instant::now();
-            targets.retain(|_, cold| !cold.borrow().is_over(now));
+            // The connections of a target share its state.
+            targets.retain(|_, cold| Rc::strong_count(cold) > 1 || !cold.borrow().is_over(now));
         }
         let new = || Rc::new(RefCell::new(ColdTarget::new(self.started)));
         Rc::clone(targets.entry(target.clone()).or_insert_with(new))
@@ -103,6 +104,7 @@
     if let Some(limit) = cold.missing_share().filter(|_| cold.is_cold(now)) {
         cold.set_share(now, share(gateway, &connections.id, limit));
     }
+    cold.fill(now);
     outlook.set_cold_until(match rule {
         Some(_) => cold.cold_until(now),
         None => entry.cold_until,
@@ -128,7 +130,14 @@
 
 /// Records that a target has not accepted a connection. One that is refused may have started again.
 pub(crate) fn not_connected(gateway: &Gateway, connections: &TargetConnections, error: &io::Error) {
-    if error.kind() != io::ErrorKind::TimedOut {
+    // Other errors, such as a lack of descriptors, say nothing of the target.
+    let is_refused = matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+    );
+    if is_refused {
         doubt(gateway, connections, "its connection was refused");
     }
 }
@@ -181,6 +190,12 @@
     }
 }
 
+/// Returns until when a request that was taken at `taken` must be sent; nothing if its target is not cold.
+pub(crate) fn send_by(connections: &TargetConnections, taken: Instant) -> Option<Instant> {
+    let is_cold = connections.cold.borrow().is_cold(taken);
+    is_cold.then(|| taken + MAX_DELAY)
+}
+
 /// Takes a request for another VM. Returns nothing if no limit of the target is known here.
 pub(crate) fn give_up(gateway: &Gateway, connections: &TargetConnections) -> Option<bool> {
     let now = Instant::now();
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -12,6 +12,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use carobshore_standin::site_wire;
+
 use crate::common::Gateway;
 use crate::common::Response;
 use crate::common::Site;
--- a/lib/src/memory_budget/client_table.rs
+++ b/lib/src/memory_budget/client_table.rs
@@ -11,6 +11,9 @@
 use crate::memory_budget::memory_bounds::MemoryBounds;
 use crate::memory_budget::phase::Phase;
 
+/// A response counts as small up to this multiple of what a connection may hold.
+const RESPONSE_FACTOR: u64 = 2;
+
 /// How long a client must have made no progress before its connection may be closed for another one.
 pub const MIN_STALL: Duration = Duration::from_secs(1);
 
@@ -130,7 +133,8 @@
         let Some(removed) = self.clients.remove(&client) else {
             return;
         };
-        *self.class(removed.bytes) -= removed.bytes;
+        let small = self.small_limit(removed.addr);
+        *self.class(small, removed.bytes) -= removed.bytes;
         let Some(addr) = removed.addr else { return };
         self.total -= 1;
         if let Some(count) = self.counts.get_mut(&addr) {
@@ -152,11 +156,15 @@
     /// Changes a part of what is held for a client. Returns whether there is that much memory. Less is
     /// always possible, and so is anything for a client that was closed.
     pub fn resize(&mut self, client: ClientId, from: u64, to: u64) -> bool {
-        let Some(bytes) = self.clients.get(&client).map(|client| client.bytes) else {
+        let Some((bytes, addr)) = self
+            .clients
+            .get(&client)
+            .map(|known| (known.bytes, known.addr))
+        else {
             return true;
         };
         let new = bytes.saturating_sub(from).saturating_add(to);
-        let allowed = to <= from || self.allows(bytes, new);
+        let allowed = to <= from || self.allows(self.small_limit(addr), bytes, new);
         if allowed {
             self.replace(client, bytes, new);
         }
@@ -232,24 +240,32 @@
         ranked.max().map(|(.., id)| id)
     }
 
-    /// Returns whether a client that holds `old` bytes may hold `new`.
-    fn allows(&self, old: u64, new: u64) -> bool {
+    /// Returns up to how many bytes an entry counts as small. A response of usual length must find
+    /// memory while one large body is held: the request has run by then.
+    fn small_limit(&self, addr: Option<IpAddr>) -> u64 {
+        match addr {
+            Some(_) => self.memory.small.0,
+            None => self.memory.small.0 * RESPONSE_FACTOR,
+        }
+    }
+
+    /// Returns whether an entry that counts as small up to `small`, and holds `old` bytes, may hold `new`.
+    fn allows(&self, small: u64, old: u64, new: u64) -> bool {
         let MemoryBounds {
             total,
             reserve,
             lone,
-            small,
             ..
         } = self.memory;
         let (mut others_small, mut others_large) = (self.small, self.large);
-        match old <= small.0 {
+        match old <= small {
             true => others_small -= old,
             false => others_large -= old,
         }
         let all = others_small
             .saturating_add(others_large)
             .saturating_add(new);
-        if new <= small.0 {
+        if new <= small {
             return others_small + new <= reserve.0 || all <= total.0;
         }
         let large = others_large.saturating_add(new);
@@ -257,16 +273,18 @@
     }
 
     fn replace(&mut self, client: ClientId, old: u64, new: u64) {
-        *self.class(old) -= old;
-        *self.class(new) += new;
+        let addr = self.clients.get(&client).and_then(|client| client.addr);
+        let small = self.small_limit(addr);
+        *self.class(small, old) -= old;
+        *self.class(small, new) += new;
         if let Some(client) = self.clients.get_mut(&client) {
             client.bytes = new;
         }
     }
 
-    /// Returns the sum to which a client with this many bytes belongs.
-    fn class(&mut self, bytes: u64) -> &mut u64 {
-        match bytes <= self.memory.small.0 {
+    /// Returns the sum to which this many bytes of an entry belong.
+    fn class(&mut self, small: u64, bytes: u64) -> &mut u64 {
+        match bytes <= small {
             true => &mut self.small,
             false => &mut self.large,
         }
--- a/lib/src/quota/quota_table.rs
+++ b/lib/src/quota/quota_table.rs
@@ -161,9 +161,12 @@
         }
         let owners = self.pools.owners(organisation);
         let earlier = self.earlier.iter().filter(|(until, _)| *until > now);
-        let mut lists = earlier.map(|(_, pools)| pools.owners(organisation));
-        let is_owner = self.has_me(&owners) && lists.all(|owners| self.has_me(&owners));
-        is_owner.then_some(owners.len())
+        let mut lists = vec![owners];
+        lists.extend(earlier.map(|(_, pools)| pools.owners(organisation)));
+        let is_owner = lists.iter().all(|owners| self.has_me(owners));
+        // Owners by an earlier list may still grant their parts of it.
+        let most = lists.iter().map(Vec::len).max();
+        most.filter(|_| is_owner)
     }
 
     fn has_me(&self, owners: &[&Owner]) -> bool {
--- a/lib/src/warmup/cold_target.rs
+++ b/lib/src/warmup/cold_target.rs
@@ -52,6 +52,8 @@
     limit: Option<ColdLimit>,
     /// The generation of the target that was announced last.
     generation: Option<u64>,
+    /// When that was read.
+    announced: Option<Instant>,
     /// The end of the warm-up by the target's entry, by its last health check response, and by the
     /// rule after a start of which neither has said anything.
     by_entry: Option<Instant>,
@@ -74,6 +76,7 @@
             started,
             limit: None,
             generation: None,
+            announced: None,
             by_entry: None,
             by_health: None,
             by_rule: None,
@@ -100,6 +103,7 @@
         if self.generation.replace(generation) == Some(generation) {
             return;
         }
+        self.announced = Some(now);
         (self.by_entry, self.by_health) = (None, None);
         self.by_rule = rule.map(|rule| now + rule.time);
     }
@@ -116,6 +120,8 @@
     /// Records the response to a health check that was sent at `sent`: for how long the target is
     /// still cold, if it says so.
     pub fn answered(&mut self, now: Instant, sent: Instant, left: Option<Duration>) {
+        // An answer to an earlier check may be that of an earlier process of the target.
+        let left = left.filter(|_| self.announced.is_none_or(|announced| sent >= announced));
         if let Some(left) = left {
             self.by_rule = None;
             self.by_health = Some(now + left);
@@ -214,6 +220,14 @@
         }
     }
 
+    /// Begins to save for requests if the target is cold. Otherwise a VM that borrows all its requests
+    /// would never use its own part.
+    pub fn fill(&mut self, now: Instant) {
+        if self.is_cold(now) && self.bucket.is_none() {
+            self.bucket = Some(self.bucket_at(now));
+        }
+    }
+
     /// Returns this VM's part; nothing while it is not set.
     pub fn share(&self) -> Option<ColdShare> {
         self.share
--- a/lib/tests/test_memory_budget.rs
+++ b/lib/tests/test_memory_budget.rs
@@ -63,6 +63,20 @@
     assert!(table.held() < VM_MEMORY.0 / 2);
 }
 
+#[test]
+fn a_usual_response_fits_beside_the_largest_body() {
+    let now = Instant::now();
+    let mut table = table(10, 10);
+    let (large, _) = admit(&mut table, now, 1).expect("a connection");
+    assert!(table.resize(large, 0, 64 << 20));
+    let response = table.add_response(now);
+    assert!(table.resize(response, 0, 128 << 10));
+    assert!(!table.resize(response, 128 << 10, 129 << 10));
+    table.remove(response);
+    table.remove(large);
+    assert_eq!(table.held(), 0);
+}
+
 #[test]
 fn the_longest_idle_connection_of_a_full_address_makes_room_for_its_next_one() {
     let now = Instant::now();
--- a/lib/tests/test_warmup.rs
+++ b/lib/tests/test_warmup.rs
@@ -331,3 +331,21 @@
     cold.answered(after(30), after(30), Some(Duration::from_secs(5)));
     assert_eq!(cold.cold_until(after(30)), Some(after(35)));
 }
+
+#[test]
+fn an_answer_of_an_earlier_process_does_not_warm_a_restarted_target() {
+    let start = Instant::now();
+    let mut cold = ColdTarget::new(start);
+    cold.set_limit(Some(limit(4.0)));
+    let rule = WarmupRule {
+        time: Duration::from_secs(3),
+        rate: rate(4.0),
+    };
+    let sent = start + Duration::from_secs(1);
+    let announced = sent + STEP;
+    cold.announced(announced, 2, Some(rule));
+    cold.answered(announced + STEP, sent, Some(Duration::ZERO));
+    assert!(cold.is_cold(announced + STEP));
+    cold.answered(announced + STEP, announced, Some(Duration::ZERO));
+    assert!(!cold.is_cold(announced + STEP));
+}
