gateway: the time of a request begins with its first byte

Cause: after the reader waited for readiness instead of bytes, a socket whose bytes had all been read still counted as readable, so that a request began when its connection became idle. Its header timeout and deadline ran meanwhile: 408 after an idle time beyond the header timeout, targets that got too little time, hedges and refusals of requests that had just arrived.

Change: the first bytes are read, a kilobyte at most, before a request counts as begun.

Result: the new test fails without the change (408 instead of 200) and passes with it; test_calls passes.

--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -41,6 +41,8 @@
 use crate::reply::Reply;
 use crate::reply_writer;
 
+/// Size of the first read of a request, in bytes: most heads are shorter.
+const FIRST_READ: usize = 1 << 10;
 /// Size of one read of a head, in bytes.
 const HEAD_READ: usize = 4 << 10;
 /// Size of one read of a body, in bytes.
@@ -329,7 +331,7 @@
             let busy = self.shared.owed.get().unanswered > 0;
             let shared = Rc::clone(&self.shared);
             tokio::select! {
-                result = self.read.readable() => return result.is_ok(),
+                result = self.read_first() => return result.is_ok(),
                 () = shared.answered.notified() => if shared.closing.get() {
                     return false;
                 },
@@ -338,6 +340,25 @@
         }
     }
 
+    /// Reads the first bytes of a request. A socket may count as readable although all its bytes have
+    /// been read, so that only bytes show that a request has begun. Until then no memory is taken.
+    async fn read_first(&mut self) -> Result<(), MessageError> {
+        let mut bytes = [0; FIRST_READ];
+        loop {
+            self.read.readable().await?;
+            match self.read.try_read(&mut bytes) {
+                Ok(0) => return Err(MessageError::Closed),
+                Ok(count) => {
+                    self.buffer.extend_from_slice(&bytes[..count]);
+                    self.held.force(self.buffer.capacity() as u64);
+                    return Ok(());
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
     /// Returns the next step if no further request arrived.
     fn after_idle(&self) -> NextStep {
         match self.shared.closing.get() {
--- a/gateway/tests/test_calls.rs
+++ b/gateway/tests/test_calls.rs
@@ -37,6 +37,32 @@
     assert!((1_000..=1_500).contains(&deadline), "{deadline} ms");
 }
 
+/// Guards against a request that counts as begun when the connection became idle: it would be refused
+/// as too slow, or the target would get too little time.
+#[test]
+fn the_time_of_a_request_begins_with_its_first_byte() {
+    let site = site("first-byte", 1);
+    let gateway = site.gateway("edge-1");
+    let mut stream = connect(gateway.callers).expect("a connection");
+    let mut buffer = BytesMut::new();
+    for id in ["f1", "f2", "f3"] {
+        let text = request("safe", id, 1_500, "");
+        stream.write_all(text.as_bytes()).expect("sent");
+        let response = read_response(&mut stream, &mut buffer).expect("a response");
+        assert_eq!(response.head.status, 200, "{id}");
+        // Longer than the header timeout of the configuration.
+        thread::sleep(Duration::from_millis(1_200));
+    }
+    for run in site.targets[0].runs() {
+        let deadline = run.deadline.expect("a deadline");
+        assert!(
+            (1_000..=1_500).contains(&deadline),
+            "{}: {deadline} ms",
+            run.id
+        );
+    }
+}
+
 #[test]
 fn without_a_configuration_requests_get_503_instead_of_404() {
     let site = site("without", 1);
