--- a/lib/src/check_value/check_plan.rs
+++ b/lib/src/check_value/check_plan.rs
@@ -2,8 +2,8 @@
 
 use crate::check_value::prospect::Prospect;
 
-/// The price of a health check in milliseconds of a request's time: the round trip between domains
-/// (1.4 ms where targets are far apart), rounded up for the work of the target.
+/// The price of a health check in milliseconds of a request's time: the round trip between domains,
+/// rounded up for the work of the target.
 const CHECK_PRICE_MS: f64 = 2.0;
 /// The same while this VM's share of the health checks runs low.
 const SCARCE_PRICE_MS: f64 = 8.0;
--- a/lib/src/domain_choice/domain_state.rs
+++ b/lib/src/domain_choice/domain_state.rs
@@ -7,8 +7,8 @@
 use crate::domain_choice::domain_load::DomainLoad;
 use crate::domain_choice::round_trip::RoundTrip;
 
-/// Pause between two checks of a domain whose load is not known. With three targets a second, the
-/// load is known, and 131 VMs that are all short of targets send fewer than 530 checks a second.
+/// Pause between two checks of a domain whose load is not known. It keeps the checks of many VMs that
+/// are all short of targets few, and still gives several reports a second.
 const LEARNING_PAUSE: Duration = Duration::from_millis(250);
 
 /// What a VM knows about one failure domain and service.
--- a/lib/src/domain_choice/spill_share.rs
+++ b/lib/src/domain_choice/spill_share.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Largest change of the share in a second, upwards and downwards. Waves of demand of 13 s must not
-/// reverse the share, and requests return faster than they leave, because the other domain may be
+/// Largest change of the share in a second, upwards and downwards. Waves of demand must not reverse
+/// the share within seconds, and requests return faster than they leave, because the other domain may be
 /// filling up.
 const RISE_PER_S: f64 = 0.25;
 const FALL_PER_S: f64 = 0.5;
--- a/lib/src/memory_budget/connection_bounds.rs
+++ b/lib/src/memory_budget/connection_bounds.rs
@@ -13,7 +13,7 @@
 const ADDRESS_DIVISOR: u32 = 4;
 /// The least bound of one address.
 const MIN_ADDRESS: u32 = 64;
-/// What a connection takes beside its buffers, in bytes; 7 KB were measured.
+/// What a connection takes beside its buffers, in bytes: its tasks and its entries in tables.
 const CONNECTION_COST: u64 = 8 << 10;
 /// Connections may take the memory of the process divided by this.
 const MEMORY_DIVISOR: u64 = 6;
--- a/lib/src/request_queue/fair_share.rs
+++ b/lib/src/request_queue/fair_share.rs
@@ -10,7 +10,7 @@
 use crate::request_queue::urgent_share::CROWDED;
 
 /// Time constant of the moving averages. A VM of a large site sees a request of a small organisation
-/// every 15 s, and one of a hot organisation every 2 s.
+/// several seconds apart.
 const TIME_CONSTANT: Duration = Duration::from_secs(30);
 /// Work, in seconds, below which an organisation is forgotten.
 const FORGOTTEN: f64 = 1e-3;
--- a/lib/src/request_queue/search_pace.rs
+++ b/lib/src/request_queue/search_pace.rs
@@ -5,7 +5,7 @@
 
 use crate::request_rate::RequestRate;
 
-/// Time constant of the moving average. A VM of a large site sees 7 requests a second, so that a
+/// Time constant of the moving average. A VM of a large site sees few requests a second, so that a
 /// much shorter time would count too few of them.
 const TIME_CONSTANT: Duration = Duration::from_secs(5);
 /// Number of standard deviations between the measured pace and the largest one that is likely.
