--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -19,9 +19,7 @@
 const NO_LOG: &str = "127.0.0.1:1";
 
 fn route(name: &str, prefix: &str) -> Value {
-    let route = json!({"Type": "Routes", "Metadata": {"Name": name}, "Spec": {"Host": "a.example",
-        "Kind": "safe", "Timeout": "2s", "TargetLatency": "500ms", "MaxAttempts": 2, "Service": "s"}});
-    site_wire::with_prefix(route, prefix)
+    site_wire::route(name, prefix, "s")
 }
 
 fn sound() -> Vec<Value> {
@@ -65,8 +63,7 @@
 fn errors_dead_entries_and_contradictions_are_reported_with_their_place() {
     let mut resources = sound();
     resources.push(route("r-2", "/x/"));
-    let mut slow = route("r-3", "/y/");
-    slow["Spec"]["MaxAttempts"] = 9.into();
+    let slow = site_wire::with_attempts(route("r-3", "/y/"), 9);
     resources.push(site_wire::with_split(slow, &[("s", 1), ("t", 0)]));
     let mut odd = route("r-4", "/z");
     odd["Spec"]["Kind"] = "safe".into();
--- a/gateway/tests/test_largest_body.rs
+++ b/gateway/tests/test_largest_body.rs
@@ -9,10 +9,10 @@
 use bytes::BytesMut;
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_wire;
-use carobshore_standin::site_wire::REQUEST_ID;
 use carobshore_standin::site_wire::VmLimits;
 
 use crate::common::read_response;
+use crate::common::request;
 use crate::common::routes;
 use crate::common::site;
 use crate::common::wait;
@@ -41,12 +41,11 @@
         gateway.dump().contains("\"version\":2")
     });
     let mut stream = connect_from(1, gateway.callers).expect("a connection");
-    let head = format!(
-        "POST /unsafe/x HTTP/1.1\r\nHost: site.example\r\n{REQUEST_ID}: largest\r\nRequest-Deadline: 10000\r\nContent-Length: {LENGTH}\r\n\r\n"
-    );
+    let text = request("unsafe", "largest", 10_000, &"x".repeat(LENGTH));
+    let (head, body) = text.split_at(text.len() - LENGTH);
     stream.write_all(head.as_bytes()).expect("a head");
     // A refusal closes the connection before the body is sent.
-    let _ = stream.write_all(&vec![b'x'; LENGTH]);
+    let _ = stream.write_all(body.as_bytes());
     let response = read_response(&mut stream, &mut BytesMut::new());
     let status = response.map(|response| response.head.status);
     eprintln!("status {status:?}");
--- a/gateway/tests/test_request_queue.rs
+++ b/gateway/tests/test_request_queue.rs
@@ -28,10 +28,10 @@
 
 /// Returns routes on which requests may wait for seconds, and an organisation for each priority.
 fn resources(organisations: &[(&str, u32)]) -> Vec<Value> {
-    let mut resources = routes(DEADLINE_MS, "status");
-    for route in &mut resources {
-        route["Spec"]["TargetLatency"] = "12000ms".into();
-    }
+    let routes = routes(DEADLINE_MS, "status").into_iter();
+    let mut resources: Vec<Value> = routes
+        .map(|route| site_wire::with_latency(route, "12000ms"))
+        .collect();
     resources.extend(organisations.iter().map(|(name, priority)| {
         let mut organisation = site_wire::organisation(name, &[&format!("key-{name}")]);
         organisation["Spec"]["Priority"] = (*priority).into();
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -162,8 +162,21 @@
     route
 }
 
-/// Returns a route to another path.
-pub fn with_prefix(mut route: Value, prefix: &str) -> Value {
-    route["Spec"]["PathPrefix"] = prefix.into();
+/// Returns a route for idempotent requests of `a.example`: two attempts, due in half a second.
+pub fn route(name: &str, prefix: &str, service: &str) -> Value {
+    json!({"Type": "Routes", "Metadata": {"Name": name}, "Spec": {"Host": "a.example",
+        "PathPrefix": prefix, "Kind": "safe", "Timeout": "2s", "TargetLatency": "500ms",
+        "MaxAttempts": 2, "Service": service}})
+}
+
+/// Returns a route with another number of attempts.
+pub fn with_attempts(mut route: Value, attempts: u32) -> Value {
+    route["Spec"]["MaxAttempts"] = attempts.into();
+    route
+}
+
+/// Returns a route whose responses are due within another time.
+pub fn with_latency(mut route: Value, latency: &str) -> Value {
+    route["Spec"]["TargetLatency"] = latency.into();
     route
 }
