review: add case 9, an entry without a start time ends a drain

Cause: an entry of another writer that lacks `born` is taken for a new start of the target.

Change: review/9: one of eight backends drains; 2.5 s after the ack such an entry is written under its key.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod head_refused;
+mod odd_entry;
 mod part_of_health;
 mod polled;
 mod sent_ahead;
@@ -25,6 +26,7 @@
     let (record, root) = (Path::new(record), Path::new(root));
     let verdict = match &**case {
         "head-refused" => head_refused::run(root, record, trouble),
+        "odd-entry" => odd_entry::run(root, record, trouble),
         "part-of-health" => part_of_health::run(root, record, trouble),
         "sent-ahead" => sent_ahead::run(root, record, trouble),
         other => Err(format!("unknown case {other}")),
