review: use 150 clients in case 6

Cause: with 110 clients the process used all descriptors, but in two of five runs a few became free again in time.

Change: 150 clients send ahead.

--- a/review/standin-2/sent_ahead.rs
+++ b/review/standin-2/sent_ahead.rs
@@ -24,7 +24,7 @@
     ("alerta", 6, 36),
 ];
 /// The clients that send ahead, and how many requests each of them sends.
-const AHEAD_CLIENTS: u32 = 110;
+const AHEAD_CLIENTS: u32 = 150;
 const AHEAD: u32 = 200;
 /// How many other clients try on new connections, one after the other, and the pause between them: the part
 /// of the site's requests that one of 16 machines gets.
