review: add case 6, part of a 421 before an answer; renumber the others

Cause: any head with status 421 counts as an answer of another backend, also if it is signed and holds two status lines.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 
 mod head_refused;
 mod odd_entry;
+mod part_of_421;
 mod part_of_health;
 mod polled;
 mod sent_ahead;
@@ -27,6 +28,7 @@
     let verdict = match &**case {
         "head-refused" => head_refused::run(root, record, trouble),
         "odd-entry" => odd_entry::run(root, record, trouble),
+        "part-of-421" => part_of_421::run(root, record, trouble),
         "part-of-health" => part_of_health::run(root, record, trouble),
         "sent-ahead" => sent_ahead::run(root, record, trouble),
         other => Err(format!("unknown case {other}")),
