--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,10 +5,8 @@
 
 mod head_refused;
 mod odd_entry;
+mod part_of_400;
 mod part_of_421;
-mod part_of_health;
-mod polled;
-mod sent_ahead;
 mod site;
 
 use std::path::Path;
@@ -25,12 +23,12 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (record, root) = (Path::new(record), Path::new(root));
+    site::end_after(std::time::Duration::from_secs(100));
     let verdict = match &**case {
         "head-refused" => head_refused::run(root, record, trouble),
         "odd-entry" => odd_entry::run(root, record, trouble),
         "part-of-421" => part_of_421::run(root, record, trouble),
-        "part-of-health" => part_of_health::run(root, record, trouble),
-        "sent-ahead" => sent_ahead::run(root, record, trouble),
+        "part-of-400" => part_of_400::run(root, record, trouble),
         other => Err(format!("unknown case {other}")),
     };
     match verdict {
--- a/review/standin-2/odd_entry.rs
+++ b/review/standin-2/odd_entry.rs
@@ -17,8 +17,10 @@
 /// The bound `Drain` of the settings.
 const DRAIN: Duration = Duration::from_secs(2);
 /// How long after the drain is acknowledged the other writer writes, and the backend exits.
-const ODD_AFTER: Duration = Duration::from_millis(2_500);
-const EXIT_AFTER: Duration = Duration::from_secs(6);
+const ODD_AFTER: Duration = Duration::from_millis(1_600);
+const EXIT_AFTER: Duration = Duration::from_millis(2_800);
+/// The interval at which a backend writes its entry (`Heartbeat` of the settings).
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Backends of the service, of which one leaves (`scale_in` of the site file: share = 0.13).
 const BACKENDS: u8 = 8;
 const CLIENTS: u32 = 12;
@@ -60,11 +62,19 @@
     let leaving = &backends[0];
     leaving.announce(&store, "draining");
     let acknowledged = Instant::now();
+    let (beating, shared, stopped) = (Arc::clone(leaving), store.clone(), Arc::clone(&gone));
+    thread::spawn(move || loop {
+        thread::sleep(HEARTBEAT);
+        if stopped.load(Ordering::SeqCst) {
+            return;
+        }
+        beating.announce(&shared, "draining");
+    });
     record.add("the store acknowledges that i-0 is draining");
     thread::sleep(ODD_AFTER);
     if trouble {
         let odd = format!(
-            "{{\"Address\":\"{}\",\"Info\":{{\"Service\":\"agenda\",\"Version\":\"v1\",\"Zone\":\"a\",\"Slots\":2}},\
+            "{{\"Address\":\"{}\",\"Info\":{{\"Service\":\"agenda\",\"Version\":\"v1\",\"Zone\":\"a\",\"Slots\":3}},\
              \"Status\":{{\"State\":\"ready\",\"SeqNo\":7,\"WarmupLeft\":\"0ms\"}}}}",
             leaving.addr
         );
--- a/review/standin-2/part_of_421.rs
+++ b/review/standin-2/part_of_421.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::site::{
-    configuration, lock, route, Backend, Conn, Gateway, Message, Record, Store, Work, CONFIG,
+    configuration, in_spell, lock, route, Backend, Conn, Gateway, Message, Record, Store, Work, CONFIG,
 };
 use crate::Verdict;
 
@@ -31,11 +31,12 @@
     let (store, store_addr) = Store::start(2);
     let slots = route("r-slot", "/slot/", "unsafe", "agenda", 2);
     store.put(CONFIG, "config", &configuration(3, &[slots], &["agenda"]));
-    let (noted, count) = (record.clone(), AtomicU64::new(0));
+    let (noted, count, started) = (record.clone(), AtomicU64::new(0), Instant::now());
     let work: Arc<Work> = Arc::new(move |backend: &Backend, request: &Message, conn: &mut Conn| {
         noted.add(format!("{} runs {}", backend.id, request.id()));
         thread::sleep(Duration::from_millis(20));
         let is_faulty = matches!(&*backend.id, "i-0" | "i-1" | "i-2");
+        let is_faulty = is_faulty && in_spell(started);
         let number = count.fetch_add(u64::from(is_faulty), Ordering::SeqCst);
         let mut bytes = Vec::new();
         if trouble && is_faulty && number % SPOILT == 0 {
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -15,6 +15,27 @@
 pub const CONFIG: &str = "keyed.op";
 pub const SERVERS: &str = "keyed.servers";
 
+/// Requests that a backend works on at once, and those that it queues beside them. It resets the connections of
+/// further ones (`on_full` of the site file).
+const SLOTS: u64 = 3;
+const QUEUE: u64 = 6;
+/// How long a backend keeps an idle connection.
+const IDLE: Duration = Duration::from_secs(10);
+/// The processes of this run, which end with it in any case.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the processes of this run after the given time, and this one with the status of a case that could not
+/// run.
+pub fn end_after(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        for pid in lock(&PROCESSES).iter() {
+            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        }
+        std::process::exit(2);
+    });
+}
+
 /// The descriptors of a gateway process.
 const MAX_FDS: u32 = 4_100;
 /// The connections that a backend accepts from all callers (`MaxConns` of the configuration).
@@ -399,16 +420,15 @@
     pub service: String,
     pub addr: SocketAddr,
     pub running: AtomicU64,
-    /// The final answers: request id and status.
-    pub answered: Mutex<Vec<(String, u16)>>,
+    /// The requests that have a slot or wait for one.
+    held: Mutex<u64>,
+    freed: Condvar,
     /// The ids of the requests that ran, and when each began.
     pub runs: Mutex<Vec<(String, Instant)>>,
     pub healthy: AtomicBool,
     /// The connections that are open now, and the largest number so far.
     pub open: AtomicU64,
     pub most_open: AtomicU64,
-    /// The largest number of requests at one time.
-    pub most_running: AtomicU64,
     born: u64,
     beat: AtomicU64,
 }
@@ -434,12 +454,12 @@
             service: service.to_owned(),
             addr,
             running: AtomicU64::new(0),
-            answered: Mutex::default(),
+            held: Mutex::new(0),
+            freed: Condvar::new(),
             runs: Mutex::default(),
             healthy: AtomicBool::new(true),
             open: AtomicU64::new(0),
             most_open: AtomicU64::new(0),
-            most_running: AtomicU64::new(0),
             born: unix_ms(),
             beat: AtomicU64::new(0),
         });
@@ -452,7 +472,7 @@
         let beat = self.beat.fetch_add(1, Ordering::SeqCst);
         let value = format!(
             "{{\"Address\":\"{}\",\"born\":{},\"Info\":{{\"Service\":\"{}\",\"Version\":\"v1\",\"Zone\":\"a\",\
-             \"Slots\":2}},\"Status\":{{\"State\":\"{state}\",\"SeqNo\":{beat},\"WarmupLeft\":\"0ms\"}}}}",
+             \"Slots\":3}},\"Status\":{{\"State\":\"{state}\",\"SeqNo\":{beat},\"WarmupLeft\":\"0ms\"}}}}",
             self.addr, self.born, self.service
         );
         store.put(SERVERS, &self.id, &value);
@@ -464,7 +484,7 @@
         let running = self.running.load(Ordering::SeqCst);
         format!(
             "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Signature: sig.{}.{id}\r\n\
-             Backend-Load: {},0,2,100\r\nKeep-Alive: timeout=10\r\n",
+             Backend-Load: {},0,3,100\r\nKeep-Alive: timeout=10\r\n",
             self.id,
             running.saturating_sub(1)
         )
@@ -487,32 +507,10 @@
     }
 
     fn serve(&self, mut conn: Conn, work: &Work) {
-        let day = Instant::now() + Duration::from_secs(600);
-        while let Ok(request) = conn.message(day, false) {
+        while let Ok(request) = conn.message(Instant::now() + IDLE, false) {
             let kept = match request.path() {
-                "/health" => {
-                    let health = self.health();
-                    conn.send(&health).is_ok()
-                }
-                _ => {
-                    let expected = request.field("expect-instance");
-                    if expected.is_some_and(|expected| expected != self.id) {
-                        let text = format!(
-                            "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {}\r\nInstance-Id: {}\r\n\
-                             Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                            request.id(),
-                            self.id
-                        );
-                        conn.send(text.as_bytes()).is_ok()
-                    } else {
-                        let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
-                        self.most_running.fetch_max(running, Ordering::SeqCst);
-                        lock(&self.runs).push((request.id().to_owned(), Instant::now()));
-                        let kept = work(self, &request, &mut conn);
-                        self.running.fetch_sub(1, Ordering::SeqCst);
-                        kept
-                    }
-                }
+                "/health" => conn.send(&self.health()).is_ok(),
+                _ => self.request(&request, &mut conn, work),
             };
             if !kept {
                 let _ = conn.stream.shutdown(Shutdown::Write);
@@ -521,6 +519,56 @@
         }
     }
 
+    /// Runs a request, or says that it did not. Returns whether the connection stays open.
+    fn request(&self, request: &Message, conn: &mut Conn, work: &Work) -> bool {
+        let arrived = Instant::now();
+        let expected = request.field("expect-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            return self.refuse(request, conn, "421 Misdirected Request");
+        }
+        if request.id().is_empty() {
+            return self.refuse(request, conn, "400 Bad Request");
+        }
+        let deadline = request.field("request-deadline").and_then(|ms| ms.parse().ok());
+        let deadline = arrived + Duration::from_millis(deadline.unwrap_or(10_000));
+        {
+            let mut held = lock(&self.held);
+            if *held >= SLOTS + QUEUE {
+                return false;
+            }
+            *held += 1;
+            while self.running.load(Ordering::SeqCst) >= SLOTS {
+                let left = deadline.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    *held -= 1;
+                    drop(held);
+                    return self.refuse(request, conn, "503 Service Unavailable");
+                }
+                let woken = self.freed.wait_timeout(held, left);
+                held = woken.unwrap_or_else(|error| error.into_inner()).0;
+            }
+            self.running.fetch_add(1, Ordering::SeqCst);
+        }
+        lock(&self.runs).push((request.id().to_owned(), Instant::now()));
+        let kept = work(self, request, conn);
+        {
+            let mut held = lock(&self.held);
+            *held -= 1;
+            self.running.fetch_sub(1, Ordering::SeqCst);
+        }
+        self.freed.notify_one();
+        kept
+    }
+
+    fn refuse(&self, request: &Message, conn: &mut Conn, status: &str) -> bool {
+        let text = format!(
+            "HTTP/1.1 {status}\r\nAttempt-Id: {}\r\nInstance-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            request.id(),
+            self.id
+        );
+        conn.send(text.as_bytes()).is_ok()
+    }
+
     /// The answer to a health check.
     pub fn health(&self) -> Vec<u8> {
         let status = match self.healthy.load(Ordering::SeqCst) {
@@ -529,7 +577,7 @@
         };
         let running = self.running.load(Ordering::SeqCst);
         format!(
-            "HTTP/1.1 {status}\r\nInstance-Id: {}\r\nBackend-Load: {running},0,2,100\r\n\
+            "HTTP/1.1 {status}\r\nInstance-Id: {}\r\nBackend-Load: {running},0,3,100\r\n\
              Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n",
             self.id
         )
@@ -537,6 +585,11 @@
     }
 }
 
+/// Whether a disruption that comes in spells of 5 s with pauses of 3 s is on now.
+pub fn in_spell(started: Instant) -> bool {
+    started.elapsed().as_millis() % 8_000 < 5_000
+}
+
 // ---------------------------------------------------------------- gateways
 
 /// A gateway process, started with the command of the deploy file.
@@ -593,6 +646,7 @@
         let settings = dir.join(format!("{name}.json"));
         fs::write(&settings, text).expect("a settings file");
         let child = spawn(root, &settings);
+        lock(&PROCESSES).push(child.id());
         let gateway = Self {
             name: name.to_owned(),
             child,
@@ -643,6 +697,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         self.child = spawn(root, &self.settings);
+        lock(&PROCESSES).push(self.child.id());
     }
 }
 
