http: an answer that ends during the upload is incomplete

Cause: the kernel reports a reset once, to the call that meets it. While the upload is being written that is the write; the reads that follow return 0, as after a close by the server. Client::exchange kept the write error aside and took the end of the stream for the end of a body without a length. The gateway, its health checks, its store client and its calls of other VMs all read answers with this one function.

Change: an answer whose body ends with the connection is complete only if the whole request was sent before. A plain end during the upload counts as broken off too: a server that is killed with an empty receive buffer ends its connections without a reset. An answer with a length or in chunks that is complete still counts, whatever becomes of the upload.

--- /dev/null
+++ b/gateway/tests/test_broken_answers.rs
@@ -0,0 +1,173 @@
+//! Guards against clients that get an incomplete answer of a target as a whole one, or one that is no
+//! answer in the protocol.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use carobshore_http::head::RequestHead;
+use carobshore_standin::broken_server::AnswerEnd;
+use carobshore_standin::broken_server::BrokenAnswer;
+use carobshore_standin::broken_server::BrokenServer;
+use carobshore_standin::broken_server::UploadRead;
+use carobshore_standin::raw_server::lock;
+use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::INSTANCE;
+use carobshore_standin::site_wire::REQUEST_ID;
+use carobshore_standin::site_wire::RESPONSE_SIGNATURE;
+
+use crate::common::Gateway;
+use crate::common::Site;
+use crate::common::call;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::wait;
+
+/// More than the kernel takes of an upload that nobody reads, in bytes.
+const UPLOAD: usize = 8 << 20;
+/// How often an upload is tried, because the order of a read and a write decides.
+const UPLOADS: usize = 40;
+/// The time that a client leaves for an upload, in milliseconds.
+const UPLOAD_MS: u64 = 10_000;
+/// The body of the answer.
+const BODY: &str = "the whole body";
+
+/// A gateway in front of one target whose answers are broken.
+struct BrokenTarget {
+    gateway: Gateway,
+    answer: Arc<Mutex<Option<BrokenAnswer>>>,
+    /// The ids of the requests that the target got.
+    ids: Arc<Mutex<Vec<String>>>,
+    _server: BrokenServer,
+    _site: Site,
+}
+
+impl BrokenTarget {
+    fn start(name: &str) -> Self {
+        let answer = Arc::new(Mutex::new(None));
+        let ids = Arc::new(Mutex::new(Vec::new()));
+        let (shared, seen) = (Arc::clone(&answer), Arc::clone(&ids));
+        let server = BrokenServer::start(move |head| {
+            let answer = lock(&shared).clone();
+            match answer.filter(|_| &*head.target != "/health") {
+                Some(answer) => {
+                    lock(&seen).push(id_of(head).to_owned());
+                    with_id(answer, id_of(head))
+                }
+                None => health(),
+            }
+        })
+        .expect("a server");
+        let site = site(name, 1);
+        site.targets[0].announce_at(&site.store, "ready", server.addr());
+        let document = site_wire::configuration(2, &routes(UPLOAD_MS, "status"));
+        let document = document.replace("1000000", &UPLOAD.to_string());
+        site.store
+            .put(OPERATORS, "config", Some(document.as_bytes()));
+        let gateway = site.gateway("edge-1");
+        wait("the configuration is in force", || {
+            gateway.dump().contains("\"version\":2")
+        });
+        Self {
+            gateway,
+            answer,
+            ids,
+            _server: server,
+            _site: site,
+        }
+    }
+
+    /// Sends a request that must not be repeated, which gets this answer of the target. Returns the
+    /// status and the body that the client gets.
+    fn call(&self, id: &str, answer: BrokenAnswer, body: &str) -> (u16, String) {
+        *lock(&self.answer) = Some(answer);
+        let text = request("unsafe", id, UPLOAD_MS, body);
+        let response = call(self.gateway.callers, &text);
+        let runs = lock(&self.ids).iter().filter(|run| *run == id).count();
+        assert!(runs <= 1, "{id} was sent {runs} times");
+        (response.head.status, response.body)
+    }
+}
+
+/// Stands in an answer for the id of its request.
+const ID: &str = "{id}";
+
+fn id_of(head: &RequestHead) -> &str {
+    head.fields.text(REQUEST_ID).unwrap_or_default()
+}
+
+fn with_id(answer: BrokenAnswer, id: &str) -> BrokenAnswer {
+    let start = answer.bytes.windows(ID.len());
+    let at = start.into_iter().position(|part| part == ID.as_bytes());
+    let Some(at) = at else { return answer };
+    let bytes = [
+        &answer.bytes[..at],
+        id.as_bytes(),
+        &answer.bytes[at + ID.len()..],
+    ]
+    .concat();
+    with_id(BrokenAnswer { bytes, ..answer }, id)
+}
+
+fn health() -> BrokenAnswer {
+    let text = format!("HTTP/1.1 200 OK\r\n{INSTANCE}: i-0\r\nContent-Length: 0\r\n\r\n");
+    BrokenAnswer::new(text, AnswerEnd::Open)
+}
+
+/// Returns an answer with this start line, and these fields besides the id and the signature.
+fn answer(start: &str, fields: &str, body: &str) -> String {
+    format!("{start}\r\n{REQUEST_ID}: {ID}\r\n{RESPONSE_SIGNATURE}: s\r\n{fields}\r\n{body}")
+}
+
+fn whole() -> String {
+    let fields = format!("Content-Length: {}\r\n", BODY.len());
+    answer("HTTP/1.1 200 OK", &fields, BODY)
+}
+
+#[test]
+fn whole_answers_of_the_target_get_through() {
+    let target = BrokenTarget::start("broken-whole");
+    let with_end = answer("HTTP/1.1 200 OK", "", BODY);
+    let kept = BrokenAnswer::new(whole(), AnswerEnd::Open);
+    let ended = BrokenAnswer::new(with_end, AnswerEnd::Close);
+    for (id, answer) in [("a", kept.clone()), ("b", ended), ("c", kept)] {
+        let got = target.call(id, answer, "x");
+        assert_eq!(got, (200, BODY.to_owned()), "{id}");
+    }
+}
+
+/// The incident: the client got the part as a whole answer.
+#[test]
+fn an_answer_without_a_length_that_is_reset_during_the_upload_is_no_success() {
+    let target = BrokenTarget::start("broken-upload-reset");
+    let upload = "x".repeat(UPLOAD);
+    for try_ in 0..UPLOADS {
+        let answer = BrokenAnswer {
+            upload: UploadRead::Part,
+            bytes: answer("HTTP/1.1 200 OK", "", &BODY[..5]).into_bytes(),
+            end: AnswerEnd::Reset,
+        };
+        let got = target.call(&format!("id-{try_}"), answer, &upload);
+        assert_eq!(got.0, 502, "try {try_}: {got:?}");
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_that_ends_during_the_upload_is_no_success() {
+    let target = BrokenTarget::start("broken-upload-end");
+    let upload = "x".repeat(UPLOAD);
+    for end in [AnswerEnd::Close, AnswerEnd::CloseAndReset] {
+        for read in [UploadRead::Nothing, UploadRead::Part] {
+            let answer = BrokenAnswer {
+                upload: read,
+                bytes: answer("HTTP/1.1 200 OK", "", &BODY[..5]).into_bytes(),
+                end: end.clone(),
+            };
+            let got = target.call(&format!("{end:?}-{read:?}"), answer, &upload);
+            assert_eq!(got.0, 502, "{end:?}, {read:?}: {got:?}");
+        }
+    }
+}
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -152,6 +152,11 @@
     /// reused. So is a response whose head was read before the head of the request was sent: the
     /// server cannot know the request yet. Bytes that arrive before anything was sent end the
     /// exchange. Dropping the future also makes the connection unusable.
+    ///
+    /// A response whose body ends with the connection is complete only if the whole request was sent
+    /// before that end. Until then the end may be that of a connection which was reset: the kernel
+    /// reports a reset once, to the write that it hits, and the reads that follow see the end of the
+    /// stream.
     pub async fn exchange(
         &mut self,
         request: &EncodedRequest<'_>,
@@ -198,10 +203,13 @@
                 // Bytes that have arrived already are read before more is sent.
                 biased;
                 result = read.read_buf(&mut self.buffer) => match result {
-                    Ok(0) => match reader.on_close() {
-                        Some(answer) if answer.belongs => break answer.response,
-                        _ => return Err(failure(written, close_error(write_error))),
-                    },
+                    Ok(0) => {
+                        let is_whole = unsent.is_empty();
+                        match reader.on_close().filter(|answer| is_whole && answer.belongs) {
+                            Some(answer) => break answer.response,
+                            None => return Err(failure(written, close_error(write_error))),
+                        }
+                    }
                     Ok(_) if written == 0 => {
                         return Err(failure(written, MessageError::Malformed("unsolicited bytes")));
                     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! only and keep everything in memory.
 
 pub mod blob;
+pub mod broken_server;
 pub mod conn_table;
 pub mod executions;
 pub mod fault_proxy;
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -10,6 +10,8 @@
 /// The header field by which a target signs a response.
 pub const RESPONSE_SIGNATURE: &str = "Response-Signature";
 
+/// The header field in which a target names itself.
+pub const INSTANCE: &str = "Instance-Id";
 /// The header field in which a target names its limit.
 pub const LIMIT: &str = "Server-Limit";
 /// The header field by which a target says that it is leaving, with the end of its line.
