http: an answer whose status is below 100 is no answer

Here the gateway's client got another one: with a target that sends 000 and then bytes that look like an answer, the client got those as the answer, with 200.

Cause: ResponseHead::take skips every head whose status is below 200 as an interim response. The parser takes any three digits, so a head with 000 to 099 was skipped, and its body was read as the head of the final answer.

Change: a status below 100 makes the answer malformed, as one with other than three digits already is. It is read in one place for targets, health checks, the store and other VMs.

--- a/entry/tests/test_broken_answers.rs
+++ b/entry/tests/test_broken_answers.rs
@@ -105,3 +105,22 @@
     });
     assert_rejected(cases, &"x".repeat(UPLOAD));
 }
+
+#[test]
+fn an_answer_whose_status_is_no_number_from_100_on_is_no_answer() {
+    let statuses = [
+        "000", "001", "010", "042", "099", "", " ", "2", "20", "2000", "0200", "00200", "00", "0",
+        "0000", "20x", "x00", "+20", "-20", "2 0", "2e2", "0x2", "2\t0", "٢٠٠",
+    ];
+    let cases = statuses.iter().map(|status| {
+        let broken = whole().replacen("200", status, 1);
+        (status, format!("{broken}{}", whole()))
+    });
+    let cases = cases.map(|(status, text)| {
+        (
+            format!("{status:?}"),
+            BrokenAnswer::new(text, AnswerEnd::Close),
+        )
+    });
+    assert_rejected(cases, "x");
+}
--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -90,6 +90,18 @@
         assert!(runs <= 1, "{id} was sent {runs} times");
         (response.head.status, response.body)
     }
+
+    /// Checks that the client of each answer is told that nothing is known. Each has a name.
+    fn assert_rejected(&self, answers: impl Iterator<Item = (String, BrokenAnswer)>) {
+        let mut failed = Vec::new();
+        for (index, (name, answer)) in answers.enumerate() {
+            let (status, body) = self.call(&format!("id-{index}"), answer, "x");
+            if status != 502 {
+                failed.push(format!("{name}: {status}, {body:?}"));
+            }
+        }
+        assert!(failed.is_empty(), "{}", failed.join("\n"));
+    }
 }
 
 /// Stands in an answer for the id of its request.
@@ -171,3 +183,42 @@
         }
     }
 }
+
+/// The status is followed by what would be a whole answer, as the body or on its own.
+#[test]
+fn an_answer_whose_status_is_below_100_is_no_answer() {
+    let target = BrokenTarget::start("broken-status");
+    let statuses = ["000", "001", "010", "042", "099"];
+    let cases = statuses.iter().flat_map(|status| {
+        let start = format!("HTTP/1.1 {status} Trouble");
+        let alone = answer(&start, "", "");
+        let length = format!("Content-Length: {}\r\n", whole().len());
+        let around = answer(&start, &length, &whole());
+        let bare = format!("{start}\r\n\r\n{}", whole());
+        let named = |text, what| {
+            let name = format!("{status}, {what}");
+            (name, BrokenAnswer::new(text, AnswerEnd::Close))
+        };
+        [
+            named(alone, "alone"),
+            named(around, "around a whole answer"),
+            named(bare, "before a whole answer"),
+        ]
+    });
+    target.assert_rejected(cases);
+}
+
+#[test]
+fn an_answer_whose_status_has_other_than_three_digits_is_no_answer() {
+    let target = BrokenTarget::start("broken-digits");
+    let statuses = [
+        "", " ", "2", "20", "2000", "0200", "00200", "00", "0", "0000", "20x", "x00", "+20", "-20",
+        "2 0", "2e2", "0x2", " 200", "2\t0", "٢٠٠",
+    ];
+    let cases = statuses.iter().map(|status| {
+        let text = whole().replacen("200", status, 1);
+        let answer = BrokenAnswer::new(text, AnswerEnd::Close);
+        (format!("{status:?}"), answer)
+    });
+    target.assert_rejected(cases);
+}
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -9,6 +9,8 @@
 
 /// Largest number of header fields in a message.
 const MAX_FIELDS: usize = 128;
+/// The smallest status code (RFC 9110, section 15).
+const MIN_STATUS: u16 = 100;
 
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,7 +87,8 @@
 
 impl ResponseHead {
     /// Consumes a complete head from the buffer, or returns `None` if more bytes are needed. Skips
-    /// interim (1xx) responses. Fails if the head is larger than `max_len` bytes.
+    /// interim (1xx) responses. Fails if the head is larger than `max_len` bytes, or if its status is
+    /// none.
     pub fn take(buffer: &mut BytesMut, max_len: usize) -> Result<Option<Self>, MessageError> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
@@ -102,6 +105,9 @@
                 fields,
             };
             buffer.advance(length);
+            if head.status < MIN_STATUS {
+                return Err(MessageError::Malformed("invalid status code"));
+            }
             if head.status == 101 {
                 return Err(MessageError::Malformed(
                     "unexpected 101 (Switching Protocols)",
