http: a line of a response head that ends with LF alone is rejected

Here it was a line feed before a name.

Cause: the parser takes a lone LF for the end of a line, so CR LF LF is the end of the head. The fields after it were read as the body, and with a length stated before it the body was their first bytes. Heads of requests were checked for such lines, heads of responses were not.

Change: the same check for both. It is read in one place for targets, health checks, the store and other VMs. A target that ends all lines with LF alone is no longer served; the protocol wants CR LF.

All lone LFs in test_messages were taken before. The other bytes that no name may have are rejected at every place of a name of 62 bytes, before and after the change: that part stays as a guard, also for the parser's other code on arm64, which was not run here.

--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -222,3 +222,30 @@
     });
     target.assert_rejected(cases);
 }
+
+#[test]
+fn an_answer_with_a_blank_or_control_byte_at_a_name_is_no_answer() {
+    let target = BrokenTarget::start("broken-names");
+    let heads = [
+        ("X-Field: a\r\n", "X-Field"),
+        (
+            "X-Field-Of-Many-Letters-In-A-Row-And-More: a\r\n",
+            "X-Field-Of-Many-Letters-In-A-Row-And-More",
+        ),
+        ("", "Content-Length"),
+    ];
+    let cases = (0..=b' ').chain([0x7f]).flat_map(|byte| {
+        heads.iter().flat_map(move |(field, name)| {
+            let cut = name.len() / 2;
+            [0, cut, name.len()].map(|at| {
+                let length = format!("Content-Length: {}\r\n", BODY.len());
+                let text = answer("HTTP/1.1 200 OK", &format!("{length}{field}"), BODY);
+                let broken = format!("{}{}{}", &name[..at], char::from(byte), &name[at..]);
+                let text = text.replacen(name, &broken, 1);
+                let answer = BrokenAnswer::new(text, AnswerEnd::Close);
+                (format!("byte {byte:#04x} at {at} of {name}"), answer)
+            })
+        })
+    });
+    target.assert_rejected(cases);
+}
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -87,8 +87,9 @@
 
 impl ResponseHead {
     /// Consumes a complete head from the buffer, or returns `None` if more bytes are needed. Skips
-    /// interim (1xx) responses. Fails if the head is larger than `max_len` bytes, or if its status is
-    /// none.
+    /// interim (1xx) responses. Fails if the head is larger than `max_len` bytes, if its status is
+    /// none, or if a line of it ends with LF alone, like [`RequestHead::take`]: in a head that was
+    /// damaged, such a line can end it too early.
     pub fn take(buffer: &mut BytesMut, max_len: usize) -> Result<Option<Self>, MessageError> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
@@ -96,6 +97,9 @@
             let Some(length) = complete_length(parsed.parse(buffer), buffer.len(), max_len)? else {
                 return Ok(None);
             };
+            if has_lone_line_feed(&buffer[..length]) {
+                return Err(MessageError::Malformed("a line ends without CR"));
+            }
             let version = parsed.version.unwrap_or_default();
             let fields = collect(parsed.headers);
             let head = Self {
--- a/http/tests/test_messages.rs
+++ b/http/tests/test_messages.rs
@@ -168,3 +168,37 @@
         assert_eq!(body.into_body(), b"hello, world");
     }
 }
+
+/// Guards against the end of a head before its last field, which is then read as a part of the body.
+#[test]
+fn a_line_of_a_response_head_that_ends_with_lf_alone_is_rejected() {
+    for sent in [
+        "HTTP/1.1 200 OK\nA: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n\n",
+        "HTTP/1.1 200 OK\r\n\nA: b\r\n\r\n",
+        "HTTP/1.1 103 Early\r\n\nHTTP/1.1 200 OK\r\n\r\n",
+        "\nHTTP/1.1 200 OK\r\n\r\n",
+    ] {
+        let head = ResponseHead::take(&mut BytesMut::from(sent), 4_096);
+        assert!(matches!(head, Err(MessageError::Malformed(_))), "{sent:?}");
+    }
+}
+
+/// Guards against a parser that looks at many bytes of a name at once and misses one.
+#[test]
+fn a_byte_that_no_name_may_have_is_rejected_anywhere_in_it() {
+    let name = "A-Name-That-Is-Longer-Than-Any-Register-Of-A-Processor-Is-Wide";
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    for byte in (0..=u8::MAX).filter(|byte| !is_allowed(*byte) && *byte != b':') {
+        for at in 0..=name.len() {
+            let mut sent = BytesMut::from("HTTP/1.1 200 OK\r\n");
+            sent.extend_from_slice(&name.as_bytes()[..at]);
+            sent.extend_from_slice(&[byte]);
+            sent.extend_from_slice(&name.as_bytes()[at..]);
+            sent.extend_from_slice(b": value\r\nContent-Length: 0\r\n\r\n");
+            let head = ResponseHead::take(&mut sent, 4_096);
+            assert!(head.is_err(), "byte {byte:#04x} at {at}");
+        }
+    }
+}
