entry: a line of a response head that ends with LF alone is rejected

Cause: the client of ntex takes LF alone for the end of a line, as the gateway's parser does. It offers no setting for that.

Change: ResponseGuard follows the line ends of the one head that is expected on a connection, in the I/O filter below the client, and ends the connection at a lone LF. It looks at no byte of a body. Connections of callers have no guard.

--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -83,7 +83,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         socket::configure(&stream, TCP_TIMEOUTS)?;
-        let monitor = Rc::new(IoMonitor::default());
+        let monitor = Rc::new(IoMonitor::of_responses());
         let io = ntex::rt::from_tcp_stream(stream.into_std()?, SharedCfg::default())?;
         let io = io.add_filter(IoMonitorFilter(Rc::clone(&monitor)));
         let io_ref = io.get_ref();
@@ -133,6 +133,7 @@
         request: OutgoingRequest,
     ) -> Result<UpstreamResponse, SendFailure> {
         self.request_start.set(self.monitor.written());
+        self.monitor.expect_response();
         let uri = self.uri(&request.path)?;
         let method = request.method.clone();
         let mut builder = self.client.request(request.method, uri);
--- a/entry/src/io_monitor.rs
+++ b/entry/src/io_monitor.rs
@@ -10,6 +10,8 @@
 use ntex::io::FilterLayer;
 use tokio::sync::Notify;
 
+use crate::response_guard::ResponseGuard;
+
 /// The state of one connection, shared between its I/O filter and its owner.
 #[derive(Debug, Default)]
 pub struct IoMonitor {
@@ -17,9 +19,26 @@
     discarding: Cell<bool>,
     closed: Cell<bool>,
     closing: Notify,
+    /// Checks what is received, on connections on which responses are.
+    guard: Option<ResponseGuard>,
 }
 
 impl IoMonitor {
+    /// Creates the monitor of a connection on which responses are received.
+    pub(crate) fn of_responses() -> Self {
+        Self {
+            guard: Some(ResponseGuard::default()),
+            ..Self::default()
+        }
+    }
+
+    /// Expects the response to the next request.
+    pub(crate) fn expect_response(&self) {
+        if let Some(guard) = &self.guard {
+            guard.begin();
+        }
+    }
+
     /// Returns the number of bytes handed to the connection so far.
     ///
     /// Bytes are counted before the kernel is asked to write them, so 0 proves that none was sent.
@@ -53,6 +72,13 @@
     pub fn discard_writes(&self) {
         self.discarding.set(true);
     }
+
+    fn check(&self, received: &[u8]) -> io::Result<()> {
+        match &self.guard {
+            Some(guard) => guard.check(received),
+            None => Ok(()),
+        }
+    }
 }
 
 /// The monitor of a connection, as returned by [`ntex::io::IoRef::query`].
@@ -72,14 +98,15 @@
     fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
         buf.with_read_buffers(|source, destination| {
             if let Some(mut bytes) = source.take() {
+                self.0.check(&bytes)?;
                 if destination.is_empty() {
                     std::mem::swap(&mut bytes, destination);
                 } else {
                     destination.extend_from_slice(&bytes);
                 }
             }
-        });
-        Ok(())
+            Ok(())
+        })
     }
 
     fn process_write_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod relay_body;
 pub mod request_body;
 mod responder;
+mod response_guard;
 pub mod rpc;
 mod service_state;
 pub mod settings;
--- a/entry/tests/test_broken_answers.rs
+++ b/entry/tests/test_broken_answers.rs
@@ -124,3 +124,20 @@
     });
     assert_rejected(cases, "x");
 }
+
+#[test]
+fn an_answer_with_a_blank_or_control_byte_at_a_name_is_no_answer() {
+    let cases = (0..=b' ').chain([0x7f]).flat_map(|byte| {
+        ["x-field", "content-length"]
+            .into_iter()
+            .flat_map(move |name| {
+                [0, name.len() / 2, name.len()].map(|at| {
+                    let broken = format!("{}{}{}", &name[..at], char::from(byte), &name[at..]);
+                    let text = whole().replacen(name, &broken, 1);
+                    let answer = BrokenAnswer::new(text, AnswerEnd::Close);
+                    (format!("byte {byte:#04x} at {at} of {name}"), answer)
+                })
+            })
+    });
+    assert_rejected(cases, "x");
+}
