http: an answer that ends while a long upload is on its way is not taken as whole too soon

The client got the part as a whole answer, 8 of 8 times.

What the kernel has taken is not what the target has received. A target whose process ends closes its connections; what arrives after that is answered with a reset, up to a round trip later. Reads do not report a reset that follows the end of the stream: they return 0 for ever.

The expectation of one test becomes stricter: with the upload read and the connection reset right after its end, the answer was expected to count, now it is not.

Its list of endless parts is a module of its own, with five more.

--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -27,7 +27,9 @@
 use crate::common::wait;
 
 /// More than the kernel takes of an upload that nobody reads, in bytes.
-const UPLOAD: usize = 8 << 20;
+const UPLOAD: usize = 16 << 20;
+/// An upload that the kernel takes as a whole, but the target does not, in bytes.
+const SENT_UPLOAD: usize = 400 << 10;
 /// How often an upload is tried, because the order of a read and a write decides.
 const UPLOADS: usize = 40;
 /// The time that a client leaves for an upload, in milliseconds.
@@ -184,6 +186,20 @@
     }
 }
 
+/// A server that is killed ends its connections without a reset, and resets them when more arrives.
+#[test]
+fn an_answer_without_a_length_that_is_reset_after_its_end_is_no_success_if_the_upload_is_on_its_way()
+ {
+    let target = BrokenTarget::start("broken-upload-sent");
+    let answer = BrokenAnswer {
+        upload: UploadRead::Nothing,
+        bytes: answer("HTTP/1.1 200 OK", "", &BODY[..5]).into_bytes(),
+        end: AnswerEnd::CloseAndReset,
+    };
+    let got = target.call("id", answer, &"x".repeat(SENT_UPLOAD));
+    assert_eq!(got.0, 502, "{got:?}");
+}
+
 /// The status is followed by what would be a whole answer, as the body or on its own.
 #[test]
 fn an_answer_whose_status_is_below_100_is_no_answer() {
--- a/gateway/tests/test_endless.rs
+++ b/gateway/tests/test_endless.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_standin::endless_part::EndlessPart;
 use carobshore_standin::site_target::Behaviour;
-use carobshore_standin::site_target::EndlessPart;
 
 use crate::common::Gateway;
 use crate::common::call;
--- a/gateway/tests/test_endless_answers.rs
+++ b/gateway/tests/test_endless_answers.rs
@@ -6,8 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use carobshore_standin::endless_part::EndlessPart;
 use carobshore_standin::site_target::Behaviour;
-use carobshore_standin::site_target::EndlessPart;
 
 use crate::common::request;
 use crate::common::site;
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::body::BodyReader;
 use crate::fields::Fields;
@@ -22,6 +23,9 @@
 const READ_SIZE: usize = 16 << 10;
 /// Bodies up to this length are sent with their head, in bytes.
 const JOINED_BODY: usize = 16 << 10;
+/// How long after the end of a connection a reset may arrive that answers what was sent before:
+/// more than a round trip.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 
 /// A request in wire format.
 #[derive(Clone, Debug)]
@@ -156,7 +160,7 @@
     /// A response whose body ends with the connection is complete only if the whole request was sent
     /// before that end. Until then the end may be that of a connection which was reset: the kernel
     /// reports a reset once, to the write that it hits, and the reads that follow see the end of the
-    /// stream.
+    /// stream. After a long request, the connection must not be reset shortly after the end either.
     pub async fn exchange(
         &mut self,
         request: &EncodedRequest<'_>,
@@ -205,10 +209,13 @@
                 result = read.read_buf(&mut self.buffer) => match result {
                     Ok(0) => {
                         let is_whole = unsent.is_empty();
-                        match reader.on_close().filter(|answer| is_whole && answer.belongs) {
-                            Some(answer) => break answer.response,
-                            None => return Err(failure(written, close_error(write_error))),
-                        }
+                        let answer = reader.on_close().filter(|answer| is_whole && answer.belongs);
+                        let Some(answer) = answer else {
+                            return Err(failure(written, close_error(write_error)));
+                        };
+                        let confirmed = confirm_end(read.as_ref(), request).await;
+                        confirmed.map_err(|error| failure(written, error.into()))?;
+                        break answer.response;
                     }
                     Ok(_) if written == 0 => {
                         return Err(failure(written, MessageError::Malformed("unsolicited bytes")));
@@ -229,6 +236,20 @@
     }
 }
 
+/// Waits until a server that has not got all of a long request would have reset the connection, and
+/// fails if it has.
+///
+/// The kernel takes more of a request than the server has received. If the server's process ends
+/// meanwhile, so does the connection, and what arrives later is answered with a reset. Reads do not
+/// report a reset after the end of the stream.
+async fn confirm_end(stream: &TcpStream, request: &EncodedRequest<'_>) -> io::Result<()> {
+    if request.body.is_empty() {
+        return Ok(());
+    }
+    sleep(RESET_DELAY).await;
+    stream.take_error()?.map_or(Ok(()), Err)
+}
+
 fn close_error(write_error: Option<io::Error>) -> MessageError {
     write_error.map_or(MessageError::Closed, MessageError::Broken)
 }
--- a/http/tests/test_broken_answers.rs
+++ b/http/tests/test_broken_answers.rs
@@ -16,6 +16,8 @@
 
 /// More than the kernel takes of an upload that nobody reads, in bytes.
 const UPLOAD: usize = 16 << 20;
+/// An upload that the kernel takes as a whole, but the server does not, in bytes.
+const SENT_UPLOAD: usize = 400 << 10;
 /// The largest body of an answer, in bytes.
 const MAX_BODY: usize = 64 << 20;
 /// Time limit for one exchange.
@@ -36,11 +38,11 @@
     ),
 ];
 
-async fn exchange(server: &BrokenServer) -> Result<Response, ExchangeFailure> {
+async fn exchange(server: &BrokenServer, upload: usize) -> Result<Response, ExchangeFailure> {
     let options = KeepAliveOptions::SHORT;
     let client = Client::open(server.addr(), TIMEOUT, options, MAX_BODY);
     let mut client = client.await.expect("a connection");
-    let body = vec![b'x'; UPLOAD];
+    let body = vec![b'x'; upload];
     let request = EncodedRequest::new("POST", "/", &Fields::default(), &body);
     let exchange = client.exchange(&request, |_| true);
     let ended = tokio::time::timeout(TIMEOUT, exchange);
@@ -48,12 +50,12 @@
 }
 
 /// Tries one answer again and again. Returns how often a response was taken for whole.
-async fn taken_for_whole(answer: &BrokenAnswer) -> usize {
+async fn taken_for_whole(answer: &BrokenAnswer, upload: usize) -> usize {
     let answer = answer.clone();
     let server = BrokenServer::start(move |_| answer.clone()).expect("a server");
     let mut taken = 0;
     for _ in 0..TRIES {
-        taken += usize::from(exchange(&server).await.is_ok());
+        taken += usize::from(exchange(&server, upload).await.is_ok());
     }
     taken
 }
@@ -79,7 +81,7 @@
 async fn assert_incomplete(end: AnswerEnd, is_complete: impl Fn(&str, UploadRead) -> bool) {
     let mut failed = Vec::new();
     for (name, answer) in answers(&end) {
-        let taken = taken_for_whole(&answer).await;
+        let taken = taken_for_whole(&answer, UPLOAD).await;
         let complete = is_complete(&name, answer.upload);
         if taken != if complete { TRIES } else { 0 } {
             failed.push(format!("{name}: whole in {taken} of {TRIES} tries"));
@@ -105,10 +107,20 @@
 }
 
 #[tokio::test]
-async fn an_answer_that_ends_during_the_upload_is_incomplete_also_before_a_reset() {
-    let is_complete =
-        |name: &str, upload| name.starts_with("no length") && upload == UploadRead::Whole;
-    assert_incomplete(AnswerEnd::CloseAndReset, is_complete).await;
+async fn an_answer_whose_connection_is_reset_after_its_end_is_incomplete() {
+    assert_incomplete(AnswerEnd::CloseAndReset, |_, _| false).await;
+}
+
+/// A server that is killed with an empty receive buffer ends its connections without a reset, and
+/// resets them when more of the upload arrives.
+#[tokio::test]
+async fn an_answer_that_ends_while_the_rest_of_the_upload_is_on_its_way_is_incomplete() {
+    let answer = BrokenAnswer {
+        upload: UploadRead::Nothing,
+        bytes: b"HTTP/1.1 200 OK\r\n\r\n0123".to_vec(),
+        end: AnswerEnd::CloseAndReset,
+    };
+    assert_eq!(taken_for_whole(&answer, SENT_UPLOAD).await, 0);
 }
 
 /// Guards against a fix that gives up answers which are whole: a server may refuse an upload.
@@ -121,7 +133,7 @@
                 let name = format!("{framing}, {upload:?}, {end:?}");
                 let bytes = text.into_bytes();
                 let answer = BrokenAnswer { upload, bytes, end };
-                let taken = taken_for_whole(&answer).await;
+                let taken = taken_for_whole(&answer, UPLOAD).await;
                 assert_eq!(taken, TRIES, "{name}");
             }
         }
--- a/standin/src/broken_server.rs
+++ b/standin/src/broken_server.rs
@@ -21,13 +21,15 @@
 use socket2::Socket;
 use socket2::Type;
 
+use crate::endless_part::EndlessPart;
+
 /// Largest header section of a request, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 /// The receive buffer of each connection, in bytes. It is small, so that a client is still writing a
 /// long upload when the answer arrives.
 const RECEIVE_BUFFER: usize = 16 << 10;
 /// How long a server waits between the bytes of an answer and the end of the connection.
-const PAUSE: Duration = Duration::from_millis(3);
+const PAUSE: Duration = Duration::from_millis(5);
 /// How long a server waits for more of a request, in all.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections that wait to be accepted.
@@ -86,6 +88,13 @@
             end,
         }
     }
+
+    /// Creates an answer of which a part has no end. `fields` are the other fields of its head, with the
+    /// ends of their lines.
+    pub fn endless(part: EndlessPart, fields: &str) -> Self {
+        let (start, repeated) = part.texts(fields);
+        Self::new(start, AnswerEnd::Endless(repeated.into_bytes()))
+    }
 }
 
 /// A running server. Dropping it stops it from accepting connections.
@@ -179,13 +188,14 @@
             AnswerEnd::Silent => return drain(&mut stream),
             AnswerEnd::Close => {
                 stream.shutdown(Shutdown::Write)?;
+                // A client that is still writing notices the end before the rest is read.
+                thread::sleep(PAUSE);
                 return drain(&mut stream);
             }
             AnswerEnd::Reset => return reset(&stream),
             AnswerEnd::CloseAndReset => {
-                stream.shutdown(Shutdown::Write)?;
-                thread::sleep(PAUSE);
-                return reset(&stream);
+                reset(&stream)?;
+                return stream.shutdown(Shutdown::Write);
             }
             AnswerEnd::Endless(bytes) => loop {
                 stream.write_all(&bytes)?;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod blob;
 pub mod broken_server;
 pub mod conn_table;
+pub mod endless_part;
 pub mod executions;
 pub mod fault_proxy;
 pub mod log;
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::endless_part::EndlessPart;
 use crate::raw_server::RawServer;
 use crate::raw_server::ReceivedRequest;
 use crate::raw_server::ServerAction;
@@ -87,61 +88,6 @@
     Misdirect,
 }
 
-/// The part of a response that a target sends without end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndlessPart {
-    /// The status line.
-    StatusLine,
-    /// Header fields.
-    Fields,
-    /// Interim responses.
-    Interim,
-    /// A body with an absurd length.
-    Length,
-    /// A body that ends with the connection.
-    Body,
-    /// Chunks.
-    Chunks,
-    /// The line with the size of a chunk.
-    ChunkLine,
-    /// The fields after the last chunk.
-    Trailers,
-}
-
-impl EndlessPart {
-    /// All parts.
-    pub const ALL: [Self; 8] = [
-        Self::StatusLine,
-        Self::Fields,
-        Self::Interim,
-        Self::Length,
-        Self::Body,
-        Self::Chunks,
-        Self::ChunkLine,
-        Self::Trailers,
-    ];
-
-    /// Returns what precedes the part, and what is sent again and again.
-    fn texts(self, id: &str) -> (String, String) {
-        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s\r\n");
-        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
-        let filler = "x".repeat(1 << 14);
-        match self {
-            Self::StatusLine => ("HTTP/1.1 200 ".to_owned(), filler),
-            Self::Fields => (head, format!("Field: {}\r\n", "x".repeat(1_000))),
-            Self::Interim => (String::new(), "HTTP/1.1 103 Early\r\n\r\n".repeat(500)),
-            Self::Length => (
-                format!("{head}Content-Length: {}\r\n\r\n", 1_u64 << 62),
-                filler,
-            ),
-            Self::Body => (format!("{head}\r\n"), filler),
-            Self::Chunks => (chunked, format!("4000\r\n{filler}\r\n")),
-            Self::ChunkLine => (format!("{chunked}1;"), filler),
-            Self::Trailers => (format!("{chunked}0\r\n"), "Field: x\r\n".repeat(1_000)),
-        }
-    }
-}
-
 /// A request that a target ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -436,7 +382,8 @@
             ServerAction::SendAndClose(head.into_bytes())
         }
         Behaviour::Endless(part) => {
-            let (start, repeated) = part.texts(&id);
+            let fields = format!("Attempt-Id: {id}\r\nResponse-Signature: s\r\n");
+            let (start, repeated) = part.texts(&fields);
             let mut stream = &call.stream;
             let mut sent = stream.write_all(start.as_bytes());
             while sent.is_ok() {
