http, gateway: answers of the store and of other VMs are bounded by what they are for

A machine that allows no more ends the process, and the requests of all clients with it.

Cause: PersistentClient takes bodies of 64 MiB on each connection, whatever is asked. A gateway reads three topics of the store at once, besides probes. Targets and health checks are bounded by the memory for clients; these calls are not.

--- a/gateway/src/compressed_body.rs
+++ b/gateway/src/compressed_body.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 
 use carobshore_http::fields::Fields;
+use carobshore_http::persistent_client::MAX_BODY;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -17,7 +18,7 @@
 /// Length from which on a body is compressed, in bytes.
 const MIN_COMPRESSED: usize = 1 << 10;
 /// Largest length of an uncompressed body, in bytes.
-const MAX_BODY: u64 = 64 << 20;
+const MAX_TEXT: u64 = MAX_BODY as u64;
 
 /// A body as it is sent.
 #[derive(Clone, Debug, Default)]
@@ -64,7 +65,7 @@
         return Ok(body.to_vec());
     }
     let mut text = Vec::new();
-    let mut decoder = DeflateDecoder::new(body).take(MAX_BODY);
+    let mut decoder = DeflateDecoder::new(body).take(MAX_TEXT);
     decoder.read_to_end(&mut text)?;
     Ok(text)
 }
--- a/gateway/src/limit_client.rs
+++ b/gateway/src/limit_client.rs
@@ -27,6 +27,8 @@
 /// than a refusal.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+/// Largest body of an answer, in bytes. It has a few words.
+const MAX_BODY: usize = 4 << 10;
 
 /// The answer of another VM.
 enum Answer {
@@ -126,7 +128,7 @@
 
 async fn ask(lender: &Lender, path: &str) -> Answer {
     let started = Instant::now();
-    let mut client = PersistentClient::new(lender.vm, CONNECT_TIMEOUT);
+    let mut client = PersistentClient::new(lender.vm, CONNECT_TIMEOUT).with_max_body(MAX_BODY);
     let path = format!("{path}{}", lender.target);
     match client.call("POST", &path, &[], ANSWER_TIMEOUT).await {
         Ok(response) if response.head.status == 200 => Answer::Given,
--- a/gateway/src/owner_connections.rs
+++ b/gateway/src/owner_connections.rs
@@ -10,6 +10,8 @@
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
+/// Largest body of an answer, in bytes. It has a few words.
+const MAX_BODY: usize = 4 << 10;
 /// How long a connection is kept without use; the other VM closes it after 30 s.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Largest number of unused connections to one VM. Each is used by one organisation at a time.
@@ -37,7 +39,7 @@
 
     /// Returns a client that connects on its first call.
     pub(crate) fn open(addr: SocketAddr) -> PersistentClient {
-        PersistentClient::new(addr, CONNECT_TIMEOUT)
+        PersistentClient::new(addr, CONNECT_TIMEOUT).with_max_body(MAX_BODY)
     }
 
     /// Keeps a connection after use.
--- a/http/src/persistent_client.rs
+++ b/http/src/persistent_client.rs
@@ -13,8 +13,9 @@
 use crate::message_error::MessageError;
 use crate::socket::KeepAliveOptions;
 
-/// Largest body of a response, in bytes.
-const MAX_BODY: usize = 64 << 20;
+/// Largest body of a response, in bytes, unless [`PersistentClient::with_max_body`] says otherwise. It
+/// is a tenth of the memory of the smallest VM (160 MiB): a process has several connections.
+pub const MAX_BODY: usize = 16 << 20;
 
 /// Why a call returned no response.
 #[derive(Debug)]
@@ -33,6 +34,8 @@
     addr: SocketAddr,
     /// Time limit for opening a connection.
     connect_timeout: Duration,
+    /// Largest body of a response, in bytes.
+    max_body: usize,
     connection: Option<Client>,
 }
 
@@ -42,10 +45,17 @@
         Self {
             addr,
             connect_timeout,
+            max_body: MAX_BODY,
             connection: None,
         }
     }
 
+    /// Rejects responses whose bodies have more bytes.
+    pub fn with_max_body(mut self, bytes: usize) -> Self {
+        self.max_body = bytes;
+        self
+    }
+
     /// Returns the address of the server.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -99,7 +109,7 @@
 
     async fn open(&self) -> Result<Client, CallFailure> {
         let options = KeepAliveOptions::SHORT;
-        let opened = Client::open(self.addr, self.connect_timeout, options, MAX_BODY).await;
+        let opened = Client::open(self.addr, self.connect_timeout, options, self.max_body).await;
         opened.map_err(CallFailure::Unreachable)
     }
 }
--- a/http/tests/test_broken_answers.rs
+++ b/http/tests/test_broken_answers.rs
@@ -13,6 +13,7 @@
 use carobshore_standin::broken_server::BrokenAnswer;
 use carobshore_standin::broken_server::BrokenServer;
 use carobshore_standin::broken_server::UploadRead;
+use carobshore_standin::endless_part::EndlessPart;
 
 /// More than the kernel takes of an upload that nobody reads, in bytes.
 const UPLOAD: usize = 16 << 20;
@@ -139,3 +140,40 @@
         }
     }
 }
+
+/// The largest head of an answer, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+/// The largest body of an answer, in bytes, where it has no end.
+const SMALL_BODY: usize = 64 << 10;
+/// What a client may hold: a head and a body, of which one copy is made while a buffer grows.
+const MAX_HELD: usize = 2 * (MAX_HEAD + SMALL_BODY);
+/// After so many bytes of an answer without end a client that reads on holds no more than before.
+const ENOUGH: u64 = 8 << 20;
+
+#[tokio::test]
+async fn an_answer_without_end_is_not_kept() {
+    for part in EndlessPart::ALL {
+        let server = BrokenServer::start(move |_| BrokenAnswer::endless(part, ""));
+        let server = server.expect("a server");
+        let options = KeepAliveOptions::SHORT;
+        let client = Client::open(server.addr(), TIMEOUT, options, SMALL_BODY);
+        let mut client = client.await.expect("a connection");
+        let request = EncodedRequest::new("GET", "/", &Fields::default(), &[]);
+        let mut held = 0;
+        let may_use = |bytes: usize| {
+            held = held.max(bytes);
+            true
+        };
+        let exchange = client.exchange_within(&request, |_| true, may_use);
+        let enough = async {
+            while server.endless_bytes() < ENOUGH {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::select! {
+            ended = exchange => assert!(ended.is_err(), "{part:?} is no response"),
+            () = enough => {}
+        }
+        assert!(held <= MAX_HELD, "{part:?}: {held} bytes held");
+    }
+}
