entry: what a connection may hold undecoded is bounded

Cause: the decoder of ntex keeps what is not yet a whole element. It bounds heads and passes bodies on, but it waits for the line with the size of a chunk whatever its length, and parses all of it again after each read. Its back-pressure ends while it waits for more.

Change: the I/O filter below the client counts what waits to be decoded, and ends the connection above the largest head and 64 KiB. The same filter and bound serve the connections of callers, with the largest head of their settings.

--- a/entry/src/http_server.rs
+++ b/entry/src/http_server.rs
@@ -93,8 +93,7 @@
     let service = service.map_err(|()| io::Error::other("the HTTP service did not start"))?;
     let service = Pipeline::new(service);
     let drain_timeout = settings.timeouts.body;
-    let limit = settings.limits.connections;
-    accept(listener, &service, &config, limit, serving.clone()).await;
+    accept(listener, &service, &config, settings, serving.clone()).await;
     let mut serving = serving;
     let _ = serving.wait_for(|state| *state == Serving::Ended).await;
     // Responses in send buffers get as much time as a body may pause.
@@ -106,7 +105,7 @@
     listener: TcpListener,
     service: &Pipeline<S>,
     config: &SharedCfg,
-    limit: usize,
+    settings: &Settings,
     mut serving: watch::Receiver<Serving>,
 ) where
     S: ntex::Service<Io<MonitoredIo>> + 'static,
@@ -122,11 +121,12 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= limit {
+        if open.get() >= settings.limits.connections {
             let _ = stream.try_write(TOO_MANY_CONNECTIONS);
             continue;
         }
-        let Ok(io) = monitored_io(stream, config) else {
+        let max_head = settings.limits.header.as_usize();
+        let Ok(io) = monitored_io(stream, config, max_head) else {
             continue;
         };
         let guard = OpenConnection::new(&open);
@@ -138,10 +138,14 @@
     }
 }
 
-fn monitored_io(stream: TcpStream, config: &SharedCfg) -> io::Result<Io<MonitoredIo>> {
+fn monitored_io(
+    stream: TcpStream,
+    config: &SharedCfg,
+    max_head: usize,
+) -> io::Result<Io<MonitoredIo>> {
     socket::configure(&stream, TCP_TIMEOUTS)?;
     let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
-    let monitor = Rc::new(IoMonitor::default());
+    let monitor = Rc::new(IoMonitor::of_requests(max_head));
     let io = io.add_filter(IoMonitorFilter(Rc::clone(&monitor)));
     let disconnect = io.on_disconnect();
     ntex::rt::spawn(async move {
--- a/entry/src/io_monitor.rs
+++ b/entry/src/io_monitor.rs
@@ -12,23 +12,44 @@
 
 use crate::response_guard::ResponseGuard;
 
+/// What a connection may hold beyond the largest head, in bytes: what is read at once, several times.
+const READ_ALLOWANCE: usize = 64 << 10;
+/// Largest head of a response, in bytes, as the HTTP client limits it.
+const MAX_RESPONSE_HEAD: usize = 64 << 10;
+
 /// The state of one connection, shared between its I/O filter and its owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct IoMonitor {
     written: Cell<u64>,
     discarding: Cell<bool>,
     closed: Cell<bool>,
     closing: Notify,
+    /// How many received bytes may wait to be decoded.
+    max_undecoded: usize,
     /// Checks what is received, on connections on which responses are.
     guard: Option<ResponseGuard>,
 }
 
 impl IoMonitor {
+    /// Creates the monitor of a connection on which requests with heads of at most `max_head` bytes are
+    /// received.
+    pub(crate) fn of_requests(max_head: usize) -> Self {
+        Self::new(max_head, None)
+    }
+
     /// Creates the monitor of a connection on which responses are received.
     pub(crate) fn of_responses() -> Self {
+        Self::new(MAX_RESPONSE_HEAD, Some(ResponseGuard::default()))
+    }
+
+    fn new(max_head: usize, guard: Option<ResponseGuard>) -> Self {
         Self {
-            guard: Some(ResponseGuard::default()),
-            ..Self::default()
+            written: Cell::default(),
+            discarding: Cell::default(),
+            closed: Cell::default(),
+            closing: Notify::default(),
+            max_undecoded: max_head + READ_ALLOWANCE,
+            guard,
         }
     }
 
@@ -73,7 +94,17 @@
         self.discarding.set(true);
     }
 
-    fn check(&self, received: &[u8]) -> io::Result<()> {
+    /// Checks received bytes, of which so many more wait to be decoded already.
+    ///
+    /// The decoder keeps what is not yet a whole element, and bounds only heads: the line with the size
+    /// of a chunk may be of any length.
+    fn check(&self, received: &[u8], undecoded: usize) -> io::Result<()> {
+        if undecoded + received.len() > self.max_undecoded {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "an element of a message is too long",
+            ));
+        }
         match &self.guard {
             Some(guard) => guard.check(received),
             None => Ok(()),
@@ -98,7 +129,7 @@
     fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
         buf.with_read_buffers(|source, destination| {
             if let Some(mut bytes) = source.take() {
-                self.0.check(&bytes)?;
+                self.0.check(&bytes, destination.len())?;
                 if destination.is_empty() {
                     std::mem::swap(&mut bytes, destination);
                 } else {
--- a/entry/tests/crowd/mod.rs
+++ b/entry/tests/crowd/mod.rs
@@ -40,7 +40,19 @@
 
 /// Starts a daemon that may open [`DESCRIPTORS`] files, and waits until it serves.
 pub fn daemon(extra: &[&str]) -> Daemon {
-    let site = Site::new(4);
+    daemon_of(Site::new(4), extra)
+}
+
+/// Starts a daemon of this site, and waits until it serves.
+pub fn daemon_of(site: Site, extra: &[&str]) -> Daemon {
+    let (log, vm_list) = (site.log.addr(), site.vm_list.addr());
+    let daemon = start(site, log, vm_list, extra);
+    wait("the daemon serves", || daemon.serves());
+    daemon
+}
+
+/// Starts a daemon that reads the log and the list of VMs at these addresses.
+pub fn start(site: Site, log: SocketAddr, vm_list: SocketAddr, extra: &[&str]) -> Daemon {
     // All are bound at once, so that the ports differ.
     let ports: Vec<_> = (0..4)
         .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
@@ -55,8 +67,8 @@
         .args(["-c", &script, "sh", env!("CARGO_BIN_EXE_carobshore-entry")])
         .args(["--vm-name=entry-0", "--domain=d0", "--log-level=warn"])
         .args([
-            format!("--log={}", site.log.addr()),
-            format!("--vm-list={}", site.vm_list.addr()),
+            format!("--log={log}"),
+            format!("--vm-list={vm_list}"),
             format!("--listen={}", addrs[0]),
             format!("--forward={}", addrs[1]),
             format!("--rpc={}", addrs[2]),
@@ -66,13 +78,11 @@
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn();
-    let daemon = Daemon {
+    Daemon {
         callers: addrs[0],
         child: child.expect("a process"),
         _site: site,
-    };
-    wait("the daemon serves", || daemon.serves());
-    daemon
+    }
 }
 
 impl Daemon {
@@ -98,7 +108,8 @@
         stream.read_exact(&mut start).is_ok() && start == *b"HTTP/1.1 200"
     }
 
-    fn peak_memory(&self) -> Option<u64> {
+    /// Returns the largest memory that the process has used, in KiB; nothing if it has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
         let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
         line.split_whitespace().nth(1)?.parse().ok()
@@ -142,6 +153,11 @@
     Some(stream)
 }
 
+/// Waits until the first bytes arrive or the connection ends.
+pub fn await_first_bytes(stream: &mut TcpStream) {
+    let _ = stream.read(&mut [0; 64]);
+}
+
 /// Waits until the condition holds, for [`WAIT`] at most.
 fn wait(what: &str, mut condition: impl FnMut() -> bool) {
     let until = Instant::now() + WAIT;
--- a/standin/src/broken_server.rs
+++ b/standin/src/broken_server.rs
@@ -142,7 +142,7 @@
         self.addr
     }
 
-    /// Returns how many bytes of endless answers were sent so far.
+    /// Returns how many bytes of endless answers were sent so far, or are being sent.
     pub fn endless_bytes(&self) -> u64 {
         self.sent.load(Ordering::SeqCst)
     }
@@ -198,8 +198,8 @@
                 return stream.shutdown(Shutdown::Write);
             }
             AnswerEnd::Endless(bytes) => loop {
-                stream.write_all(&bytes)?;
                 sent.fetch_add(bytes.len() as u64, Ordering::SeqCst);
+                stream.write_all(&bytes)?;
             },
         }
     }
