platform: the log and the list of VMs are read by the client that bounds what it keeps

Cause: both were read with the client of ntex, without the filter of the other connections, and a page of the log might have 64 MiB. That client also returns an interim response as the final one: LogClient took a 1xx for the log's refusal of a record, which it may have kept (found by reading).

Change: LogClient and VmListClient use PersistentClient, as the gateway does for its store, with a few connections each (ServerCalls). A page has at most 16 MiB, an answer to an append 4 KiB. A follower reads fewer records after a page that is too large. The time limit of a call includes the time to connect.

The tests of platform, cli, load and the entry's test_entry_vm, test_keys and test_planned_stop pass.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -45,7 +45,7 @@
 /// Runs the command.
 pub(crate) async fn run(args: Args) -> eyre::Result<Exit> {
     let context = Context {
-        log: LogClient::new(args.log).await,
+        log: LogClient::new(args.log),
         timeout: args.timeout(),
         json: args.json,
     };
--- a/entry/src/control_thread.rs
+++ b/entry/src/control_thread.rs
@@ -59,8 +59,8 @@
 
 async fn serve(settings: Arc<Settings>, vm: VmId, channels: ControlChannels) -> eyre::Result<()> {
     let platform = PlatformClients {
-        log: LogClient::new(settings.log).await,
-        vm_list: VmListClient::new(settings.vm_list).await?,
+        log: LogClient::new(settings.log),
+        vm_list: VmListClient::new(settings.vm_list),
     };
     let control = Control::new(settings, Rc::new(SystemClock), vm, platform, channels.data);
     let (relay, calls) = RpcRelay::channel(MAX_QUEUED_CALLS);
--- a/entry/tests/test_endless_answers.rs
+++ b/entry/tests/test_endless_answers.rs
@@ -20,6 +20,7 @@
 use crate::crowd::await_first_bytes;
 use crate::crowd::daemon_of;
 use crate::crowd::send_from;
+use crate::crowd::start;
 
 /// The peak resident memory, in KiB.
 const PEAK: u64 = 80 << 10;
@@ -27,6 +28,8 @@
 const REQUESTS: u8 = 6;
 /// The time that a caller leaves for a request.
 const DEADLINE_MS: u64 = 4_000;
+/// How long each process stays with its source.
+const STAY: Duration = Duration::from_secs(6);
 
 fn endless_server(part: EndlessPart) -> BrokenServer {
     BrokenServer::start(move |_| BrokenAnswer::endless(part, "")).expect("a server")
@@ -89,6 +92,29 @@
     daemon.assert_holds(PEAK, 400);
 }
 
+#[test]
+fn answers_of_the_log_and_the_list_without_end_leave_the_process_within_its_bound() {
+    let readers: Vec<_> = EndlessPart::ALL
+        .into_iter()
+        .map(|part| {
+            let source = endless_server(part);
+            let daemon = start(Site::new(0), source.addr(), source.addr(), &[]);
+            (part, source, daemon)
+        })
+        .collect();
+    thread::sleep(STAY);
+    let mut failed = Vec::new();
+    for (part, source, daemon) in readers {
+        let peak = daemon.peak_memory();
+        eprintln!("{part:?}: peak {peak:?} KiB");
+        assert!(source.endless_bytes() > 0, "{part:?} is read");
+        if peak.is_none_or(|peak| peak >= PEAK) {
+            failed.push(format!("{part:?}: {peak:?} KiB"));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
 /// What a VM may hold of an answer while no part of it can be passed on, in bytes: the largest head
 /// (64 KiB) twice, while a buffer grows, and as much for what it reads at once.
 const MAX_HELD: u64 = 256 << 10;
--- a/http/src/persistent_client.rs
+++ b/http/src/persistent_client.rs
@@ -18,13 +18,16 @@
 pub const MAX_BODY: usize = 16 << 20;
 
 /// Why a call returned no response.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum CallFailure {
     /// The connection could not be opened.
+    #[error("the connection could not be opened: {0}")]
     Unreachable(io::Error),
     /// No response arrived within the time limit.
+    #[error("no response arrived in time")]
     TimedOut,
     /// The connection failed, or the response was malformed.
+    #[error(transparent)]
     Broken(MessageError),
 }
 
@@ -61,6 +64,11 @@
         self.addr
     }
 
+    /// Returns whether there is a connection that the server has not closed.
+    pub fn is_connected(&mut self) -> bool {
+        self.connection.as_mut().is_some_and(Client::is_idle)
+    }
+
     /// Opens the connection unless there is one.
     pub async fn connect(&mut self) -> Result<(), CallFailure> {
         if self.connection.is_none() {
--- a/load/src/log_operator.rs
+++ b/load/src/log_operator.rs
@@ -37,7 +37,7 @@
     /// Creates an operator that uses the log at `addr`.
     pub async fn new(addr: SocketAddr, operator: OperatorId) -> Self {
         Self {
-            log: LogClient::new(addr).await,
+            log: LogClient::new(addr),
             operator,
             fold: ReplicatedState::default(),
         }
