--- a/entry/tests/common/site.rs
+++ b/entry/tests/common/site.rs
@@ -118,7 +118,8 @@
         self.append(RecordId(Uuid::now_v7()), Body::Confirm(confirm));
     }
 
-    fn append(&self, id: RecordId, body: Body) {
+    /// Appends a record to the log.
+    pub fn append(&self, id: RecordId, body: Body) {
         let text = Record { id, body }.to_json();
         let head = format!(
             "POST /v1/records HTTP/1.1\r\nhost: log\r\ncontent-length: {}\r\n\r\n",
--- a/entry/tests/crowd/mod.rs
+++ b/entry/tests/crowd/mod.rs
@@ -159,7 +159,7 @@
 }
 
 /// Waits until the condition holds, for [`WAIT`] at most.
-fn wait(what: &str, mut condition: impl FnMut() -> bool) {
+pub fn wait(what: &str, mut condition: impl FnMut() -> bool) {
     let until = Instant::now() + WAIT;
     while !condition() {
         assert!(Instant::now() < until, "{what}: not within {WAIT:?}");
--- a/entry/tests/test_endless_answers.rs
+++ b/entry/tests/test_endless_answers.rs
@@ -10,9 +10,11 @@
 use std::time::Instant;
 
 use carobshore_lib::prelude::*;
+use carobshore_lib::record::Join;
 use carobshore_standin::broken_server::BrokenAnswer;
 use carobshore_standin::broken_server::BrokenServer;
 use carobshore_standin::endless_part::EndlessPart;
+use uuid::Uuid;
 
 use crate::common::site::Site;
 use crate::common::vm::Vm;
@@ -21,6 +23,7 @@
 use crate::crowd::daemon_of;
 use crate::crowd::send_from;
 use crate::crowd::start;
+use crate::crowd::wait;
 
 /// The peak resident memory, in KiB.
 const PEAK: u64 = 80 << 10;
@@ -92,22 +95,23 @@
     daemon.assert_holds(PEAK, 400);
 }
 
-#[test]
-fn answers_of_the_log_and_the_list_without_end_leave_the_process_within_its_bound() {
+/// Checks that daemons which read from a server that sends answers without end, one for each part,
+/// stay within their bound.
+fn assert_bounded(start: impl Fn(&BrokenServer) -> Daemon) {
     let readers: Vec<_> = EndlessPart::ALL
         .into_iter()
         .map(|part| {
             let source = endless_server(part);
-            let daemon = start(Site::new(0), source.addr(), source.addr(), &[]);
+            let daemon = start(&source);
             (part, source, daemon)
         })
         .collect();
     thread::sleep(STAY);
     let mut failed = Vec::new();
     for (part, source, daemon) in readers {
+        wait("the source is read", || source.endless_bytes() > 0);
         let peak = daemon.peak_memory();
         eprintln!("{part:?}: peak {peak:?} KiB");
-        assert!(source.endless_bytes() > 0, "{part:?} is read");
         if peak.is_none_or(|peak| peak >= PEAK) {
             failed.push(format!("{part:?}: {peak:?} KiB"));
         }
@@ -115,6 +119,27 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
+#[test]
+fn answers_of_the_log_and_the_list_without_end_leave_the_process_within_its_bound() {
+    assert_bounded(|source| start(Site::new(0), source.addr(), source.addr(), &[]));
+}
+
+#[test]
+fn answers_of_another_vm_without_end_leave_the_process_within_its_bound() {
+    assert_bounded(|source| {
+        let site = Site::new(0);
+        let join = Join {
+            vm: "entry-9.00000001".parse().unwrap(),
+            domain: "d1".parse().unwrap(),
+            rpc: source.addr(),
+            forward: source.addr(),
+        };
+        site.append(RecordId(Uuid::now_v7()), Body::Join(join));
+        let (log, list) = (site.log.addr(), site.vm_list.addr());
+        start(site, log, list, &[])
+    });
+}
+
 /// What a VM may hold of an answer while no part of it can be passed on, in bytes: the largest head
 /// (64 KiB) twice, while a buffer grows, and as much for what it reads at once.
 const MAX_HELD: u64 = 256 << 10;
--- a/gateway/tests/test_store_answers.rs
+++ b/gateway/tests/test_store_answers.rs
@@ -9,6 +9,10 @@
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
 use carobshore_platform::store_client::Topic;
+use carobshore_standin::broken_server::AnswerEnd;
+use carobshore_standin::broken_server::BrokenAnswer;
+use carobshore_standin::broken_server::BrokenServer;
+use carobshore_standin::broken_server::UploadRead;
 use carobshore_standin::raw_server::RawServer;
 use carobshore_standin::raw_server::ServerAction;
 use carobshore_standin::server::ANY_PORT;
@@ -29,14 +33,17 @@
     RawServer::start(ANY_PORT, |_| false, answer).expect("a store")
 }
 
-fn read(store: SocketAddr) -> Result<NewestRecords, StoreFailure> {
+fn run<T>(call: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
-    let mut client = StoreClient::new(store, Topic::Targets);
-    let read = async { tokio::time::timeout(READ_TIMEOUT, client.newest()).await };
-    runtime.block_on(read).expect("the read ends")
+    let ended = runtime.block_on(async { tokio::time::timeout(READ_TIMEOUT, call).await });
+    ended.expect("the call ends")
+}
+
+fn read(store: SocketAddr) -> Result<NewestRecords, StoreFailure> {
+    run(StoreClient::new(store, Topic::Targets).newest())
 }
 
 fn item(key: &str, value: &str) -> Value {
@@ -87,3 +94,51 @@
         Err(StoreFailure::Malformed(_))
     ));
 }
+
+/// The length of a record that the test writes, in bytes, and their number: more than the kernel takes.
+const RECORD: usize = 200 << 10;
+const RECORDS: usize = 80;
+/// How often an append is tried, because the order of a read and a write decides.
+const APPENDS: usize = 30;
+
+/// Guards against a record that counts as written although the answer broke off.
+#[test]
+fn an_append_whose_answer_breaks_off_is_not_acknowledged() {
+    for end in [AnswerEnd::Reset, AnswerEnd::Close, AnswerEnd::CloseAndReset] {
+        let answer = BrokenAnswer {
+            upload: UploadRead::Part,
+            bytes: b"HTTP/1.1 200 OK\r\n\r\n{".to_vec(),
+            end: end.clone(),
+        };
+        let store = BrokenServer::start(move |_| answer.clone()).expect("a store");
+        for _ in 0..APPENDS {
+            let records: Vec<_> = (0..RECORDS).map(|_| ("key", vec![b'x'; RECORD])).collect();
+            let mut client = StoreClient::new(store.addr(), Topic::Vms);
+            let appended = run(client.append(&records));
+            assert!(appended.is_err(), "{end:?}");
+        }
+    }
+}
+
+/// Guards against records that the store has not sent.
+#[test]
+fn an_answer_that_is_none_tells_no_records() {
+    let body = json!({"items": [item("a", "MQ==")], "HasMore": false, "End": 9}).to_string();
+    let length = body.len();
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    let around = whole.len();
+    let answers = [
+        format!("HTTP/1.1 000 Trouble\r\nContent-Length: {around}\r\n\r\n{whole}"),
+        whole.replacen("200", "20", 1),
+        whole.replacen("200", "2000", 1),
+        format!("HTTP/1.1 200 OK\r\n\nContent-Length: 1\r\n\r\n{body}"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\n{body}"),
+        whole.replacen("Length:", "Length :", 1),
+        whole.replacen("Content", "Con\u{1}tent", 1),
+    ];
+    for answer in answers {
+        let sent = BrokenAnswer::new(answer.clone(), AnswerEnd::Close);
+        let store = BrokenServer::start(move |_| sent.clone()).expect("a store");
+        assert!(read(store.addr()).is_err(), "{answer:?}");
+    }
+}
