http: LF alone in the size line of a chunk is rejected

One that takes LF for the end of a line gets "hello": the body would not be the target's.

Cause: the parser of the size line skips all bytes of an extension up to CR LF.

Change: the check of heads for LF alone serves that line as well. It holds for answers and for requests in chunks.

Evidence: malformed_chunks_are_errors has two cases more; the first was taken before, both are errors now. The tests of carobshore-http pass.

--- a/http/src/body.rs
+++ b/http/src/body.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use httparse::Status;
 
+use crate::head::has_lone_line_feed;
 use crate::message_error::MessageError;
 
 /// Longest chunk-size line, with its extensions, or trailer line, in bytes.
@@ -130,6 +131,10 @@
         let Status::Complete((used, size)) = parsed else {
             return incomplete_line(buffer);
         };
+        // Not all recipients take the bytes after it for an extension of the chunk.
+        if has_lone_line_feed(&buffer[..used]) {
+            return Err(MessageError::Malformed("a chunk-size line has a lone LF"));
+        }
         buffer.advance(used);
         self.chunk = match size {
             0 => ChunkState::Trailer,
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -162,8 +162,8 @@
 }
 
 /// Returns whether a line feed does not follow a carriage return.
-fn has_lone_line_feed(head: &[u8]) -> bool {
-    let lines = head.split_inclusive(|byte| *byte == b'\n');
+pub(crate) fn has_lone_line_feed(bytes: &[u8]) -> bool {
+    let lines = bytes.split_inclusive(|byte| *byte == b'\n');
     let mut ended = lines.filter(|line| line.ends_with(b"\n"));
     ended.any(|line| !line.ends_with(b"\r\n"))
 }
--- a/http/tests/test_messages.rs
+++ b/http/tests/test_messages.rs
@@ -132,6 +132,8 @@
         "1\r\nabc\r\n",
         "-1\r\na\r\n",
         "ffffffffffffffffff\r\n",
+        "5;a\nhello\r\nworld\r\n0\r\n\r\n",
+        "5;a\n\r\nworld\r\n0\r\n\r\n",
     ] {
         let mut body = BodyReader::new(Framing::Chunked, 100).expect("a body");
         assert!(body.advance(&mut BytesMut::from(sent)).is_err(), "{sent:?}");
