--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -21,6 +22,7 @@
 use crate::common::Gateway;
 use crate::common::Site;
 use crate::common::call;
+use crate::common::connect;
 use crate::common::request;
 use crate::common::routes;
 use crate::common::site;
@@ -49,6 +51,11 @@
 
 impl BrokenTarget {
     fn start(name: &str) -> Self {
+        Self::start_with(name, health())
+    }
+
+    /// Starts a target that answers health checks like this.
+    fn start_with(name: &str, health: BrokenAnswer) -> Self {
         let answer = Arc::new(Mutex::new(None));
         let ids = Arc::new(Mutex::new(Vec::new()));
         let (shared, seen) = (Arc::clone(&answer), Arc::clone(&ids));
@@ -59,7 +66,7 @@
                     lock(&seen).push(id_of(head).to_owned());
                     with_id(answer, id_of(head))
                 }
-                None => health(),
+                None => health.clone(),
             }
         })
         .expect("a server");
@@ -265,3 +272,63 @@
     });
     target.assert_rejected(cases);
 }
+
+/// The slots of the target that this takes are all that it has.
+const SLOTS: u32 = 2;
+
+/// Takes all slots of a target that answers health checks like this, so that the next request makes the
+/// gateway check it. Returns how many checks count as answered, and how many as failed.
+fn checks(name: &str, health: BrokenAnswer) -> [u64; 2] {
+    let target = BrokenTarget::start_with(name, health);
+    *lock(&target.answer) = Some(BrokenAnswer::new("", AnswerEnd::Silent));
+    let send = |id: String| {
+        let mut stream = connect(target.gateway.callers).expect("a connection");
+        let text = request("unsafe", &id, UPLOAD_MS, "x");
+        stream.write_all(text.as_bytes()).expect("a write");
+        stream
+    };
+    let mut waiting: Vec<_> = (0..SLOTS).map(|at| send(format!("id-{at}"))).collect();
+    wait("all slots are taken", || {
+        lock(&target.ids).len() == SLOTS as usize
+    });
+    waiting.push(send("id-more".to_owned()));
+    let count = |end: &str| {
+        let metrics = target.gateway.metrics();
+        let is_end = |line: &&str| line.contains("health_checks") && line.contains(end);
+        let line = metrics.lines().find(is_end).map(str::to_owned);
+        let count = line.and_then(|line| line.split_whitespace().last()?.parse().ok());
+        count.unwrap_or(0)
+    };
+    let counts = || [count("without-load") + count("answered"), count("failed")];
+    wait("the target is checked", || counts() != [0, 0]);
+    counts()
+}
+
+#[test]
+fn a_broken_answer_to_a_health_check_is_none() {
+    assert_eq!(checks("health-whole", health())[1], 0);
+    let whole = String::from_utf8(health().bytes).expect("a text");
+    let around = format!(
+        "HTTP/1.1 000 Trouble\r\nContent-Length: {}\r\n\r\n{whole}",
+        whole.len()
+    );
+    let answers = [
+        ("health-status", around),
+        ("health-digits", whole.replacen("200", "20", 1)),
+        (
+            "health-name",
+            whole.replacen("Content-Length:", "Content-Length :", 1),
+        ),
+        (
+            "health-lf",
+            whole.replacen("Content-Length", "\nContent-Length", 1),
+        ),
+    ];
+    for (name, text) in answers {
+        let [answered, failed] = checks(name, BrokenAnswer::new(text, AnswerEnd::Close));
+        assert!(
+            answered == 0 && failed > 0,
+            "{name}: {answered} answered, {failed} failed"
+        );
+    }
+}
