standin: a server that ends its answer during an upload leaves the rest unread

The test of an answer that ends during the upload depended on a pause: a client that was kept from running for longer could write the rest before it looked, and the answer then ends after the upload. The cases and what they expect are as before. One comment is clearer.

--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -88,7 +88,7 @@
 impl ResponseHead {
     /// Consumes a complete head from the buffer, or returns `None` if more bytes are needed. Skips
     /// interim (1xx) responses. Fails if the head is larger than `max_len` bytes, if its status is
-    /// none, or if a line of it ends with LF alone, like [`RequestHead::take`]: in a head that was
+    /// below 100, or if a line of it ends with LF alone, like [`RequestHead::take`]: in a head that was
     /// damaged, such a line can end it too early.
     pub fn take(buffer: &mut BytesMut, max_len: usize) -> Result<Option<Self>, MessageError> {
         loop {
--- a/standin/src/broken_server.rs
+++ b/standin/src/broken_server.rs
@@ -30,6 +30,8 @@
 const RECEIVE_BUFFER: usize = 16 << 10;
 /// How long a server waits between the bytes of an answer and the end of the connection.
 const PAUSE: Duration = Duration::from_millis(5);
+/// How long a server leaves the rest of an upload unread after the end of its answer.
+const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// How long a server waits for more of a request, in all.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections that wait to be accepted.
@@ -188,9 +190,12 @@
             AnswerEnd::Silent => return drain(&mut stream),
             AnswerEnd::Close => {
                 stream.shutdown(Shutdown::Write)?;
-                // A client that is still writing notices the end before the rest is read.
-                thread::sleep(PAUSE);
-                return drain(&mut stream);
+                if upload == UploadRead::Whole {
+                    return drain(&mut stream);
+                }
+                // The rest is not read: a client that wrote all of it would find the end too late.
+                thread::sleep(UNREAD_TIME);
+                return Ok(());
             }
             AnswerEnd::Reset => return reset(&stream),
             AnswerEnd::CloseAndReset => {
