gateway: tests wait for log lines that another thread collects

The process queues its log for a thread of its own, and the test collects it in another one, so the response can come first.

Change: `wait_for_line` waits for the line that was asked for before; `flush_log` collects everything that was logged up to now, where a line must not be there, or only once, and where all lines are counted. What is asked of the gateway is unchanged, and stricter where the log was read too early for a line that must not be in it.

a_caller_that_keeps_sending_does_not_delay_the_stop asked that no request runs twice, but sent requests that may be hedged. It sends requests now that must not be repeated, so that the check holds for each.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -33,6 +33,7 @@
 use carobshore_standin::site_store::SiteStore;
 use carobshore_standin::site_target::SiteTarget;
 use carobshore_standin::site_wire;
+use carobshore_standin::site_wire::REQUEST_ID;
 use carobshore_standin::site_wire::VmLimits;
 use carobshore_standin::site_wire::VmSettings;
 pub(crate) use carobshore_standin::site_wire::request;
@@ -299,7 +300,23 @@
             .count()
     }
 
-    /// Returns whether the log has a line with all of the texts.
+    /// Waits until the log has a line with all of the texts. Another thread collects the log, so that a
+    /// line may be read later than the response to its request.
+    pub(crate) fn wait_for_line(&self, texts: &[&str]) {
+        wait(&format!("a line with {texts:?}"), || self.has_line(texts));
+    }
+
+    /// Waits until all lines are collected that the process has logged so far: up to that of a request
+    /// which is refused.
+    pub(crate) fn flush_log(&self) {
+        let id = format!("flush-{}", self.lines().len());
+        let text = format!("GET /none/ HTTP/1.1\r\nHost: x\r\n{REQUEST_ID}: {id}\r\n\r\n");
+        let status = call(self.callers, &text).head.status;
+        assert!([401, 404].contains(&status), "{status}");
+        self.wait_for_line(&[&format!("\"{id}\"")]);
+    }
+
+    /// Returns whether the log has a line with all of the texts so far.
     pub(crate) fn has_line(&self, texts: &[&str]) -> bool {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines
--- a/gateway/tests/test_access.rs
+++ b/gateway/tests/test_access.rs
@@ -80,6 +80,7 @@
         200
     );
     assert_eq!(organisation_of(&site, "i3"), None);
+    gateway.flush_log();
     let log = gateway.lines().join("\n") + &gateway.dump();
     assert!(log.contains("org-a") && !log.contains("\"ka\"") && !log.contains("Bearer"));
 }
--- a/gateway/tests/test_crossing.rs
+++ b/gateway/tests/test_crossing.rs
@@ -106,7 +106,7 @@
             && line.ends_with(" 10")
     };
     assert!(metrics.lines().any(counted), "{metrics}");
-    assert!(gateway.has_line(&["\"left\":\"no-local-target\"", "attempt"]));
+    gateway.wait_for_line(&["\"left\":\"no-local-target\"", "attempt"]);
     site.targets[0].announce(&site.store, "ready");
     wait_for_targets(&gateway, &["i-0"], true);
     call_all(&gateway, "back", 10);
--- a/gateway/tests/test_endless.rs
+++ b/gateway/tests/test_endless.rs
@@ -86,7 +86,7 @@
     let peak = peak_memory(&gateway);
     assert!(peak < MEMORY_KIB, "{peak} KiB");
     assert!(served > 0 && !good.runs().is_empty(), "{served} served");
-    assert!(gateway.has_line(&["a response needs too much memory", "limit"]));
+    gateway.wait_for_line(&["a response needs too much memory", "limit"]);
     wait("the memory is given back", || {
         gateway.dump().contains("\"body_bytes\":0")
     });
--- a/gateway/tests/test_evacuation.rs
+++ b/gateway/tests/test_evacuation.rs
@@ -82,7 +82,7 @@
     wait("it is withdrawn", || {
         gateway.has_line(&["the evacuation of the domain is withdrawn"])
     });
-    assert!(gateway.has_line(&["before it has answered a health check", "i-a"]));
+    gateway.wait_for_line(&["before it has answered a health check", "i-a"]);
     wait("it is used again", || {
         served(&gateway, 5);
         site.targets[0].arrivals() > before
@@ -107,7 +107,7 @@
     let response = gateway.call("unsafe", "id-1", "x");
     assert_eq!(response.head.status, 503, "{}", response.body);
     assert_eq!(response.head.fields.text("retry-after"), Some("1.000"));
-    assert!(gateway.has_line(&["targets-unavailable", "in an evacuated domain"]));
+    gateway.wait_for_line(&["targets-unavailable", "in an evacuated domain"]);
     assert_eq!(arrivals(&site), [0, 0, 0]);
     // With no other targets, the VM does not wait for its turn to return.
     for domain in ["a", "b", "c"] {
--- a/gateway/tests/test_site.rs
+++ b/gateway/tests/test_site.rs
@@ -54,8 +54,8 @@
     }
     thread::sleep(Duration::from_millis(600));
     assert_eq!(gateway.call("unsafe", "id-3", "").head.status, 200);
-    assert!(gateway.has_line(&["\"version\":5", "the configuration is in force"]));
-    assert!(gateway.has_line(&["the configuration is ignored"]));
+    gateway.wait_for_line(&["\"version\":5", "the configuration is in force"]);
+    gateway.wait_for_line(&["the configuration is ignored"]);
 }
 
 /// Guards against a read of 20 s that starts just before a change and misses it. Seen in one of
@@ -358,7 +358,7 @@
     // A request without a response was not read before the process exited.
     while common::try_call(
         gateway.callers,
-        &request("safe", &format!("id-{index}"), 1_500, ""),
+        &request("unsafe", &format!("id-{index}"), 1_500, ""),
     )
     .is_some()
     {
--- a/gateway/tests/test_start.rs
+++ b/gateway/tests/test_start.rs
@@ -54,6 +54,7 @@
     let calls = site.store.calls() - before - reads_since(started);
     assert!(calls < VMS as u64, "{calls} calls");
     for gateway in &gateways {
+        gateway.flush_log();
         assert!(gateway.has_line(&["list of VMs read", "another VM"]));
     }
     let reader = gateways.iter().filter(|gateway| gateway.polls() == 0);
--- a/gateway/tests/test_target_notices.rs
+++ b/gateway/tests/test_target_notices.rs
@@ -137,10 +137,7 @@
     assert_eq!(response.head.status, 503);
     assert!(response.head.fields.text("Retry-After").is_some());
     assert_eq!(site.runs_of("id-1"), 0);
-    // Another thread collects the log.
-    wait("it is logged", || {
-        gateway.has_line(&["targets-unavailable", "leaving"])
-    });
+    gateway.wait_for_line(&["targets-unavailable", "leaving"]);
 }
 
 #[test]
@@ -166,7 +163,7 @@
     assert_eq!(target.arrivals(), before, "{calls} requests");
     thread::sleep(Duration::from_millis(900));
     call_until_run_by(&gateway, target);
-    assert!(gateway.has_line(&["target wants a pause", "1.5 s", target.id()]));
+    gateway.wait_for_line(&["target wants a pause", "1.5 s", target.id()]);
 }
 
 #[test]
@@ -222,6 +219,7 @@
     }
     site.targets[0].set(Behaviour::Serve);
     call_until_run_by(&gateway, &site.targets[0]);
+    gateway.flush_log();
     let lines = gateway.lines();
     let warnings = lines.iter().filter(|line| line.contains("malformed pause"));
     assert_eq!(warnings.count(), 1);
--- a/gateway/tests/test_warmup.rs
+++ b/gateway/tests/test_warmup.rs
@@ -201,9 +201,9 @@
         most as f64 <= BOUND,
         "{most} requests in a second, at most {BOUND}"
     );
-    let doubted =
-        |gateway: &Gateway| gateway.has_line(&["before it has answered a health check", "i-0"]);
-    assert!(gateways.iter().all(doubted));
+    for gateway in &gateways {
+        gateway.wait_for_line(&["before it has answered a health check", "i-0"]);
+    }
 }
 
 /// Without a rule in the configuration, a target that says it is cold is used as before.
@@ -218,6 +218,7 @@
     let served = call_all(&gateways, Duration::from_secs(2));
     let most = most_in_a_second(&site.targets[0], from, from + WARMUP);
     assert!(most as f64 > BOUND, "{most} in a second, {served} served");
+    gateways[0].flush_log();
     assert!(!gateways[0].has_line(&["target is cold"]));
     assert!(!gateways[0].has_line(&["before it has answered a health check"]));
 }
