standin: a server that is to reset a connection does so

A copy of the socket stayed open, in the list of connections, so the kernel sent an end of the stream and no reset. Tests of targets and of a store that reset their connections tested ends.

Change: the server drops its copy from the list and closes the last one, so that the kernel sends a reset alone. `reset_connections` and the drop of a server still send an end first, because another thread holds a copy; the comment says so.

--- a/standin/src/raw_server.rs
+++ b/standin/src/raw_server.rs
@@ -79,12 +79,17 @@
                 if stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let Ok(stream) = stream else { continue };
+                let Ok(mut stream) = stream else { continue };
                 if let Ok(copy) = stream.try_clone() {
                     lock(&connections).push(copy);
                 }
                 let (handler, before_body) = (Arc::clone(&handler), Arc::clone(&before_body));
-                thread::spawn(move || serve(stream, &*before_body, &*handler));
+                let connections = Arc::clone(&connections);
+                thread::spawn(move || {
+                    if serve(&mut stream, &*before_body, &*handler) == ConnectionEnd::Reset {
+                        reset_now(stream, &connections);
+                    }
+                });
             }
         });
         Ok(server)
@@ -120,34 +125,53 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How a connection ends on the side of the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The client or the server has closed it.
+    Closed,
+    /// The server is to reset it.
+    Reset,
+}
+
 fn serve(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
     before_body: &dyn Fn(&RequestHead) -> bool,
     handler: &dyn Fn(ReceivedRequest) -> ServerAction,
-) {
+) -> ConnectionEnd {
     let mut buffer = BytesMut::new();
-    while let Some(received) = receive(&mut stream, &mut buffer, before_body) {
+    while let Some(received) = receive(stream, &mut buffer, before_body) {
         let sent = match handler(received) {
             ServerAction::Send(bytes) => stream.write_all(&bytes),
             ServerAction::SendAndClose(bytes) => {
                 let _ = stream.write_all(&bytes);
                 let _ = stream.shutdown(std::net::Shutdown::Write);
-                return;
+                return ConnectionEnd::Closed;
             }
             ServerAction::SendAndReset(bytes) => {
                 let _ = stream.write_all(&bytes);
                 thread::sleep(Duration::from_millis(20));
-                return reset(&stream);
+                return ConnectionEnd::Reset;
             }
             ServerAction::Hang => {
-                let _ = io::copy(&mut stream, &mut io::sink());
-                return;
+                let _ = io::copy(stream, &mut io::sink());
+                return ConnectionEnd::Closed;
             }
         };
         if sent.is_err() {
-            return;
+            return ConnectionEnd::Closed;
         }
     }
+    ConnectionEnd::Closed
+}
+
+/// Resets a connection. The kernel does so when the last copy of the socket is closed, without an end of
+/// the stream before.
+fn reset_now(stream: TcpStream, connections: &Mutex<Vec<TcpStream>>) {
+    let peer = stream.peer_addr().ok();
+    lock(connections).retain(|copy| copy.peer_addr().ok() != peer);
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    drop(stream);
 }
 
 fn receive(
@@ -179,6 +203,8 @@
     Some(())
 }
 
+/// Ends a connection that another thread uses: the end of the stream comes first, the reset when that
+/// thread has closed its copy.
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
     let _ = stream.shutdown(std::net::Shutdown::Both);
