http: a body in another transfer coding than chunked is rejected

The client of the gateway gets 200 with the coded bytes for the body, and nothing names the coding.

Cause: a list that contains `chunked` counted as chunks alone, in any order, also in two fields or twice. The field is for one connection and is not forwarded.

Change: a response, like a request, is read only if `chunked` is its one transfer coding; the rule stands once now.

--- a/entry/tests/test_broken_answers.rs
+++ b/entry/tests/test_broken_answers.rs
@@ -142,6 +142,36 @@
     assert_rejected(cases, "x");
 }
 
+/// Guards against a caller that gets the bytes of a coding for the body, because the field that names it
+/// is for one connection only.
+#[test]
+fn an_answer_in_a_transfer_coding_besides_chunks_is_not_whole() {
+    let chunks = format!("{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len());
+    let answered = |codings: &[&str]| {
+        let field = |coding: &&str| format!("transfer-encoding: {coding}\r\n");
+        let fields: String = codings.iter().map(field).collect();
+        let text = format!("HTTP/1.1 200 OK\r\n{fields}\r\n{chunks}");
+        BrokenAnswer::new(text, AnswerEnd::Close)
+    };
+    let response = post(&answered(&["chunked"]), "x");
+    assert!(is_whole(&response), "{}", response.text);
+    let codings: [&[&str]; 11] = [
+        &["gzip, chunked"],
+        &["gzip", "chunked"],
+        &["chunked", "gzip"],
+        &["chunked, gzip"],
+        &["deflate,chunked"],
+        &["identity, chunked"],
+        &["chunked, identity"],
+        &["chunked, chunked"],
+        &["chunked", "chunked"],
+        &["chunked;q=1"],
+        &["gzip"],
+    ];
+    let cases = codings.map(|codings| (format!("{codings:?}"), answered(codings)));
+    assert_rejected(cases.into_iter(), "x");
+}
+
 /// Guards against a VM that fails over a name which is longer than the HTTP library allows.
 #[test]
 fn an_answer_with_a_name_of_any_length_is_no_answer() {
--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -273,6 +273,45 @@
     target.assert_rejected(cases);
 }
 
+/// Guards against a client that gets the bytes of a coding for the body, because the field that names it
+/// is for one connection only.
+#[test]
+fn an_answer_in_a_transfer_coding_besides_chunks_is_no_answer() {
+    let target = BrokenTarget::start("broken-codings");
+    let chunks = format!("{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len());
+    let answered = |fields: &str| {
+        let text = answer("HTTP/1.1 200 OK", fields, &chunks);
+        BrokenAnswer::new(text, AnswerEnd::Open)
+    };
+    for (at, coding) in ["chunked", "Chunked", " chunked "].into_iter().enumerate() {
+        let whole = answered(&format!("Transfer-Encoding: {coding}\r\n"));
+        let got = target.call(&format!("whole-{at}"), whole, "x");
+        assert_eq!(got, (200, BODY.to_owned()), "{coding:?}");
+    }
+    let cases = CODINGS.map(|codings| {
+        let field = |coding: &&str| format!("Transfer-Encoding: {coding}\r\n");
+        let fields: String = codings.iter().map(field).collect();
+        (format!("{codings:?}"), answered(&fields))
+    });
+    target.assert_rejected(cases.into_iter());
+}
+
+/// Values of the fields that name the transfer codings.
+const CODINGS: [&[&str]; 12] = [
+    &["gzip, chunked"],
+    &["gzip", "chunked"],
+    &["chunked", "gzip"],
+    &["chunked, gzip"],
+    &["deflate,chunked"],
+    &["identity, chunked"],
+    &["chunked, identity"],
+    &["chunked, chunked"],
+    &["chunked", "chunked"],
+    &["chunked;q=1"],
+    &["\"chunked\""],
+    &["gzip"],
+];
+
 /// The slots of the target that this takes are all that it has.
 const SLOTS: u32 = 2;
 
--- a/http/src/head.rs
+++ b/http/src/head.rs
@@ -70,9 +70,7 @@
     pub fn framing(&self) -> Result<Framing, MessageError> {
         let lengths = self.fields.count("content-length");
         if self.fields.count("transfer-encoding") > 0 {
-            let coding = self.fields.text("transfer-encoding").unwrap_or_default();
-            let single = self.fields.count("transfer-encoding") == 1 && lengths == 0;
-            return match single && coding.eq_ignore_ascii_case("chunked") {
+            return match is_chunked_only(&self.fields) && lengths == 0 {
                 true => Ok(Framing::Chunked),
                 false => Err(MessageError::Malformed("ambiguous body length")),
             };
@@ -128,12 +126,15 @@
     }
 
     /// Returns how the end of the body is determined. `method` is the method of the request.
+    ///
+    /// A body in another transfer coding is rejected, also if it is sent in chunks: the field that names
+    /// the coding is not forwarded, and the next recipient would take the coded bytes for the body.
     pub fn framing(&self, method: &str) -> Result<Framing, MessageError> {
         if method == "HEAD" || matches!(self.status, 204 | 304) {
             return Ok(Framing::Length(0));
         }
         if self.fields.count("transfer-encoding") > 0 {
-            return match self.fields.has_token("transfer-encoding", "chunked") {
+            return match is_chunked_only(&self.fields) {
                 true => Ok(Framing::Chunked),
                 false => Err(MessageError::Malformed("unsupported transfer coding")),
             };
@@ -161,6 +162,12 @@
     }
 }
 
+/// Returns whether chunked is the only transfer coding, and is applied once.
+fn is_chunked_only(fields: &Fields) -> bool {
+    let coding = fields.text("transfer-encoding").unwrap_or_default();
+    fields.count("transfer-encoding") == 1 && coding.eq_ignore_ascii_case("chunked")
+}
+
 /// Returns whether a line feed does not follow a carriage return.
 pub(crate) fn has_lone_line_feed(bytes: &[u8]) -> bool {
     let lines = bytes.split_inclusive(|byte| *byte == b'\n');
