gateway: a list of the store without end is bounded

Up to six probes of each topic read the list at the same time. The process grows until the VM has no memory left.

Cause: each page is bounded, the number of pages is not, and a probe was a whole list.

A probe ends with its first page: the store answers, so the other probes end, and that one reads the rest. Lists of one page are read as before.

--- a/gateway/src/store_probes.rs
+++ b/gateway/src/store_probes.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use carobshore_lib::reconnect_pacer::ReconnectPacer;
+use carobshore_platform::store_client::FirstPage;
 use carobshore_platform::store_client::NewestRecords;
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
@@ -44,7 +45,20 @@
     pub time: Duration,
 }
 
-type Probe = Pin<Box<dyn Future<Output = Result<ProbeAnswer, StoreFailure>>>>;
+/// What a call of a probe has returned.
+enum ProbeStep {
+    /// The response of the store, whole.
+    Answer(ProbeAnswer),
+    /// The first page of a list.
+    FirstPage {
+        client: StoreClient,
+        page: FirstPage,
+        /// How long the call took.
+        time: Duration,
+    },
+}
+
+type Probe = Pin<Box<dyn Future<Output = Result<ProbeStep, StoreFailure>>>>;
 
 /// The running probes of one topic.
 pub struct StoreProbes {
@@ -52,6 +66,8 @@
     topic: Topic,
     pace: ReconnectPacer,
     running: FuturesUnordered<Probe>,
+    /// Whether the only probe that runs reads the rest of a list. There is memory for one list.
+    reads_rest: bool,
 }
 
 impl StoreProbes {
@@ -62,6 +78,7 @@
             topic,
             pace: ReconnectPacer::new(Instant::now()),
             running: FuturesUnordered::new(),
+            reads_rest: false,
         }
     }
 
@@ -79,13 +96,36 @@
     ) -> Result<ProbeAnswer, StoreFailure> {
         loop {
             let due = self.pace.due(self.running.len(), waiting);
+            let due = due.filter(|_| !self.reads_rest);
             tokio::select! {
-                Some(result) = self.running.next() => return result,
+                Some(result) = self.running.next() => match self.on_step(result) {
+                    Some(result) => return result,
+                    None => continue,
+                },
                 () = sleep_until(due.unwrap_or_else(Instant::now).into()), if due.is_some() => self.start_probe(from),
             }
         }
     }
 
+    /// Returns the result of a probe. After the first page of a list there is none yet: the probe reads
+    /// the rest, and the others end, because the store answers.
+    fn on_step(
+        &mut self,
+        step: Result<ProbeStep, StoreFailure>,
+    ) -> Option<Result<ProbeAnswer, StoreFailure>> {
+        self.reads_rest = false;
+        match step {
+            Ok(ProbeStep::Answer(answer)) => Some(Ok(answer)),
+            Ok(ProbeStep::FirstPage { client, page, time }) => {
+                self.running.clear();
+                self.running.push(Box::pin(read_rest(client, page, time)));
+                self.reads_rest = true;
+                None
+            }
+            Err(failure) => Some(Err(failure)),
+        }
+    }
+
     fn start_probe(&mut self, from: Option<u64>) {
         self.pace.began(Instant::now());
         let client = StoreClient::new(self.addr, self.topic);
@@ -93,22 +133,41 @@
     }
 }
 
-async fn probe(mut client: StoreClient, from: Option<u64>) -> Result<ProbeAnswer, StoreFailure> {
+/// Calls the store once.
+async fn probe(mut client: StoreClient, from: Option<u64>) -> Result<ProbeStep, StoreFailure> {
     let started = Instant::now();
     let answer = match from {
         Some(from) => client
             .read(from, Duration::ZERO, RESPONSE_TIMEOUT)
             .await
             .map(ProbeResult::Changes),
-        None => client.newest().await.map(ProbeResult::Everything),
+        None => {
+            let page = client.first_page().await?;
+            let time = started.elapsed();
+            return Ok(ProbeStep::FirstPage { client, page, time });
+        }
     };
     let result = match answer {
         Err(StoreFailure::Expired) => ProbeResult::Expired,
         answer => answer?,
     };
-    Ok(ProbeAnswer {
+    Ok(ProbeStep::Answer(ProbeAnswer {
         client,
         result,
         time: started.elapsed(),
-    })
+    }))
+}
+
+/// Reads the rest of a list.
+async fn read_rest(
+    mut client: StoreClient,
+    page: FirstPage,
+    time: Duration,
+) -> Result<ProbeStep, StoreFailure> {
+    let newest = client.newest_after(page).await?;
+    Ok(ProbeStep::Answer(ProbeAnswer {
+        client,
+        result: ProbeResult::Everything(newest),
+        time,
+    }))
 }
--- a/gateway/tests/test_endless_sources.rs
+++ b/gateway/tests/test_endless_sources.rs
@@ -4,12 +4,18 @@
 mod common;
 mod crowd;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use carobshore_standin::broken_server::BrokenAnswer;
 use carobshore_standin::broken_server::BrokenServer;
 use carobshore_standin::endless_part::EndlessPart;
+use carobshore_standin::raw_server::RawServer;
+use carobshore_standin::raw_server::ServerAction;
+use carobshore_standin::server::ANY_PORT;
 
 use crate::common::Gateway;
 use crate::common::Site;
@@ -74,3 +80,54 @@
         site.start_seeded(name, &[source.addr()])
     });
 }
+
+/// The size of a page, in bytes, like that of the store.
+const PAGE: usize = 1 << 20;
+/// The sizes of the records in a page, as JSON, in bytes.
+const RECORDS: [usize; 3] = [64, 1 << 10, 256 << 10];
+/// How many pages each process reads at least.
+const PAGES: usize = 40;
+
+/// Starts a store whose list of the newest records never ends, with rising keys. Returns the number of
+/// pages that it has sent, too.
+fn endless_list(record: usize) -> (RawServer, Arc<AtomicUsize>) {
+    let pages = Arc::new(AtomicUsize::new(0));
+    let sent = Arc::clone(&pages);
+    let answer = move |_| {
+        let page = sent.fetch_add(1, Ordering::SeqCst);
+        let item = |index: usize| {
+            let start = format!(r#"{{"Key":"{page:08}-{index:06}","Offset":1,"Value":""#);
+            let value = "QUFB".repeat(record.saturating_sub(start.len()) / 4);
+            format!(r#"{start}{value}"}}"#)
+        };
+        let items: Vec<_> = (0..PAGE / record).map(item).collect();
+        let items = items.join(",");
+        let body = format!(r#"{{"items":[{items}],"HasMore":true,"End":9}}"#);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        ServerAction::Send((head + &body).into_bytes())
+    };
+    let store = RawServer::start(ANY_PORT, |_| false, answer).expect("a store");
+    (store, pages)
+}
+
+#[test]
+fn a_list_of_the_store_without_end_leaves_the_process_within_half_its_memory() {
+    let mut site = site("endless-list", 1);
+    let readers = RECORDS.map(|record| {
+        let (store, pages) = endless_list(record);
+        site.store_addr = store.addr();
+        let gateway = site.start_gateway(&format!("edge-{record}"));
+        (record, gateway, store, pages)
+    });
+    thread::sleep(STAY);
+    let mut failed = Vec::new();
+    for (record, gateway, _store, pages) in readers {
+        wait("pages are read", || pages.load(Ordering::SeqCst) >= PAGES);
+        let peak = peak_memory(&gateway);
+        eprintln!("{record}: peak {peak:?} KiB");
+        if peak.is_none_or(|peak| peak >= PEAK) {
+            failed.push(format!("records of {record} bytes: {peak:?} KiB"));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
--- a/gateway/tests/test_store_answers.rs
+++ b/gateway/tests/test_store_answers.rs
@@ -1,5 +1,7 @@
 //! Guards against a reader that stops, or never ends, because of what an answer of the store says.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -16,9 +18,13 @@
 use carobshore_standin::raw_server::RawServer;
 use carobshore_standin::raw_server::ServerAction;
 use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_target::SiteTarget;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::common::site;
+use crate::common::wait;
+
 /// A read takes at most this long, with many times the number of calls that it needs.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -74,6 +80,43 @@
     assert_eq!((newest.records.len(), newest.end), (4, 9));
 }
 
+/// The number of targets of the largest deployment, and the length of the entry of one, in bytes.
+const TARGET_ENTRIES: usize = 21_000;
+const ENTRY: usize = 300;
+/// The number of records on a page.
+const PAGE: usize = 3_000;
+
+#[test]
+fn the_entries_of_all_targets_of_the_largest_deployment_are_read() {
+    let store = store(|call| {
+        let value = "QUFB".repeat(ENTRY / 3);
+        let keys = (0..PAGE).map(|index| format!("target-{call:03}-{index:06}"));
+        let items: Vec<_> = keys.map(|key| item(&key, &value)).collect();
+        json!({"items": items, "HasMore": call < 6, "End": 9})
+    });
+    let newest = read(store.addr()).expect("the records");
+    assert_eq!(newest.records.len(), TARGET_ENTRIES);
+}
+
+#[test]
+fn a_gateway_reads_a_list_of_several_pages_whole() {
+    let mut site = site("several-pages", 5);
+    site.store.set_page(2);
+    let mut gateway = site.gateway("edge-1");
+    for round in 0..2 {
+        wait("all targets are known", || {
+            let dump = gateway.dump();
+            let known = |target: &SiteTarget| dump.contains(&format!("\"{}\"", target.id()));
+            site.targets.iter().all(known)
+        });
+        let target = SiteTarget::start(ANY_PORT, &format!("new-{round}"), "status", "a");
+        let target = target.expect("a target");
+        target.announce(&site.store, "ready");
+        site.targets.push(target);
+        gateway.restart();
+    }
+}
+
 /// Otherwise one record of another writer would hide all targets.
 #[test]
 fn a_value_that_cannot_be_decoded_is_counted_and_the_others_hold() {
--- a/standin/src/site_store.rs
+++ b/standin/src/site_store.rs
@@ -60,6 +60,8 @@
     topics: HashMap<String, Topic>,
     fault: StoreFault,
     calls: u64,
+    /// The number of records on a page of the newest ones; all if there is none.
+    page: Option<usize>,
 }
 
 /// A running store.
@@ -90,6 +92,11 @@
         changed.notify_all();
     }
 
+    /// Sets the number of records on a page of the newest ones.
+    pub fn set_page(&self, records: usize) {
+        lock(&self.state.0).page = Some(records);
+    }
+
     /// Compacts a topic to the newest record of each key, so that reads from an earlier offset fail.
     pub fn drop_history(&self, topic: &str) {
         let (state, changed) = &*self.state;
@@ -157,7 +164,7 @@
             changed.notify_all();
             answer
         }
-        "/-/log-newest" => newest(&lock(state), topic),
+        "/-/log-newest" => newest(&lock(state), topic, query.get("after").copied()),
         "/-/log-read" => {
             let wait = Duration::from_millis(number("WaitMs"));
             read(shared, topic, number("From"), wait)
@@ -195,7 +202,9 @@
     Some((String::from_utf8_lossy(key).into_owned(), value))
 }
 
-fn newest(state: &State, topic: &str) -> ServerAction {
+/// Returns the page of the newest records after a key, which has to consist of unreserved characters.
+fn newest(state: &State, topic: &str, after: Option<&str>) -> ServerAction {
+    let size = state.page.unwrap_or(usize::MAX);
     let Some(topic) = state.topics.get(topic) else {
         return reply(200, b"{\"items\":[],\"HasMore\":false,\"End\":0}");
     };
@@ -203,14 +212,17 @@
     for (offset, key, value) in &topic.records {
         newest.insert(key, (offset, value));
     }
-    let items: Vec<_> = newest
-        .into_iter()
+    let newest = newest.into_iter();
+    let mut items: Vec<_> = newest
+        .filter(|(key, _)| after.is_none_or(|after| &***key > after))
         .filter_map(|(key, (offset, value))| {
             let value = BASE64_STANDARD.encode(value.as_ref()?);
             Some(serde_json::json!({"Key": key, "Value": value, "Offset": offset}))
         })
         .collect();
-    let body = serde_json::json!({"items": items, "HasMore": false, "End": topic.end});
+    let has_more = items.len() > size;
+    items.truncate(size);
+    let body = serde_json::json!({"items": items, "HasMore": has_more, "End": topic.end});
     reply(200, body.to_string().as_bytes())
 }
 
