--- a/entry/tests/test_broken_answers.rs
+++ b/entry/tests/test_broken_answers.rs
@@ -8,6 +8,7 @@
 use carobshore_standin::broken_server::AnswerEnd;
 use carobshore_standin::broken_server::BrokenAnswer;
 use carobshore_standin::broken_server::BrokenServer;
+use carobshore_standin::broken_server::OTHER_CODINGS;
 use carobshore_standin::broken_server::UploadRead;
 
 use common::RawResponse;
@@ -155,20 +156,7 @@
     };
     let response = post(&answered(&["chunked"]), "x");
     assert!(is_whole(&response), "{}", response.text);
-    let codings: [&[&str]; 11] = [
-        &["gzip, chunked"],
-        &["gzip", "chunked"],
-        &["chunked", "gzip"],
-        &["chunked, gzip"],
-        &["deflate,chunked"],
-        &["identity, chunked"],
-        &["chunked, identity"],
-        &["chunked, chunked"],
-        &["chunked", "chunked"],
-        &["chunked;q=1"],
-        &["gzip"],
-    ];
-    let cases = codings.map(|codings| (format!("{codings:?}"), answered(codings)));
+    let cases = OTHER_CODINGS.map(|codings| (format!("{codings:?}"), answered(codings)));
     assert_rejected(cases.into_iter(), "x");
 }
 
--- a/gateway/tests/test_broken_answers.rs
+++ b/gateway/tests/test_broken_answers.rs
@@ -11,6 +11,7 @@
 use carobshore_standin::broken_server::AnswerEnd;
 use carobshore_standin::broken_server::BrokenAnswer;
 use carobshore_standin::broken_server::BrokenServer;
+use carobshore_standin::broken_server::OTHER_CODINGS;
 use carobshore_standin::broken_server::UploadRead;
 use carobshore_standin::raw_server::lock;
 use carobshore_standin::site_store::OPERATORS;
@@ -288,7 +289,7 @@
         let got = target.call(&format!("whole-{at}"), whole, "x");
         assert_eq!(got, (200, BODY.to_owned()), "{coding:?}");
     }
-    let cases = CODINGS.map(|codings| {
+    let cases = OTHER_CODINGS.map(|codings| {
         let field = |coding: &&str| format!("Transfer-Encoding: {coding}\r\n");
         let fields: String = codings.iter().map(field).collect();
         (format!("{codings:?}"), answered(&fields))
@@ -296,22 +297,6 @@
     target.assert_rejected(cases.into_iter());
 }
 
-/// Values of the fields that name the transfer codings.
-const CODINGS: [&[&str]; 12] = [
-    &["gzip, chunked"],
-    &["gzip", "chunked"],
-    &["chunked", "gzip"],
-    &["chunked, gzip"],
-    &["deflate,chunked"],
-    &["identity, chunked"],
-    &["chunked, identity"],
-    &["chunked, chunked"],
-    &["chunked", "chunked"],
-    &["chunked;q=1"],
-    &["\"chunked\""],
-    &["gzip"],
-];
-
 /// The slots of the target that this takes are all that it has.
 const SLOTS: u32 = 2;
 
--- a/standin/src/broken_server.rs
+++ b/standin/src/broken_server.rs
@@ -37,6 +37,22 @@
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 64;
 
+/// Transfer codings besides chunks alone: the values of the fields that name them.
+pub const OTHER_CODINGS: [&[&str]; 12] = [
+    &["gzip, chunked"],
+    &["gzip", "chunked"],
+    &["chunked", "gzip"],
+    &["chunked, gzip"],
+    &["deflate,chunked"],
+    &["identity, chunked"],
+    &["chunked, identity"],
+    &["chunked, chunked"],
+    &["chunked", "chunked"],
+    &["chunked;q=1"],
+    &["\"chunked\""],
+    &["gzip"],
+];
+
 /// How much of the body of a request is read before the answer is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UploadRead {
