--- a/gateway/tests/test_endless_sources.rs
+++ b/gateway/tests/test_endless_sources.rs
@@ -83,21 +83,28 @@
 
 /// The size of a page, in bytes, like that of the store.
 const PAGE: usize = 1 << 20;
-/// The sizes of the records in a page, as JSON, in bytes.
-const RECORDS: [usize; 3] = [64, 1 << 10, 256 << 10];
+/// The sizes of the records in a page, as JSON, in bytes, and what their values repeat: text, bytes that are
+/// not valid UTF-8, or no base64.
+const RECORDS: [(usize, &str); 5] = [
+    (64, "QUFB"),
+    (1 << 10, "QUFB"),
+    (256 << 10, "QUFB"),
+    (1 << 10, "////"),
+    (1 << 10, "%%%%"),
+];
 /// How many pages each process reads at least.
 const PAGES: usize = 40;
 
 /// Starts a store whose list of the newest records never ends, with rising keys. Returns the number of
 /// pages that it has sent, too.
-fn endless_list(record: usize) -> (RawServer, Arc<AtomicUsize>) {
+fn endless_list(record: usize, value: &'static str) -> (RawServer, Arc<AtomicUsize>) {
     let pages = Arc::new(AtomicUsize::new(0));
     let sent = Arc::clone(&pages);
     let answer = move |_| {
         let page = sent.fetch_add(1, Ordering::SeqCst);
         let item = |index: usize| {
             let start = format!(r#"{{"Key":"{page:08}-{index:06}","Offset":1,"Value":""#);
-            let value = "QUFB".repeat(record.saturating_sub(start.len()) / 4);
+            let value = value.repeat(record.saturating_sub(start.len()) / 4);
             format!(r#"{start}{value}"}}"#)
         };
         let items: Vec<_> = (0..PAGE / record).map(item).collect();
@@ -113,12 +120,13 @@
 #[test]
 fn a_list_of_the_store_without_end_leaves_the_process_within_half_its_memory() {
     let mut site = site("endless-list", 1);
-    let readers = RECORDS.map(|record| {
-        let (store, pages) = endless_list(record);
+    let mut readers = Vec::new();
+    for (index, (record, value)) in RECORDS.into_iter().enumerate() {
+        let (store, pages) = endless_list(record, value);
         site.store_addr = store.addr();
-        let gateway = site.start_gateway(&format!("edge-{record}"));
-        (record, gateway, store, pages)
-    });
+        let gateway = site.start_gateway(&format!("edge-{index}"));
+        readers.push((format!("{record} bytes of {value}"), gateway, store, pages));
+    }
     thread::sleep(STAY);
     let mut failed = Vec::new();
     for (record, gateway, _store, pages) in readers {
@@ -126,7 +134,7 @@
         let peak = peak_memory(&gateway);
         eprintln!("{record}: peak {peak:?} KiB");
         if peak.is_none_or(|peak| peak >= PEAK) {
-            failed.push(format!("records of {record} bytes: {peak:?} KiB"));
+            failed.push(format!("records of {record}: {peak:?} KiB"));
         }
     }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
