review: case 15, two sets of machines own one allotment after a drill of the store (QUOTA)

Cause: registrations that a drill of the store has lost are not written again, and a restarted machine takes the short list for the whole. The stand-in starts the first machines with Bootstrap set.

--- a/review/standin-3/site3.py
+++ b/review/standin-3/site3.py
@@ -449,7 +449,7 @@
     """Everything that a script starts."""
 
     def __init__(self, record, zones=("a", "b", "c")):
-        self.record, self.zones, self.bootstrap = record, zones, False
+        self.record, self.zones, self.bootstrap = record, zones, True
         self.temporary = tempfile.TemporaryDirectory(prefix="review-3-")
         self.folder = pathlib.Path(self.temporary.name)
         self.store, self.gateways, self.backends = Store(record), [], []
@@ -478,11 +478,14 @@
             await asyncio.sleep(0.05)
 
     async def start_gateways(self):
+        """Starts the whole system for the first time. Later starts have `Bootstrap` unset."""
         for gateway in self.gateways:
             gateway.start()
         for gateway in self.gateways:
             await self.wait(f"{gateway.name} is ready", gateway.is_ready)
             self.record(f"gateway {gateway.name} is ready")
+        await asyncio.sleep(3)  # Traffic starts some seconds after the machines.
+        self.bootstrap = False
 
     def next_id(self):
         self.sent += 1
