--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A faulty backend breaks an answer off within its head and then answers 500 on the same connection."""
+"""A drill of the store: it comes back from a copy some seconds old, and then a backend leaves."""
 
 import asyncio
 import pathlib
@@ -9,68 +9,61 @@
 
 import site3  # noqa: E402
 
-EVERY = 4  # the faulty backend breaks off one answer in so many
-SECONDS = 8
+DRAIN = 2.0  # `Drain`
+CONTACT = 3.0  # `Contact`
+AWAY = 1.0  # how long the store is away
+COPY_AGE = 7.0  # how old the copy is when the store goes away
+SERVES_ON = 8.0  # how long the backend serves on after its entry is gone
+BACKENDS = 8
 
 
-class FaultyBackend(site3.Backend):
-    """Its handler starts a 200, fails, and its server then sends the 500 of the failed request."""
-
-    async def run(self, request, identity, common, writer):
-        if not site3.TROUBLE or len(self.runs) % EVERY:
-            return await super().run(request, identity, common, writer)
-        self.runs.append((self.record.now(), identity))
-        self.record(f"backend {self.name} runs {identity} and fails: its answer is 500")
-        self.failed.add(identity)
-        await asyncio.sleep(self.work)
-        # The answer is cut off before the end of its head.
-        writer.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {identity}\r\nInstance-Id: {self.name}".encode())
-        await writer.drain()
-        fields = common + [("Response-Signature", f"sig.{self.name}.{identity}")]
-        writer.write(site3.encode("HTTP/1.1 500 Internal Server Error", fields, b"the work has failed\n"))
-
-
-async def clients(site, gateway, kind, answers):
+async def clients(site, gateway, kind):
     while True:
-        answers.append(asyncio.create_task(site.call(gateway, kind)))
-        await asyncio.sleep(0.1)
+        asyncio.create_task(site.call(gateway, kind))
+        await asyncio.sleep(0.15)
 
 
 async def case(site):
-    store, failed = site.store, set()
+    record, store = site.record, site.store
     await store.open()
     site.configure(1, [site3.service("status"), site3.route("safe", "status"), site3.route("unsafe", "status")])
-    for index in range(4):
+    for index in range(BACKENDS):
         backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3])
-        if index == 0:
-            backend.__class__, backend.failed = FaultyBackend, failed
-        await backend.start(phase=0.3 * index)
+        await backend.start(phase=site3.HEARTBEAT * (1 + index / BACKENDS))
     for zone in site.zones:
         site.add_gateway(zone)
     await site.start_gateways()
-    answers = []
     traffic = [
-        asyncio.create_task(clients(site, gateway, kind, answers))
+        asyncio.create_task(clients(site, gateway, kind))
         for gateway in site.gateways
         for kind in ("safe", "unsafe")
     ]
-    await asyncio.sleep(SECONDS)
+    await asyncio.sleep(12)
+    if site3.TROUBLE:
+        at = record.now()
+        record("the store goes away")
+        await store.go_away()
+        await asyncio.sleep(AWAY)
+        await store.come_back(from_copy_of=at - COPY_AGE)
+        record(f"the store is back, Store-Era {store.era}")
+    else:
+        await asyncio.sleep(AWAY)
+    # The store is stable, and the machines are in touch, `Contact` after the end of the drill.
+    await asyncio.sleep(CONTACT + 0.5)
+    leaving = site.backends[0]
+    offset, acknowledged = leaving.withdraw(), record.now()
+    record(f"the entry of {leaving.name} is removed, acknowledged with offset {offset}")
+    await asyncio.sleep(SERVES_ON)
+    record(f"backend {leaving.name} ends")
+    await leaving.end()
     for task in traffic:
         task.cancel()
-    broken, good = [], 0
-    for identity, _, answer in await asyncio.gather(*answers):
-        status = answer.start.split(" ")[1] if answer else None
-        if status != "200":
-            continue
-        good += 1
-        whole = answer.body.decode().endswith(f" {identity}\n")
-        if answer.get("response-signature") is None or not whole:
-            broken.append(f"MIXED: {identity} gets 200 with the body {answer.body!r}"
-                          + (", its backend answered 500" if identity in failed else ""))
-            site.record(f"answer to {identity}: {answer.start!r} {answer.fields}")
-    if good == 0:
-        raise site3.CannotRun("nothing was served")
-    return broken
+    await asyncio.sleep(2)
+    late = [(at, identity) for at, identity in leaving.runs if at > acknowledged + DRAIN + 0.05]
+    return [
+        f"DRAIN: {identity} reaches {leaving.name} {at - acknowledged:.3f} s after the ack"
+        for at, identity in late
+    ]
 
 
 site3.main(HERE, case)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,8 @@
-"""A faulty backend sends the beginning of a 421, and then the answer of the request, which it has run."""
+"""Machines join, the store has a drill, and later the first machines are stopped and started in turn."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -9,67 +10,85 @@
 
 import site3  # noqa: E402
 
-SECONDS = 8
+RATE, BURST = 100, 10  # `RatePerS` and `Burst` of the tenant
+WINDOW, OVER, SLACK = 5.0, 0.1, 20  # `QuotaWindow`, `QuotaOver`, `QuotaSlack`
+BOUNDS = {"QuotaWindow": "5s", "QuotaOver": OVER, "QuotaSlack": SLACK}
+AWAY = 1.0  # how long the store is away
+JOINING = 3  # machines that join in each zone
+PER_SECOND = (60, 20)  # requests a second to each of the first machines, and to each of the others
+GRACE = 6.0  # `Grace`
+KEY = ("Authorization", "Bearer key-1")
 
 
-class FaultyBackend(site3.Backend):
-    """Before the answer to a POST, which it has run, it sends a head of another answer that breaks off."""
+async def clients(site, gateway, per_second):
+    while True:
+        asyncio.create_task(site.call(gateway, "safe", fields=[KEY]))
+        await asyncio.sleep(1 / per_second)
 
-    async def run(self, request, identity, common, writer):
-        if not site3.TROUBLE or request.start.startswith("GET"):
-            return await super().run(request, identity, common, writer)
-        self.runs.append((self.record.now(), identity))
-        self.record(f"backend {self.name} runs {identity}; the beginning of a 421 goes before its answer")
-        await asyncio.sleep(self.work)
-        writer.write(f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {self.name}".encode())
-        await writer.drain()
-        fields = common + [("Response-Signature", f"sig.{self.name}.{identity}")]
-        writer.write(site3.encode("HTTP/1.1 200 OK", fields, f"{self.name} {identity}\n".encode()))
 
+async def restart(site, gateway):
+    """Stops and starts a machine as the platform does in planned work."""
+    gateway.signal(signal.SIGTERM)
+    for _ in range(int(GRACE / 0.05)):
+        await asyncio.sleep(0.05)
+        if gateway.process.poll() is not None:
+            break
+    gateway.kill()
+    gateway.start()
+    await site.wait(f"{gateway.name} is ready", gateway.is_ready)
 
-async def clients(site, gateway, kind, answers):
-    while True:
-        answers.append(asyncio.create_task(site.call(gateway, kind)))
-        await asyncio.sleep(0.1)
+
+async def owners(site):
+    """Records which machines grant tokens of the tenant, and whom each one asks. Only for the reader."""
+    for gateway in site.gateways:
+        quotas = (await gateway.dump()).get("quotas", {})
+        asked = [owner["vm"] for used in quotas.get("used", []) for owner in used["owners"]]
+        site.record(f"{gateway.name}: grants {bool(quotas.get('owned'))}, asks {asked}")
 
 
 async def case(site):
-    store = site.store
+    record, store = site.record, site.store
     await store.open()
-    site.configure(1, [site3.service("status"), site3.route("safe", "status"), site3.route("unsafe", "status")])
-    for index in range(4):
-        backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3])
-        if index == 0:
-            backend.__class__ = FaultyBackend
-        await backend.start(phase=0.3 * index)
+    tenant = {"Type": "Tenants", "Metadata": {"Name": "acme"},
+              "Spec": {"ApiKeys": ["key-1"], "RatePerS": RATE, "Burst": BURST}}
+    site.configure(1, [site3.service("status"), site3.route("safe", "status"), tenant])
+    for index in range(8):
+        backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3], slots=16, work=0.01)
+        await backend.start(phase=0.15 * index)
     for zone in site.zones:
-        site.add_gateway(zone)
+        site.add_gateway(zone, bounds=BOUNDS)
     await site.start_gateways()
-    answers = []
-    traffic = [
-        asyncio.create_task(clients(site, gateway, kind, answers))
-        for gateway in site.gateways
-        for kind in ("safe", "unsafe")
-    ]
-    await asyncio.sleep(SECONDS)
-    for task in traffic:
-        task.cancel()
-    runs, broken, good = {}, [], 0
-    for backend in site.backends:
-        for at, identity in backend.runs:
-            runs.setdefault(identity, []).append(backend.name)
-    for identity, _, answer in await asyncio.gather(*answers):
-        status = answer.start.split(" ")[1] if answer else None
-        good += status == "200"
-        if identity not in site.unsafe:
-            continue
-        if len(runs.get(identity, [])) > 1:
-            broken.append(f"TWICE: {identity} runs on {runs[identity]}")
-        if status in ("429", "503", "408", "421") and identity in runs:
-            broken.append(f"REFUSED: {identity} gets {status} and ran on {runs[identity]}")
-    if good == 0:
+    first, copy = list(site.gateways), record.now()
+    for _ in range(JOINING):
+        for zone in site.zones:
+            site.add_gateway(zone, bounds=BOUNDS).start()
+    for gateway in site.gateways:
+        await site.wait(f"{gateway.name} is ready", gateway.is_ready)
+    await asyncio.sleep(4)
+    if site3.TROUBLE:
+        record("the store goes away")
+        await store.go_away()
+        await asyncio.sleep(AWAY)
+        await store.come_back(from_copy_of=copy)
+        record(f"the store is back, Store-Era {store.era}, from a copy of {copy:.3f} s")
+    # More than `Contact`, and than the 10 s after which machines that have joined grant tokens.
+    await asyncio.sleep(12)
+    for gateway in site.gateways:
+        asyncio.create_task(clients(site, gateway, PER_SECOND[gateway not in first]))
+    await asyncio.sleep(7)
+    for gateway in first:
+        await restart(site, gateway)
+        await asyncio.sleep(7)
+        await owners(site)
+    runs = sorted(at for backend in site.backends for at, _ in backend.runs)
+    if not runs:
         raise site3.CannotRun("nothing was served")
-    return broken
+    allowed = (RATE * WINDOW + BURST) * (1 + OVER) + SLACK
+    most, start = max((sum(at <= run < at + WINDOW for run in runs), at) for at in runs)
+    record(f"most requests in {WINDOW} s: {most}, from {start:.3f} s; {allowed:.0f} are allowed")
+    if most <= allowed:
+        return []
+    return [f"QUOTA: {most} requests run in the {WINDOW} s from {start:.3f} s, {allowed:.0f} are allowed"]
 
 
 site3.main(HERE, case)
