--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,8 @@
-"""A drill of the store: it comes back from a copy some seconds old, and then a backend leaves."""
+"""Machines join, the store has a drill, and later the first machines are stopped and started in turn."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -9,61 +10,85 @@
 
 import site3  # noqa: E402
 
-DRAIN = 2.0  # `Drain`
-CONTACT = 3.0  # `Contact`
+RATE, BURST = 100, 10  # `RatePerS` and `Burst` of the tenant
+WINDOW, OVER, SLACK = 5.0, 0.1, 20  # `QuotaWindow`, `QuotaOver`, `QuotaSlack`
+BOUNDS = {"QuotaWindow": "5s", "QuotaOver": OVER, "QuotaSlack": SLACK}
 AWAY = 1.0  # how long the store is away
-COPY_AGE = 7.0  # how old the copy is when the store goes away
-SERVES_ON = 8.0  # how long the backend serves on after its entry is gone
-BACKENDS = 8
+JOINING = 3  # machines that join in each zone
+PER_SECOND = (60, 20)  # requests a second to each of the first machines, and to each of the others
+GRACE = 6.0  # `Grace`
+KEY = ("Authorization", "Bearer key-1")
 
 
-async def clients(site, gateway, kind):
+async def clients(site, gateway, per_second):
     while True:
-        asyncio.create_task(site.call(gateway, kind))
-        await asyncio.sleep(0.15)
+        asyncio.create_task(site.call(gateway, "safe", fields=[KEY]))
+        await asyncio.sleep(1 / per_second)
+
+
+async def restart(site, gateway):
+    """Stops and starts a machine as the platform does in planned work."""
+    gateway.signal(signal.SIGTERM)
+    for _ in range(int(GRACE / 0.05)):
+        await asyncio.sleep(0.05)
+        if gateway.process.poll() is not None:
+            break
+    gateway.kill()
+    gateway.start()
+    await site.wait(f"{gateway.name} is ready", gateway.is_ready)
+
+
+async def owners(site):
+    """Records which machines grant tokens of the tenant, and whom each one asks. Only for the reader."""
+    for gateway in site.gateways:
+        quotas = (await gateway.dump()).get("quotas", {})
+        asked = [owner["vm"] for used in quotas.get("used", []) for owner in used["owners"]]
+        site.record(f"{gateway.name}: grants {bool(quotas.get('owned'))}, asks {asked}")
 
 
 async def case(site):
     record, store = site.record, site.store
     await store.open()
-    site.configure(1, [site3.service("status"), site3.route("safe", "status"), site3.route("unsafe", "status")])
-    for index in range(BACKENDS):
-        backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3])
-        await backend.start(phase=site3.HEARTBEAT * (1 + index / BACKENDS))
+    tenant = {"Type": "Tenants", "Metadata": {"Name": "acme"},
+              "Spec": {"ApiKeys": ["key-1"], "RatePerS": RATE, "Burst": BURST}}
+    site.configure(1, [site3.service("status"), site3.route("safe", "status"), tenant])
+    for index in range(8):
+        backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3], slots=16, work=0.01)
+        await backend.start(phase=0.15 * index)
     for zone in site.zones:
-        site.add_gateway(zone)
+        site.add_gateway(zone, bounds=BOUNDS)
     await site.start_gateways()
-    traffic = [
-        asyncio.create_task(clients(site, gateway, kind))
-        for gateway in site.gateways
-        for kind in ("safe", "unsafe")
-    ]
-    await asyncio.sleep(12)
+    first, copy = list(site.gateways), record.now()
+    for _ in range(JOINING):
+        for zone in site.zones:
+            site.add_gateway(zone, bounds=BOUNDS).start()
+    for gateway in site.gateways:
+        await site.wait(f"{gateway.name} is ready", gateway.is_ready)
+    await asyncio.sleep(4)
     if site3.TROUBLE:
-        at = record.now()
         record("the store goes away")
         await store.go_away()
         await asyncio.sleep(AWAY)
-        await store.come_back(from_copy_of=at - COPY_AGE)
-        record(f"the store is back, Store-Era {store.era}")
-    else:
-        await asyncio.sleep(AWAY)
-    # The store is stable, and the machines are in touch, `Contact` after the end of the drill.
-    await asyncio.sleep(CONTACT + 0.5)
-    leaving = site.backends[0]
-    offset, acknowledged = leaving.withdraw(), record.now()
-    record(f"the entry of {leaving.name} is removed, acknowledged with offset {offset}")
-    await asyncio.sleep(SERVES_ON)
-    record(f"backend {leaving.name} ends")
-    await leaving.end()
-    for task in traffic:
-        task.cancel()
-    await asyncio.sleep(2)
-    late = [(at, identity) for at, identity in leaving.runs if at > acknowledged + DRAIN + 0.05]
-    return [
-        f"DRAIN: {identity} reaches {leaving.name} {at - acknowledged:.3f} s after the ack"
-        for at, identity in late
-    ]
+        await store.come_back(from_copy_of=copy)
+        record(f"the store is back, Store-Era {store.era}, from a copy of {copy:.3f} s")
+    # More than `Contact`, and than the 10 s after which machines that have joined grant tokens.
+    await asyncio.sleep(12)
+    for gateway in site.gateways:
+        asyncio.create_task(clients(site, gateway, PER_SECOND[gateway not in first]))
+    await asyncio.sleep(7)
+    for gateway in first:
+        await restart(site, gateway)
+        await asyncio.sleep(7)
+        await owners(site)
+    runs = sorted(at for backend in site.backends for at, _ in backend.runs)
+    if not runs:
+        raise site3.CannotRun("nothing was served")
+    allowed = (RATE * WINDOW + BURST) * (1 + OVER) + SLACK
+    most, start = max((sum(at <= run < at + WINDOW for run in runs), at) for at in runs)
+    record(f"most requests in {WINDOW} s: {most}, from {start:.3f} s; {allowed:.0f} are allowed")
+    if most <= allowed:
+        return []
+    return [f"QUOTA: {most} requests run in the {WINDOW} s from {start:.3f} s, {allowed:.0f} are allowed"]
 
 
 site3.main(HERE, case)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,7 @@
-"""Machines join, the store has a drill, and later the first machines are stopped and started in turn."""
+"""A drill of the store, and a change of the configuration that the operator makes right after it."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -10,85 +9,76 @@
 
 import site3  # noqa: E402
 
-RATE, BURST = 100, 10  # `RatePerS` and `Burst` of the tenant
-WINDOW, OVER, SLACK = 5.0, 0.1, 20  # `QuotaWindow`, `QuotaOver`, `QuotaSlack`
-BOUNDS = {"QuotaWindow": "5s", "QuotaOver": OVER, "QuotaSlack": SLACK}
+CONFIG_APPLY = 2.0  # `ConfigApply`
+MAX_SKEW = 5.0  # `MaxSkew`, by which an unstable core stretches it
 AWAY = 1.0  # how long the store is away
-JOINING = 3  # machines that join in each zone
-PER_SECOND = (60, 20)  # requests a second to each of the first machines, and to each of the others
-GRACE = 6.0  # `Grace`
-KEY = ("Authorization", "Bearer key-1")
+COPY_AGE = 5.0  # how old the copy is when the store goes away
 
 
-async def clients(site, gateway, per_second):
+async def clients(site, gateway, answers):
     while True:
-        asyncio.create_task(site.call(gateway, "safe", fields=[KEY]))
-        await asyncio.sleep(1 / per_second)
+        answers.append(asyncio.create_task(site.call(gateway, "safe")))
+        await asyncio.sleep(0.2)
 
 
-async def restart(site, gateway):
-    """Stops and starts a machine as the platform does in planned work."""
-    gateway.signal(signal.SIGTERM)
-    for _ in range(int(GRACE / 0.05)):
-        await asyncio.sleep(0.05)
-        if gateway.process.poll() is not None:
-            break
-    gateway.kill()
-    gateway.start()
-    await site.wait(f"{gateway.name} is ready", gateway.is_ready)
-
-
-async def owners(site):
-    """Records which machines grant tokens of the tenant, and whom each one asks. Only for the reader."""
-    for gateway in site.gateways:
-        quotas = (await gateway.dump()).get("quotas", {})
-        asked = [owner["vm"] for used in quotas.get("used", []) for owner in used["owners"]]
-        site.record(f"{gateway.name}: grants {bool(quotas.get('owned'))}, asks {asked}")
+def configuration(target, timeout):
+    services = [site3.service("status"), site3.service("rack")]
+    return services + [site3.route("safe", target), site3.route("unsafe", "status", timeout=timeout)]
 
 
 async def case(site):
     record, store = site.record, site.store
     await store.open()
-    tenant = {"Type": "Tenants", "Metadata": {"Name": "acme"},
-              "Spec": {"ApiKeys": ["key-1"], "RatePerS": RATE, "Burst": BURST}}
-    site.configure(1, [site3.service("status"), site3.route("safe", "status"), tenant])
+    site.configure(1, configuration("status", "1500ms"))
     for index in range(8):
-        backend = site.add_backend(f"i-{index}", zone=site.zones[index % 3], slots=16, work=0.01)
-        await backend.start(phase=0.15 * index)
+        name = ["status", "rack"][index % 2]
+        backend = site.add_backend(f"i-{index}", service=name, zone=site.zones[index % 3])
+        await backend.start(phase=site3.HEARTBEAT * (1 + index / 8))
     for zone in site.zones:
-        site.add_gateway(zone, bounds=BOUNDS)
+        site.add_gateway(zone)
     await site.start_gateways()
-    first, copy = list(site.gateways), record.now()
-    for _ in range(JOINING):
-        for zone in site.zones:
-            site.add_gateway(zone, bounds=BOUNDS).start()
-    for gateway in site.gateways:
-        await site.wait(f"{gateway.name} is ready", gateway.is_ready)
-    await asyncio.sleep(4)
+    answers = []
+    traffic = [asyncio.create_task(clients(site, gateway, answers)) for gateway in site.gateways]
+    await asyncio.sleep(6)
+    # Two changes that the copy will lack.
+    site.configure(2, configuration("status", "1400ms"))
+    await asyncio.sleep(2)
+    site.configure(3, configuration("status", "1300ms"))
+    await asyncio.sleep(2)
     if site3.TROUBLE:
+        at = record.now()
         record("the store goes away")
         await store.go_away()
         await asyncio.sleep(AWAY)
-        await store.come_back(from_copy_of=copy)
-        record(f"the store is back, Store-Era {store.era}, from a copy of {copy:.3f} s")
-    # More than `Contact`, and than the 10 s after which machines that have joined grant tokens.
-    await asyncio.sleep(12)
-    for gateway in site.gateways:
-        asyncio.create_task(clients(site, gateway, PER_SECOND[gateway not in first]))
-    await asyncio.sleep(7)
-    for gateway in first:
-        await restart(site, gateway)
-        await asyncio.sleep(7)
-        await owners(site)
-    runs = sorted(at for backend in site.backends for at, _ in backend.runs)
-    if not runs:
-        raise site3.CannotRun("nothing was served")
-    allowed = (RATE * WINDOW + BURST) * (1 + OVER) + SLACK
-    most, start = max((sum(at <= run < at + WINDOW for run in runs), at) for at in runs)
-    record(f"most requests in {WINDOW} s: {most}, from {start:.3f} s; {allowed:.0f} are allowed")
-    if most <= allowed:
-        return []
-    return [f"QUOTA: {most} requests run in the {WINDOW} s from {start:.3f} s, {allowed:.0f} are allowed"]
+        await store.come_back(from_copy_of=at - COPY_AGE)
+        record(f"the store is back, Store-Era {store.era}")
+        # What the operator wrote is written again: the newest configuration, which is whole.
+        site.configure(3, configuration("status", "1300ms"))
+    else:
+        await asyncio.sleep(AWAY)
+    # The change that the operator was about to make moves the route to another service.
+    site.configure(4, configuration("rack", "1300ms"))
+    acknowledged = record.now()
+    await asyncio.sleep(CONFIG_APPLY + MAX_SKEW + 8)
+    for task in traffic:
+        task.cancel()
+    sent = {identity: at for identity, at, _ in await asyncio.gather(*answers)}
+    late = acknowledged + CONFIG_APPLY + MAX_SKEW
+    broken = [
+        f"CONFIG: {identity}, sent {sent[identity] - acknowledged:.3f} s after the ack of r4, is run by "
+        f"{backend.name} of {backend.service}"
+        for backend in site.backends
+        if backend.service == "status"
+        for _, identity in backend.runs
+        if sent[identity] > late
+    ]
+    record(f"versions in force at the end: {[await version(gateway) for gateway in site.gateways]}")
+    return broken
+
+
+async def version(gateway):
+    answer = await gateway.get(gateway.admin, "/config")
+    return answer.body.decode()[:40] if answer else None
 
 
 site3.main(HERE, case)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # need nothing but the standard library, so that there is only their syntax to check.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - standin-3/site3.py 1[1-5]/case.py <<'CHECK'
+python3 -B - standin-3/site3.py 1[1-3]/case.py <<'CHECK'
 import sys
 for name in sys.argv[1:]:
     compile(open(name, encoding="utf-8").read(), name, "exec")
