--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -163,11 +163,14 @@
             )
         });
         let usable = &self.usable;
+        let directory = self.gateway.directory.borrow();
+        let entry = directory.position(&usable.connections.id);
         let departure = self.gateway.crossing.departure(usable);
         let left = departure.map(|departure| departure.to_string());
         log::info!(
             id = self.forwarded.id.as_deref().unwrap_or_default(), target = usable.connections.id.as_str(),
             local = usable.local, left = left.as_deref(), preferred = usable.preferred, missing = usable.missing,
+            entry_at = entry.map(|at| at.to_string()),
             report = report.as_deref().unwrap_or("none"),
             limit = self.limit.map(|rate| rate.per_second()),
             expected_ms = self.expected.as_millis() as u64,
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -424,9 +424,10 @@
         if let Some(left_out) = self.gateway.take_log_line(Instant::now(), failed) {
             let version = self.gateway.routes.borrow().config().version.0;
             let age_ms = self.gateway.config_age(Instant::now());
+            let at = self.gateway.config_position().map(|at| at.to_string());
             log::info!(
                 id, route = &*self.forwarded.route.name, service = self.service.as_str(),
-                organisation = self.forwarded.organisation(), version, age_ms, status,
+                organisation = self.forwarded.organisation(), version, age_ms, at, status,
                 outcome, ms = time.as_millis() as u64, attempts = self.ends.join(" "),
                 work_ms = self.forwarded.work.as_millis() as u64, left_out;
                 "request"
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::client_settings::ClientSettings;
 use crate::gateway::Gateway;
 use crate::registrar;
+use crate::store_restart;
 use crate::store_watch;
 use crate::vm_registration;
 
@@ -104,6 +105,7 @@
                 admin_server::accept(Rc::clone(&gateway), control, "control"),
             );
         }
+        spawn("store", store_restart::watch(Rc::clone(&gateway)));
         spawn("store", follow_store(Rc::clone(&gateway)));
         let modified = modified(&settings.path);
         Ok(Self {
--- a/gateway/src/failed_call.rs
+++ b/gateway/src/failed_call.rs
@@ -76,8 +76,9 @@
     if let Some(left_out) = gateway.take_log_line(Instant::now(), true) {
         let version = gateway.routes.borrow().config().version.0;
         let age_ms = gateway.config_age(Instant::now());
+        let at = gateway.config_position().map(|at| at.to_string());
         log::info!(
-            id = id.unwrap_or_default(), route, organisation, version, age_ms, status = failed.refusal.status(),
+            id = id.unwrap_or_default(), route, organisation, version, age_ms, at, status = failed.refusal.status(),
             outcome, ms = time.as_millis() as u64, attempts = ends.join(" "),
             why = failed.why.as_deref().unwrap_or_default(), left_out;
             "request"
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -21,6 +21,7 @@
 use crate::compressed_body::CompressedBody;
 use crate::feed_format;
 use crate::feed_format::FeedFormat;
+use crate::record_source::RecordSource;
 use crate::reply::Reply;
 
 /// How long a poll is held while there is no change. It is longer than the VM's own read waits.
@@ -71,6 +72,8 @@
     state: watch::Sender<SourceState>,
     /// When the store last confirmed the records, to this VM or to one that they came through.
     confirmed: Cell<Option<Instant>>,
+    /// Where the records were last confirmed or changed from.
+    source: Cell<Option<RecordSource>>,
     /// Answers since the last change of the records, most of which are asked for by many VMs.
     encoded: RefCell<Vec<(u64, FeedFormat, CompressedBody)>>,
 }
@@ -81,6 +84,7 @@
             mirror: RefCell::default(),
             state: watch::channel(SourceState::default()).0,
             confirmed: Cell::default(),
+            source: Cell::default(),
             encoded: RefCell::default(),
         }
     }
@@ -106,6 +110,26 @@
         self.state.send_modify(|_| {});
     }
 
+    /// Returns the offset up to which the topic is known; nothing before the first read.
+    pub fn next(&self) -> Option<u64> {
+        self.mirror.borrow().next()
+    }
+
+    /// Sets where the records were last confirmed or changed from.
+    pub(crate) fn set_source(&self, source: RecordSource) {
+        self.source.set(Some(source));
+    }
+
+    /// Returns what the state dump shows.
+    pub(crate) fn dump(&self, now: Instant) -> serde_json::Value {
+        let age = self.age(now);
+        serde_json::json!({
+            "next": self.next(),
+            "from": self.source.get().map(|source| source.to_string()),
+            "age_ms": age.map(|age| age.as_millis() as u64),
+        })
+    }
+
     /// Returns how long ago the store confirmed the records; nothing if it never has.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.confirmed.get();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::RequestRate;
 use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::StorePosition;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
 use carobshore_lib::retry_allowance::RetryAllowance;
@@ -40,6 +41,7 @@
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_platform::boot_settings::BootSettings;
+use carobshore_platform::era_watch::EraWatch;
 use carobshore_platform::store_client::Topic;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
@@ -107,6 +109,8 @@
     limit_queues: RefCell<HashMap<ServiceId, LimitQueue>>,
     limit_lenders: RefCell<LimitLenders>,
     registrar: Registrar,
+    /// The era of the store.
+    pub(crate) eras: Rc<EraWatch>,
     operators: Feed,
     announcements: Feed,
     checks: RefCell<CheckBudget>,
@@ -189,6 +193,7 @@
             limit_queues: RefCell::default(),
             limit_lenders: RefCell::default(),
             registrar: Registrar::default(),
+            eras: Rc::default(),
             operators: Feed::default(),
             announcements: Feed::default(),
             checks: RefCell::new(CheckBudget::new(now, boot.check_rate)),
@@ -439,6 +444,12 @@
         age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// Returns up to where this VM has read the topic of the operators; nothing before the first read.
+    pub(crate) fn config_position(&self) -> Option<StorePosition> {
+        let offset = self.operators.next()?;
+        Some(StorePosition::new(self.eras.newest(), offset))
+    }
+
     /// Takes a health check from this VM's share of the budget. Returns whether there was one.
     pub fn take_check(&self, now: Instant) -> bool {
         self.with_checks(|checks| checks.take(now))
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod service_estimates;
 mod state_dump;
 pub mod store_probes;
+mod store_restart;
 pub mod store_watch;
 pub mod target_connections;
 mod target_notices;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     checks: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
+    store_restarts: Counter<u64>,
     feed_bytes: Counter<u64>,
     target_signals: Counter<u64>,
     malformed_entries: Counter<u64>,
@@ -82,6 +83,10 @@
                 "carobshore.connections_opened",
                 "Connections to targets by the reason to open them",
             ),
+            store_restarts: counter(
+                "carobshore.store_restarts",
+                "Times that the store has come back from an older copy",
+            ),
             store_calls: counter(
                 "carobshore.store_calls",
                 "Calls to the store by their purpose and end",
@@ -188,6 +193,11 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a return of the store from an older copy.
+    pub(crate) fn store_restart(&self) {
+        self.store_restarts.add(1, &[]);
+    }
+
     /// Counts bytes of a feed answer. `direction` is `sent` or `received`.
     pub fn feed_bytes(&self, direction: &'static str, bytes: usize) {
         let direction = KeyValue::new("direction", direction);
--- a/gateway/src/state_dump.rs
+++ b/gateway/src/state_dump.rs
@@ -7,6 +7,7 @@
 use carobshore_lib::announced_target::AnnouncedTarget;
 use carobshore_lib::routing_config::RoutingConfig;
 use carobshore_lib::target_signals::TargetSignals;
+use carobshore_platform::store_client::Topic;
 
 use crate::evacuation;
 use crate::gateway::Gateway;
@@ -27,6 +28,7 @@
                 "service": target.service,
                 "addr": target.addr.to_string(),
                 "state": target.state,
+                "entry_at": directory.position(&target.id),
                 "limit": limits::dump(now, &connections),
                 "warmup": warmup::dump(now, &connections),
                 "unavailable": unavailable_text(&gateway.signals.borrow(), now, target),
@@ -46,6 +48,11 @@
         "vm": gateway.boot.borrow().vm_name,
         "version": routes.config().version,
         "config_age_ms": gateway.config_age(now),
+        "store": {
+            "era": gateway.eras.newest(),
+            "operators": gateway.feed(Topic::Operators).dump(now),
+            "targets": gateway.feed(Topic::Targets).dump(now),
+        },
         "refused_config": *gateway.refused_config.borrow(),
         "routes": routes.config().routes.len(),
         "organisations": organisations(routes.config()),
--- a/gateway/src/store_probes.rs
+++ b/gateway/src/store_probes.rs
@@ -6,10 +6,12 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use carobshore_lib::reconnect_pacer::ReconnectPacer;
+use carobshore_platform::era_watch::EraWatch;
 use carobshore_platform::store_client::FirstPage;
 use carobshore_platform::store_client::NewestRecords;
 use carobshore_platform::store_client::StoreClient;
@@ -64,6 +66,7 @@
 pub struct StoreProbes {
     addr: SocketAddr,
     topic: Topic,
+    eras: Rc<EraWatch>,
     pace: ReconnectPacer,
     running: FuturesUnordered<Probe>,
     /// Whether the only probe that runs reads the rest of a list. There is memory for one list.
@@ -72,10 +75,11 @@
 
 impl StoreProbes {
     /// Creates probes. The first one starts at once.
-    pub fn new(addr: SocketAddr, topic: Topic) -> Self {
+    pub fn new(addr: SocketAddr, topic: Topic, eras: Rc<EraWatch>) -> Self {
         Self {
             addr,
             topic,
+            eras,
             pace: ReconnectPacer::new(Instant::now()),
             running: FuturesUnordered::new(),
             reads_rest: false,
@@ -128,7 +132,7 @@
 
     fn start_probe(&mut self, from: Option<u64>) {
         self.pace.began(Instant::now());
-        let client = StoreClient::new(self.addr, self.topic);
+        let client = StoreClient::new(self.addr, self.topic, Rc::clone(&self.eras));
         self.running.push(Box::pin(probe(client, from)));
     }
 }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -98,9 +98,9 @@
 pub async fn follow(gateway: Rc<Gateway>, topic: Topic) -> eyre::Result<()> {
     let addr = gateway.boot.borrow().store;
     let mut watch = Watch {
-        store: StoreClient::new(addr, topic),
+        store: StoreClient::new(addr, topic, Rc::clone(&gateway.eras)),
         wait: LongPoll::default(),
-        probes: Some(StoreProbes::new(addr, topic)),
+        probes: Some(StoreProbes::new(addr, topic, Rc::clone(&gateway.eras))),
         gateway,
         topic,
         peer: None,
@@ -153,7 +153,7 @@
 
     fn new_probes(&self) -> StoreProbes {
         let addr = self.gateway.boot.borrow().store;
-        StoreProbes::new(addr, self.topic)
+        StoreProbes::new(addr, self.topic, Rc::clone(&self.gateway.eras))
     }
 
     /// Chooses the preferred one of the VMs that may be polled, unless there is a peer already.
@@ -234,7 +234,9 @@
             self.apply_changes(changes.records, changes.next, source);
         }
         if let Some(confirmed) = confirmed {
-            self.gateway.feed(self.topic).confirm(confirmed);
+            let feed = self.gateway.feed(self.topic);
+            feed.set_source(source);
+            feed.confirm(confirmed);
         }
     }
 
@@ -297,7 +299,7 @@
                 }
                 () = &mut call_store, if !calls_store => {
                     let addr = self.gateway.boot.borrow().store;
-                    let probes = probes.get_or_insert_with(|| StoreProbes::new(addr, self.topic));
+                    let probes = probes.get_or_insert_with(|| self.new_probes());
                     probes.set_addr(addr);
                     calls_store = true;
                 }
@@ -419,7 +421,9 @@
     fn confirm(&mut self) {
         let now = Instant::now();
         self.record_age.confirm(now);
-        self.gateway.feed(self.topic).confirm(now);
+        let feed = self.gateway.feed(self.topic);
+        feed.set_source(RecordSource::Store);
+        feed.confirm(now);
     }
 
     /// Records that a source responded.
@@ -429,7 +433,7 @@
             return;
         };
         let ms = since.elapsed().as_millis() as u64;
-        log::info!(topic:? = self.topic, ms; "changes arrive again");
+        log::info!(topic:? = self.topic, ms, next = self.next; "changes arrive again");
         if self.topic == Topic::Targets {
             let mut directory = self.gateway.directory.borrow_mut();
             directory.store_recovered(Instant::now());
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -80,7 +80,7 @@
     if records.is_empty() {
         return gateway.registrar().list_changed();
     }
-    let mut client = StoreClient::new(gateway.boot.borrow().store, Topic::Vms);
+    let mut client = store_client(gateway);
     let registered = async {
         append(gateway, &mut client, &records).await?;
         read(gateway, &mut client).await
@@ -148,11 +148,8 @@
 
 async fn register_and_read(gateway: &Gateway) -> Result<Registration, StoreFailure> {
     let record = own_record(gateway);
-    let (first_start, store) = {
-        let boot = gateway.boot.borrow();
-        (boot.first_start, boot.store)
-    };
-    let mut client = StoreClient::new(store, Topic::Vms);
+    let first_start = gateway.boot.borrow().first_start;
+    let mut client = store_client(gateway);
     if first_start {
         sleep(FIRST_ASKED_TIME).await;
         let mut records = gateway.registrar().take(&VmRoster::default());
@@ -186,6 +183,11 @@
     }
 }
 
+fn store_client(gateway: &Gateway) -> StoreClient {
+    let addr = gateway.boot.borrow().store;
+    StoreClient::new(addr, Topic::Vms, Rc::clone(&gateway.eras))
+}
+
 async fn append(
     gateway: &Gateway,
     client: &mut StoreClient,
--- a/gateway/tests/test_store_answers.rs
+++ b/gateway/tests/test_store_answers.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -49,7 +50,7 @@
 }
 
 fn read(store: SocketAddr) -> Result<NewestRecords, StoreFailure> {
-    run(StoreClient::new(store, Topic::Targets).newest())
+    run(StoreClient::new(store, Topic::Targets, Rc::default()).newest())
 }
 
 fn item(key: &str, value: &str) -> Value {
@@ -156,7 +157,7 @@
         let store = BrokenServer::start(move |_| answer.clone()).expect("a store");
         for _ in 0..APPENDS {
             let records: Vec<_> = (0..RECORDS).map(|_| ("key", vec![b'x'; RECORD])).collect();
-            let mut client = StoreClient::new(store.addr(), Topic::Vms);
+            let mut client = StoreClient::new(store.addr(), Topic::Vms, Rc::default());
             let appended = run(client.append(&records));
             assert!(appended.is_err(), "{end:?}");
         }
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -84,6 +84,8 @@
 pub use crate::service_id::ServiceId;
 pub use crate::slot_pool::SlotPool;
 pub use crate::slots::Slots;
+pub use crate::store_era::StoreEra;
+pub use crate::store_position::StorePosition;
 pub use crate::target::Target;
 pub use crate::target::TargetState;
 pub use crate::target_id::TargetId;
--- a/lib/src/target_directory.rs
+++ b/lib/src/target_directory.rs
@@ -130,6 +130,11 @@
         self.targets.get(id).map(|entry| &entry.target)
     }
 
+    /// Returns the position of the last record about a target in use.
+    pub fn position(&self, id: &TargetId) -> Option<Offset> {
+        self.targets.get(id).map(|entry| entry.position)
+    }
+
     /// Returns whether a target's announcement is missing and the target is kept only because it
     /// may be announced again.
     pub fn is_missing(&self, id: &TargetId) -> bool {
