--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -62,6 +62,32 @@
     dir: PathBuf,
 }
 
+/// Where a gateway stands, and how it finds the store and other gateways.
+#[derive(Clone, Copy)]
+pub(crate) struct VmPlan<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) domain: &'a str,
+    pub(crate) store: SocketAddr,
+    pub(crate) seeds: &'a [SocketAddr],
+    /// Its own address for other gateways, if the settings of these may name it.
+    pub(crate) control: Option<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub(crate) first_start: bool,
+}
+
+impl<'a> VmPlan<'a> {
+    fn new(store: SocketAddr, name: &'a str, seeds: &'a [SocketAddr]) -> Self {
+        Self {
+            name,
+            domain: "a",
+            store,
+            seeds,
+            control: None,
+            first_start: false,
+        }
+    }
+}
+
 /// A gateway process. It is killed when it is dropped.
 pub(crate) struct Gateway {
     child: Child,
@@ -124,7 +150,7 @@
 
     /// Starts a gateway that reaches the store at another address, and waits until it is ready.
     pub(crate) fn gateway_by(&self, store: SocketAddr, name: &str) -> Gateway {
-        let gateway = self.start(store, name, &[], spawn);
+        let gateway = self.start(VmPlan::new(store, name, &[]), spawn);
         wait("the gateway is ready", || gateway.is_ready());
         gateway
     }
@@ -136,7 +162,7 @@
 
     /// Starts a gateway whose log is not read, and waits until it is ready.
     pub(crate) fn unread_gateway(&self, name: &str) -> Gateway {
-        let gateway = self.start(self.store_addr, name, &[], spawn_unread);
+        let gateway = self.start(VmPlan::new(self.store_addr, name, &[]), spawn_unread);
         wait("the gateway is ready", || gateway.is_ready());
         gateway
     }
@@ -144,33 +170,41 @@
     /// Starts a gateway that lets only a share of the requests leave its domain, and waits until it is
     /// ready.
     pub(crate) fn sharing_gateway(&self, name: &str) -> Gateway {
-        let gateway = self.start(self.store_addr, name, &[], spawn_sharing);
+        let gateway = self.start(VmPlan::new(self.store_addr, name, &[]), spawn_sharing);
         wait("the gateway is ready", || gateway.is_ready());
         gateway
     }
 
     /// Starts a gateway whose process may open [`LOW_DESCRIPTORS`] files, and waits until it is ready.
     pub(crate) fn limited_gateway(&self, name: &str) -> Gateway {
-        let gateway = self.start(self.store_addr, name, &[], spawn_limited);
+        let gateway = self.start(VmPlan::new(self.store_addr, name, &[]), spawn_limited);
         wait("the gateway is ready", || gateway.is_ready());
         gateway
     }
 
     /// Starts a gateway with the addresses of some others.
     pub(crate) fn start_seeded(&self, name: &str, seeds: &[SocketAddr]) -> Gateway {
-        self.start(self.store_addr, name, seeds, spawn)
+        self.start(VmPlan::new(self.store_addr, name, seeds), spawn)
+    }
+
+    /// Starts a gateway as planned.
+    pub(crate) fn start_planned(&self, plan: VmPlan<'_>) -> Gateway {
+        self.start(plan, spawn)
     }
 
-    fn start(&self, store: SocketAddr, name: &str, seeds: &[SocketAddr], spawn: Spawn) -> Gateway {
+    fn start(&self, plan: VmPlan<'_>, spawn: Spawn) -> Gateway {
         let [callers, readiness, admin] = [free_port(), free_port(), free_port()];
-        let settings = self.dir.join(format!("{name}.json"));
+        let settings = self.dir.join(format!("{}.json", plan.name));
         let text = site_wire::settings(&VmSettings {
-            name,
+            name: plan.name,
+            domain: plan.domain,
+            first_start: plan.first_start,
             callers,
             readiness,
             admin,
-            seeds,
-            store,
+            control: plan.control,
+            seeds: plan.seeds,
+            store: plan.store,
             limits: self.limits,
         });
         std::fs::write(&settings, text).expect("a settings file");
@@ -221,6 +255,14 @@
         gateways.into_iter().for_each(Self::kill);
     }
 
+    /// Changes the settings of later starts: the system does not start for the first time any more.
+    pub(crate) fn end_first_start(&self) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        settings["Bootstrap"] = false.into();
+        std::fs::write(&self.settings, settings.to_string()).expect("a settings file");
+    }
+
     /// Starts the process again after it has exited.
     pub(crate) fn start_again(&mut self) {
         (self.child, self.reader) = spawn(&self.settings, &self.lines);
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -17,9 +17,12 @@
     let addr = |port| SocketAddr::from(([127, 0, 0, 1], port));
     let text = site_wire::settings(&VmSettings {
         name: "edge-1",
+        domain: "a",
+        first_start: false,
         callers: addr(1),
         readiness: addr(2),
         admin: addr(3),
+        control: None,
         seeds: &[addr(4), addr(0)],
         store: addr(5),
         limits: VmLimits::default(),
--- /dev/null
+++ b/gateway/tests/test_store_restart.rs
@@ -0,0 +1,502 @@
+//! Guards against VMs that believe that they are up to date after the store has come back from an older
+//! copy, and lack what was written since (CONFIG, DRAIN).
+//!
+//! `CAROBSHORE_RESTART_SEEDS=1..50 cargo test -p carobshore-gateway --test test_store_restart` runs
+//! other seeds.
+
+mod common;
+mod deployment;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use carobshore_standin::raw_server::lock;
+use carobshore_standin::server::ANY_PORT;
+use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_store::TARGETS;
+use carobshore_standin::site_target::SiteTarget;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::Value;
+
+use crate::common::connect;
+use crate::common::read_response;
+use crate::common::request;
+use crate::common::try_call;
+use crate::deployment::Deployment;
+use crate::deployment::Record;
+use crate::deployment::moved_to;
+
+/// Seeds that always run.
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// `ConfigApply` of the deployment.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// `Drain` of the deployment.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Threads that ask each VM on the newest routes.
+const PROBERS: usize = 5;
+/// Pause between two requests of a prober.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
+/// Clients that keep connections open.
+const CLIENTS: usize = 4;
+/// The number of violations that are printed of a run.
+const PRINTED: usize = 20;
+
+/// What is wrong on one run besides the drill of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// The store turns a third of the VMs away, also some time after its return.
+    TurnedAway,
+    /// Some VMs are killed and started again while the store is away.
+    Kill,
+    /// The same by a planned stop.
+    Terminate,
+    /// Some VMs are stopped while the store is away, and go on later.
+    Freeze,
+    /// The store comes back from another copy soon after.
+    Twice,
+}
+
+const TROUBLES: [Trouble; 6] = [
+    Trouble::None,
+    Trouble::TurnedAway,
+    Trouble::Kill,
+    Trouble::Terminate,
+    Trouble::Freeze,
+    Trouble::Twice,
+];
+
+/// How many records the topics have soon after the drill, compared with what readers knew before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Length {
+    Shorter,
+    Same,
+    Longer,
+}
+
+impl Length {
+    /// Returns the number of records that a topic gets which had `known` of them before the drill and has
+    /// `now` of them.
+    fn missing(self, known: u64, now: u64) -> u64 {
+        let missing = known.saturating_sub(now);
+        match self {
+            Self::Shorter => 0,
+            Self::Same => missing,
+            Self::Longer => missing + 1,
+        }
+    }
+}
+
+const LENGTHS: [Length; 3] = [Length::Same, Length::Shorter, Length::Longer];
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("CAROBSHORE_RESTART_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    let (first, last) = text.split_once("..").expect("a range such as 1..50");
+    let bound = |text: &str| text.parse::<u64>().expect("a number");
+    (bound(first)..=bound(last)).collect()
+}
+
+/// Guards against a deployment of which all VMs go on with an offset from before a drill of the store:
+/// routes that were acknowledged are refused, and targets that leave get requests.
+#[test]
+fn what_is_written_after_a_restart_of_the_store_is_in_force_on_all_vms() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let violations = Run::start(seed).play();
+        violations.iter().take(PRINTED).for_each(|violation| {
+            println!("seed {seed}: {violation}");
+        });
+        println!("seed {seed}: {} violations", violations.len());
+        if !violations.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?} have violations");
+}
+
+/// Clients and probers of a run, with what they have found.
+struct Traffic {
+    ended: Arc<AtomicBool>,
+    violations: Arc<Mutex<Vec<String>>>,
+    /// Ids of requests to the moved route of VMs in touch, with the versions that allow the service.
+    moved: Arc<Mutex<Vec<Moved>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// A request to the route that moves.
+struct Moved {
+    id: String,
+    /// The version that was acknowledged long enough before, and the newest one at the answer.
+    versions: (u64, u64),
+}
+
+struct Run {
+    seed: u64,
+    rng: StdRng,
+    deployment: Deployment,
+    traffic: Traffic,
+    /// Targets that have left, with when the store acknowledged that.
+    left: Vec<(String, Instant)>,
+    version: u64,
+}
+
+impl Run {
+    fn start(seed: u64) -> Self {
+        let deployment = Deployment::start(&format!("restart-{seed}"));
+        let addrs = deployment.vms.iter().map(|vm| vm.gateway.callers);
+        let addrs: Vec<SocketAddr> = addrs.collect();
+        let traffic = Traffic::start(seed, &addrs, &deployment.record);
+        Self {
+            seed,
+            rng: StdRng::seed_from_u64(seed),
+            deployment,
+            traffic,
+            left: Vec::new(),
+            version: 1,
+        }
+    }
+
+    fn play(mut self) -> Vec<String> {
+        let trouble = TROUBLES[self.seed as usize % TROUBLES.len()];
+        let length = LENGTHS[self.seed as usize / TROUBLES.len() % LENGTHS.len()];
+        println!("seed {}: {trouble:?}, {length:?}", self.seed);
+        self.change(3, 200);
+        let copy = self.deployment.site.store.copy();
+        let earlier = self.rng.random_range(1..=3);
+        self.change(earlier, 150);
+        let copies = [copy, self.deployment.site.store.copy()];
+        self.leave("i-status-a-0");
+        self.remove("i-rack-b-0");
+        let lost = self.rng.random_range(1..=3);
+        self.change(lost, 150);
+        let joined = self.join();
+        self.pause(300, 900);
+        let known = [OPERATORS, TARGETS].map(|topic| self.deployment.site.store.end(topic));
+        let troubled = self.begin(trouble);
+        let away = Duration::from_millis(self.rng.random_range(200..1_000));
+        let first = self.rng.random_range(0..2);
+        let mut again = self.deployment.drill(&copies[first], away);
+        if trouble == Trouble::Twice {
+            self.deployment.write_again(&again);
+            self.pause(0, 900);
+            again = self.deployment.drill(&copies[0], away);
+        }
+        self.deployment.write_again(&again);
+        self.leave("i-status-c-0");
+        self.fill(length, known);
+        self.end(trouble, &troubled);
+        self.settle();
+        self.leave("i-rack-c-1");
+        self.change(2, 400);
+        self.settle();
+        drop(joined);
+        self.traffic.stop();
+        self.check_state();
+        self.check_left();
+        self.check_moved();
+        std::mem::take(&mut lock(&self.traffic.violations))
+    }
+
+    /// Writes some versions of the configuration, one after the other.
+    fn change(&mut self, count: u64, pause_ms: u64) {
+        for _ in 0..count {
+            self.version += 1;
+            self.deployment.configure(self.version);
+            self.pause(0, pause_ms);
+        }
+    }
+
+    /// Writes versions, and entries of targets, until the topics are as long as they should be.
+    fn fill(&mut self, length: Length, known: [u64; 2]) {
+        let ends = [OPERATORS, TARGETS].map(|topic| self.deployment.site.store.end(topic));
+        self.change(length.missing(known[0], ends[0]), 0);
+        for _ in 0..length.missing(known[1], ends[1]) {
+            let target = self.deployment.target("i-rack-a-0");
+            target.announce(&self.deployment.site.store, "ready");
+        }
+    }
+
+    fn pause(&mut self, least_ms: u64, most_ms: u64) {
+        let pause = self.rng.random_range(least_ms..=most_ms);
+        thread::sleep(Duration::from_millis(pause));
+    }
+
+    /// Lets a target say that it leaves. It serves on.
+    fn leave(&mut self, id: &str) {
+        let target = self.deployment.target(id);
+        target.announce(&self.deployment.site.store, "draining");
+        self.left.push((id.to_owned(), Instant::now()));
+    }
+
+    /// Removes the entry of a target. It serves on.
+    fn remove(&mut self, id: &str) {
+        let target = self.deployment.target(id);
+        target.withdraw(&self.deployment.site.store);
+        self.left.push((id.to_owned(), Instant::now()));
+    }
+
+    /// Adds a target.
+    fn join(&mut self) -> SiteTarget {
+        let target = SiteTarget::start(ANY_PORT, "i-status-b-9", "status", "b").expect("a target");
+        target.announce(&self.deployment.site.store, "ready");
+        target
+    }
+
+    /// Begins the trouble. Returns the VMs that have it.
+    fn begin(&mut self, trouble: Trouble) -> Vec<usize> {
+        let count = match trouble {
+            Trouble::None | Trouble::Twice => 0,
+            Trouble::TurnedAway => self.deployment.vms.len() / 3,
+            Trouble::Kill | Trouble::Terminate | Trouble::Freeze => self.rng.random_range(1..4),
+        };
+        let mut troubled = BTreeSet::new();
+        while troubled.len() < count {
+            troubled.insert(self.rng.random_range(0..self.deployment.vms.len()));
+        }
+        for vm in &troubled {
+            self.deployment.record.in_trouble(*vm, Instant::now());
+            let gateway = &mut self.deployment.vms[*vm].gateway;
+            match trouble {
+                Trouble::None | Trouble::Twice => {}
+                Trouble::TurnedAway => self.deployment.turn_away(*vm, true),
+                Trouble::Kill => gateway.restart(),
+                Trouble::Terminate => gateway.signal("-TERM"),
+                Trouble::Freeze => gateway.signal("-STOP"),
+            }
+        }
+        troubled.into_iter().collect()
+    }
+
+    /// Ends the trouble, some time after the store is back.
+    fn end(&mut self, trouble: Trouble, troubled: &[usize]) {
+        if troubled.is_empty() {
+            return;
+        }
+        self.pause(0, 2_500);
+        for vm in troubled {
+            let gateway = &mut self.deployment.vms[*vm].gateway;
+            match trouble {
+                Trouble::None | Trouble::Twice | Trouble::Kill => {}
+                Trouble::TurnedAway => self.deployment.turn_away(*vm, false),
+                Trouble::Terminate => {
+                    common::wait("the gateway ends", || gateway.has_exited());
+                    gateway.start_again();
+                }
+                Trouble::Freeze => gateway.signal("-CONT"),
+            }
+            self.deployment.record.in_trouble(*vm, Instant::now());
+        }
+    }
+
+    /// Waits until all VMs have been in touch for some time.
+    fn settle(&self) {
+        let calm = self.deployment.record.calm_since();
+        let calm = calm.unwrap_or_else(Instant::now) + deployment::CONTACT;
+        let end = calm.max(Instant::now()) + CONFIG_APPLY + Duration::from_secs(1);
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+    }
+
+    fn violation(&self, text: String) {
+        lock(&self.traffic.violations).push(text);
+    }
+
+    /// Checks that each VM has what the store has.
+    fn check_state(&self) {
+        let store = &self.deployment.site.store;
+        let listed: BTreeSet<String> = store.newest(TARGETS).into_keys().collect();
+        let records = store.end(OPERATORS);
+        for vm in &self.deployment.vms {
+            let name = vm.gateway.settings.display();
+            let dump: Value = serde_json::from_str(&vm.gateway.dump()).unwrap_or_default();
+            let version = &dump["version"];
+            if version.as_u64() != Some(self.version) {
+                self.violation(format!(
+                    "{name}: version {version} is in force, the newest one of {records} records is {}; {}",
+                    self.version, dump["store"]
+                ));
+            }
+            let known = dump["targets"].as_array().into_iter().flatten();
+            let known: BTreeSet<String> = known
+                .filter_map(|target| target["id"].as_str().map(str::to_owned))
+                .collect();
+            if known != listed {
+                let differing: Vec<_> = known.symmetric_difference(&listed).collect();
+                self.violation(format!("{name}: other targets than listed: {differing:?}"));
+            }
+        }
+    }
+
+    /// Checks that targets that left got nothing later than [`DRAIN`] after that, and in the case of those
+    /// that left while VMs were in trouble, after these were in touch again.
+    fn check_left(&self) {
+        let calm = self.deployment.record.calm_since();
+        for (id, ack) in &self.left {
+            let known_before = calm.is_some_and(|calm| *ack + DRAIN < calm);
+            let in_touch = calm
+                .filter(|_| !known_before)
+                .map(|calm| calm + deployment::CONTACT);
+            let bound = (*ack + DRAIN).max(in_touch.unwrap_or(*ack));
+            let arrivals = self.deployment.target(id).arrival_times();
+            let late = arrivals.iter().filter(|at| **at > bound);
+            for at in late {
+                let after = at.saturating_duration_since(*ack);
+                self.violation(format!("{id} gets a request {after:?} after it left"));
+            }
+        }
+    }
+
+    /// Checks that requests to the route that moves were run by a service that a version in force allows.
+    fn check_moved(&self) {
+        let runs = self.deployment.targets.iter().flat_map(|target| {
+            let service = target.id().split('-').nth(1).unwrap_or_default();
+            let runs = target.runs().into_iter();
+            runs.map(move |run| (run.id.into_string(), service))
+        });
+        let runs: Vec<(String, &str)> = runs.collect();
+        for Moved { id, versions } in lock(&self.traffic.moved).iter() {
+            let (oldest, newest) = *versions;
+            let allowed: BTreeSet<&str> = (oldest..=newest).map(moved_to).collect();
+            let service = runs.iter().find(|(run, _)| run == id);
+            if let Some((_, service)) = service.filter(|(_, service)| !allowed.contains(service)) {
+                self.violation(format!(
+                    "{id} is run by {service} as only a version before {oldest} allows"
+                ));
+            }
+        }
+    }
+}
+
+impl Traffic {
+    fn start(seed: u64, addrs: &[SocketAddr], record: &Arc<Record>) -> Self {
+        let mut traffic = Self {
+            ended: Arc::default(),
+            violations: Arc::default(),
+            moved: Arc::default(),
+            threads: Vec::new(),
+        };
+        for client in 0..CLIENTS as u64 {
+            let rng = StdRng::seed_from_u64(seed * 1_000 + client);
+            let (addrs, ended) = (addrs.to_vec(), Arc::clone(&traffic.ended));
+            let thread = thread::spawn(move || send_requests(client, &addrs, &ended, rng));
+            traffic.threads.push(thread);
+        }
+        for prober in 0..PROBERS {
+            let vms: Vec<_> = addrs.iter().copied().enumerate().collect();
+            let vms = vms.into_iter().skip(prober).step_by(PROBERS).collect();
+            let prober = Prober {
+                vms,
+                record: Arc::clone(record),
+                violations: Arc::clone(&traffic.violations),
+                moved: Arc::clone(&traffic.moved),
+            };
+            let ended = Arc::clone(&traffic.ended);
+            traffic
+                .threads
+                .push(thread::spawn(move || prober.run(&ended)));
+        }
+        traffic
+    }
+
+    fn stop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a client");
+        }
+    }
+}
+
+/// Asks VMs on the routes that were added or moved last.
+struct Prober {
+    vms: Vec<(usize, SocketAddr)>,
+    record: Arc<Record>,
+    violations: Arc<Mutex<Vec<String>>>,
+    moved: Arc<Mutex<Vec<Moved>>>,
+}
+
+impl Prober {
+    fn run(&self, ended: &AtomicBool) {
+        let mut number = 0;
+        while !ended.load(Ordering::SeqCst) {
+            for (vm, addr) in &self.vms {
+                number += 1;
+                self.ask_added(*vm, *addr, number);
+                self.ask_moved(*vm, *addr, number);
+                thread::sleep(PROBE_PAUSE);
+            }
+        }
+    }
+
+    /// Returns the newest version that must be in force on all VMs in touch.
+    fn in_force(&self) -> u64 {
+        let now = Instant::now();
+        self.record
+            .acknowledged_before(now.checked_sub(CONFIG_APPLY).unwrap_or(now))
+    }
+
+    fn ask_added(&self, vm: usize, addr: SocketAddr, number: usize) {
+        let (version, in_touch) = (self.in_force(), self.record.is_in_touch(vm));
+        let id = format!("added-{vm}-{number}");
+        let path = request("safe", &id, 1_500, "").replace("/safe/", &format!("/added-{version}/"));
+        let status = try_call(addr, &path).map(|answer| answer.head.status);
+        // A later version may have removed the route by now.
+        let is_kept = self.record.newest() < version + 2;
+        if in_touch && is_kept && version > 0 && status == Some(404) {
+            lock(&self.violations).push(format!(
+                "{id}: VM {vm} refuses the route of version {version} with 404, {:?} after its ack",
+                CONFIG_APPLY
+            ));
+        }
+    }
+
+    fn ask_moved(&self, vm: usize, addr: SocketAddr, number: usize) {
+        let (oldest, in_touch) = (self.in_force(), self.record.is_in_touch(vm));
+        let id = format!("moved-{vm}-{number}");
+        let path = request("safe", &id, 1_500, "").replace("/safe/", "/moved/");
+        let answer = try_call(addr, &path);
+        let newest = self.record.newest();
+        if in_touch && oldest > 0 && answer.is_some() {
+            let versions = (oldest, newest);
+            lock(&self.moved).push(Moved { id, versions });
+        }
+    }
+}
+
+/// Sends requests on persistent connections until their process is gone or the run ends.
+fn send_requests(client: u64, addrs: &[SocketAddr], ended: &AtomicBool, mut rng: StdRng) {
+    use std::io::Write;
+    let mut number = 0;
+    while !ended.load(Ordering::SeqCst) {
+        let addr = addrs[rng.random_range(0..addrs.len())];
+        let Some(mut stream) = connect(addr) else {
+            thread::sleep(PROBE_PAUSE);
+            continue;
+        };
+        let mut buffer = BytesMut::new();
+        for _ in 0..rng.random_range(1..60) {
+            number += 1;
+            let kind = ["safe", "unsafe"][rng.random_range(0..2)];
+            let text = request(kind, &format!("c{client}-{number}"), 1_500, "");
+            let answer = match stream.write_all(text.as_bytes()) {
+                Ok(()) => read_response(&mut stream, &mut buffer),
+                Err(_) => None,
+            };
+            if answer.is_none_or(|answer| !answer.head.keep_alive) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(rng.random_range(0..30)));
+        }
+    }
+}
--- a/standin/src/site_store.rs
+++ b/standin/src/site_store.rs
@@ -1,5 +1,5 @@
 //! A simulator of the platform's store: topics compacted to the newest record of each key, long-poll
-//! reads, and outages.
+//! reads, outages, and restarts from an older copy.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -48,22 +48,51 @@
 
 type Record = (u64, String, Option<Vec<u8>>);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     records: Vec<Record>,
     first: u64,
     end: u64,
 }
 
-#[derive(Debug, Default)]
+/// All records of a store at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy(HashMap<String, Topic>);
+
+/// What a writer had written and the store has lost: the newest value of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostWrite {
+    /// The topic.
+    pub topic: String,
+    /// The key.
+    pub key: String,
+    /// The value; nothing if the key was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+#[derive(Debug)]
 struct State {
     topics: HashMap<String, Topic>,
+    /// Rises whenever the store comes back from an older copy. All answers state it.
+    era: u64,
     fault: StoreFault,
     calls: u64,
     /// The number of records on a page of the newest ones; all if there is none.
     page: Option<usize>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            topics: HashMap::new(),
+            era: 1,
+            fault: StoreFault::default(),
+            calls: 0,
+            page: None,
+        }
+    }
+}
+
 /// A running store.
 #[derive(Debug)]
 pub struct SiteStore {
@@ -117,12 +146,77 @@
         }
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.state.0).topics.clone())
+    }
+
+    /// Replaces all records by an earlier copy, raises the era, and resets connections. Returns what the
+    /// operators and the targets have written since, in order.
+    pub fn restart_from(&self, copy: &StoreCopy) -> Vec<LostWrite> {
+        let (state, changed) = &*self.state;
+        let mut state = lock(state);
+        let lost = [OPERATORS, TARGETS]
+            .iter()
+            .flat_map(|topic| lost_writes(&state, copy, topic));
+        let lost = lost.collect();
+        state.topics.clone_from(&copy.0);
+        state.era += 1;
+        drop(state);
+        changed.notify_all();
+        self.server.reset_connections();
+        lost
+    }
+
+    /// Returns the number of records that a topic has had in this era.
+    pub fn end(&self, topic: &str) -> u64 {
+        let state = lock(&self.state.0);
+        state.topics.get(topic).map_or(0, |topic| topic.end)
+    }
+
+    /// Returns the newest value of each key of a topic that is not deleted.
+    pub fn newest(&self, topic: &str) -> BTreeMap<String, Vec<u8>> {
+        let state = lock(&self.state.0);
+        let records = state.topics.get(topic).map(|topic| &*topic.records);
+        let newest = newest_of(records.unwrap_or_default()).into_iter();
+        newest
+            .filter_map(|(key, (_, value))| Some((key.to_owned(), value?.to_vec())))
+            .collect()
+    }
+
     /// Returns the total number of received calls.
     pub fn calls(&self) -> u64 {
         lock(&self.state.0).calls
     }
 }
 
+/// Returns the newest record of each key, deletions included.
+fn newest_of(records: &[Record]) -> BTreeMap<&str, (u64, Option<&[u8]>)> {
+    let keyed = records
+        .iter()
+        .map(|(offset, key, value)| (&**key, (*offset, value.as_deref())));
+    keyed.collect()
+}
+
+/// Returns the newest value of each key that a topic has got since the copy, in order.
+fn lost_writes(state: &State, copy: &StoreCopy, name: &str) -> Vec<LostWrite> {
+    let kept = copy.0.get(name).map_or(0, |topic| topic.end);
+    let records = state.topics.get(name).map(|topic| &*topic.records);
+    let lost = records.unwrap_or_default().iter();
+    let lost: Vec<Record> = lost
+        .filter(|(offset, ..)| *offset >= kept)
+        .cloned()
+        .collect();
+    let mut newest: Vec<_> = newest_of(&lost).into_iter().collect();
+    newest.sort_by_key(|(_, (offset, _))| *offset);
+    let writes = newest.into_iter().map(|(key, (_, value))| LostWrite {
+        topic: name.to_owned(),
+        key: key.to_owned(),
+        value: value.map(<[u8]>::to_vec),
+    });
+    writes.collect()
+}
+
 fn append(state: &mut State, topic: &str, key: &str, value: Option<&[u8]>) -> u64 {
     let topic = state.topics.entry(topic.to_owned()).or_default();
     let offset = topic.end;
@@ -134,14 +228,14 @@
 
 fn handle(shared: &(Mutex<State>, Condvar), call: &ReceivedRequest) -> ServerAction {
     let (state, changed) = shared;
-    let fault = {
+    let (fault, era) = {
         let mut state = lock(state);
         state.calls += 1;
-        state.fault
+        (state.fault, state.era)
     };
     match fault {
         StoreFault::None | StoreFault::SlowWait => {}
-        StoreFault::Status(status) => return reply(status, b"{}"),
+        StoreFault::Status(status) => return reply(era, status, b"{}"),
         StoreFault::Silent => return ServerAction::Hang,
         StoreFault::Reset => return ServerAction::SendAndReset(Vec::new()),
     }
@@ -169,7 +263,7 @@
             let wait = Duration::from_millis(number("WaitMs"));
             read(shared, topic, number("From"), wait)
         }
-        _ => reply(404, b"{}"),
+        _ => reply(era, 404, b"{}"),
     }
 }
 
@@ -179,11 +273,11 @@
     while let Some((length, tail)) = rest.split_first_chunk::<4>() {
         let length = u32::from_be_bytes(*length) as usize;
         let Some((record, tail)) = tail.split_at_checked(length) else {
-            return reply(400, b"{}");
+            return reply(state.era, 400, b"{}");
         };
         rest = tail;
         let Some((key, value)) = split_record(record) else {
-            return reply(400, b"{}");
+            return reply(state.era, 400, b"{}");
         };
         let value = (!value.is_empty()).then_some(value);
         first.get_or_insert(append(state, topic, &key, value));
@@ -191,6 +285,7 @@
     let end = state.topics.get(topic).map_or(0, |topic| topic.end);
     let offset = first.unwrap_or(end);
     reply(
+        state.era,
         200,
         format!("{{\"Offset\":{offset},\"End\":{end}}}").as_bytes(),
     )
@@ -206,24 +301,21 @@
 fn newest(state: &State, topic: &str, after: Option<&str>) -> ServerAction {
     let size = state.page.unwrap_or(usize::MAX);
     let Some(topic) = state.topics.get(topic) else {
-        return reply(200, b"{\"items\":[],\"HasMore\":false,\"End\":0}");
+        let empty = b"{\"items\":[],\"HasMore\":false,\"End\":0}";
+        return reply(state.era, 200, empty);
     };
-    let mut newest = BTreeMap::new();
-    for (offset, key, value) in &topic.records {
-        newest.insert(key, (offset, value));
-    }
-    let newest = newest.into_iter();
+    let newest = newest_of(&topic.records).into_iter();
     let mut items: Vec<_> = newest
-        .filter(|(key, _)| after.is_none_or(|after| &***key > after))
+        .filter(|(key, _)| after.is_none_or(|after| *key > after))
         .filter_map(|(key, (offset, value))| {
-            let value = BASE64_STANDARD.encode(value.as_ref()?);
+            let value = BASE64_STANDARD.encode(value?);
             Some(serde_json::json!({"Key": key, "Value": value, "Offset": offset}))
         })
         .collect();
     let has_more = items.len() > size;
     items.truncate(size);
     let body = serde_json::json!({"items": items, "HasMore": has_more, "End": topic.end});
-    reply(200, body.to_string().as_bytes())
+    reply(state.era, 200, body.to_string().as_bytes())
 }
 
 fn read(shared: &(Mutex<State>, Condvar), topic: &str, from: u64, wait: Duration) -> ServerAction {
@@ -241,15 +333,16 @@
                 thread::sleep(Duration::from_secs(60));
                 return ServerAction::Hang;
             }
-            StoreFault::Status(status) => return reply(status, b"{}"),
+            StoreFault::Status(status) => return reply(state.era, status, b"{}"),
             StoreFault::Reset => return ServerAction::SendAndReset(Vec::new()),
         }
         let (first, end) = state
             .topics
             .get(topic)
             .map_or((0, 0), |topic| (topic.first, topic.end));
-        if from < first {
-            return reply(410, format!("{{\"First\":{first}}}").as_bytes());
+        if from < first || from > end {
+            let body = format!("{{\"First\":{first}}}");
+            return reply(state.era, 410, body.as_bytes());
         }
         let remaining = until.saturating_duration_since(Instant::now());
         if arrived.elapsed() < REGISTER_DELAY {
@@ -260,7 +353,7 @@
             false => from,
         };
         if wait_from < end || remaining.is_zero() {
-            return reply(200, &page(&state, topic, from, first, end));
+            return reply(state.era, 200, &page(&state, topic, from, first, end));
         }
         waited = true;
         let woken = changed.wait_timeout(state, remaining);
@@ -287,9 +380,9 @@
     page
 }
 
-fn reply(status: u16, body: &[u8]) -> ServerAction {
+fn reply(era: u64, status: u16, body: &[u8]) -> ServerAction {
     let mut bytes = format!(
-        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     )
     .into_bytes();
--- a/standin/src/site_wire.rs
+++ b/standin/src/site_wire.rs
@@ -45,12 +45,18 @@
 pub struct VmSettings<'a> {
     /// The VM's name.
     pub name: &'a str,
+    /// The failure domain: `a`, `b` or `c`.
+    pub domain: &'a str,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// The address for callers.
     pub callers: SocketAddr,
     /// The address of the readiness endpoint.
     pub readiness: SocketAddr,
     /// The address of the admin endpoint, which serves metrics and the state.
     pub admin: SocketAddr,
+    /// The address for other VMs, if the settings of others may name it.
+    pub control: Option<SocketAddr>,
     /// The addresses of some other VMs, used to join the roster.
     pub seeds: &'a [SocketAddr],
     /// The address of the store.
@@ -64,9 +70,10 @@
     let seeds: Vec<String> = vm.seeds.iter().map(ToString::to_string).collect();
     json!({
         "NodeName": vm.name, "Role": "gateway", "MachineClass": "edge", "Serves": ["edge"],
-        "Ip": "127.0.0.1", "Zone": "a", "Region": "r", "Zones": {"a": "r", "b": "r", "c": "s"},
-        "Listen": {"Frontend": vm.callers.to_string(), "Readiness": vm.readiness.to_string()},
-        "InternalPorts": [vm.admin.port(), vm.admin.port()], "Seeds": seeds, "Bootstrap": false,
+        "Ip": "127.0.0.1", "Zone": vm.domain, "Region": "r", "Zones": {"a": "r", "b": "r", "c": "s"},
+        "Listen": {"Frontend": vm.callers.to_string(), "Readiness": vm.readiness.to_string(),
+            "ControlPlane": vm.control.map(|addr| addr.to_string())},
+        "InternalPorts": [vm.admin.port(), vm.admin.port()], "Seeds": seeds, "Bootstrap": vm.first_start,
         "Limits": {"CpuShare": 0.2, "MemoryMb": vm.limits.memory_mb, "MaxFds": vm.limits.descriptors},
         "Bounds": {"Grace": "6s", "RetryBudgetRatio": 0.2, "RetryWindow": "10s",
             "RetryBudgetExtra": 60, "ProbesPerS": 60, "ColdOver": 1.5, "ColdSlack": 8},
@@ -115,6 +122,12 @@
     json!({"Version": format!("r{version}"), "Resources": resources}).to_string()
 }
 
+/// Returns a service besides `status`, for [`configuration`].
+pub fn service(name: &str) -> Value {
+    json!({"Type": "Services", "Metadata": {"Name": name}, "Spec": {
+        "HealthPath": "/health", "MaxConns": 240, "Protocol": "h1", "Tls": false}})
+}
+
 /// Returns a service whose targets take `rate` requests a second for `time_ms` after a start.
 pub fn warming_service(name: &str, time_ms: u64, rate: f64) -> Value {
     json!({"Type": "Services", "Metadata": {"Name": name}, "Spec": {
