--- a/gateway/src/apply_records.rs
+++ b/gateway/src/apply_records.rs
@@ -31,6 +31,8 @@
     next: StorePosition,
     source: RecordSource,
 ) {
+    let known = gateway.feed(topic).next();
+    let is_restart = known.is_some_and(|known| known.era < next.era);
     if topic == Topic::Targets {
         let listed: BTreeSet<TargetId> = records
             .iter()
@@ -38,6 +40,9 @@
             .collect();
         let now = Instant::now();
         let mut directory = gateway.directory.borrow_mut();
+        if is_restart {
+            directory.store_restarted(now, next);
+        }
         let removed = directory.retain(now, next.last(), &listed);
         drop(directory);
         for id in &removed {
@@ -145,7 +150,11 @@
         Announced::Changed => return warmup::announced(gateway, &id),
         Announced::Same => return,
         Announced::Stale => {
-            log::info!(target = id.as_str(); "an older announcement is ignored");
+            log::info!(target = id.as_str(), at:% = position; "an older announcement is ignored");
+            return;
+        }
+        Announced::Doubtful => {
+            log::info!(target = id.as_str(), at:% = position; "an announcement may be of the copy from which the store has come back");
             return;
         }
     }
@@ -179,11 +188,17 @@
     }
 }
 
-/// Removes targets whose entries have not reappeared since the store recovered.
-pub fn expire_targets(gateway: &Gateway, now: Instant) {
+/// Applies what the store says, where records that contradicted it have not been written again since it
+/// recovered: removes targets whose entries have not reappeared, among others.
+pub fn expire(gateway: &Gateway, now: Instant) {
+    evacuation::expire(gateway, now);
     let removed = gateway.directory.borrow_mut().expire(now);
     for id in removed {
         log::info!(target = id.as_str(); "target gone: its entry has not reappeared since the store recovered");
         gateway.drop_connections(&id);
     }
+    let settled = gateway.directory.borrow_mut().settle(now);
+    for (position, target) in settled {
+        announce(gateway, position, target);
+    }
 }
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -146,7 +146,7 @@
     /// Does periodic work.
     fn on_tick(&mut self, ticks: u32) {
         let now = Instant::now();
-        apply_records::expire_targets(&self.gateway, now);
+        apply_records::expire(&self.gateway, now);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             self.gateway.sweep(now);
             if modified(&self.path) != self.modified {
--- a/gateway/src/evacuation.rs
+++ b/gateway/src/evacuation.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// Ends the evacuations whose records the store has lost.
+pub(crate) fn expire(gateway: &Gateway, now: Instant) {
+    let ended = gateway.evacuations.borrow_mut().expire(now);
+    for domain in ended {
+        let position = gateway.config_position().unwrap_or_default();
+        on_change(gateway, &domain, position, false);
+    }
+}
+
 /// Applies a record. Returns false if it is about something else.
 pub(crate) fn apply_change(gateway: &Gateway, era: StoreEra, record: &KeyedRecord) -> bool {
     if store_client::evacuated_domain(&record.key).is_none() {
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -155,10 +155,6 @@
         if self.lost_since.is_none() {
             self.set_state(SourceState::Searching);
         }
-        if self.topic == Topic::Targets {
-            let mut directory = self.gateway.directory.borrow_mut();
-            directory.store_recovered(Instant::now());
-        }
     }
 
     async fn advance(&mut self) {
--- a/gateway/tests/test_store_restart.rs
+++ b/gateway/tests/test_store_restart.rs
@@ -47,6 +47,8 @@
 const PROBERS: usize = 5;
 /// Pause between two requests of a prober.
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
+/// After how many milliseconds at most the operator and the targets write again what the store has lost.
+const REWRITE_MS: [u64; 4] = [0, 0, 500, 1_500];
 /// Clients that keep connections open.
 const CLIENTS: usize = 4;
 /// The number of violations that are printed of a run.
@@ -205,6 +207,8 @@
             self.pause(0, 900);
             again = self.deployment.drill(&copies[0], away);
         }
+        let delay = REWRITE_MS[self.rng.random_range(0..REWRITE_MS.len())];
+        self.pause(delay / 2, delay);
         self.deployment.write_again(&again);
         self.leave("i-status-c-0", false);
         self.fill(length, known);
--- a/lib/src/evacuation/evacuations.rs
+++ b/lib/src/evacuation/evacuations.rs
@@ -9,6 +9,7 @@
 use crate::evacuation::domain_state::DomainState;
 use crate::preferred_targets;
 use crate::store_position::StorePosition;
+use crate::target_directory::REANNOUNCE_TIME;
 
 /// Time over which the VMs return to a domain whose evacuation was withdrawn, so that its targets do
 /// not get the requests of all VMs at once.
@@ -37,6 +38,9 @@
     /// The last position up to which all records have been read. Older ones than this say nothing
     /// new: a copy of one must not bring back an evacuation that was withdrawn.
     read_to: Option<StorePosition>,
+    /// Evacuations that the store does not list any more since it has come back from an older copy, each
+    /// with when it ends unless the record is written again.
+    unlisted: BTreeMap<DomainId, Instant>,
 }
 
 impl Evacuations {
@@ -72,7 +76,17 @@
         let unlisted = self.marks.iter().filter(|(domain, mark)| {
             mark.evacuated && mark.position <= last && !listed.contains_key(*domain)
         });
-        let ended: BTreeSet<DomainId> = unlisted.map(|(domain, _)| domain.clone()).collect();
+        // Records of an earlier era may have been lost. They are written again.
+        let (lost, ended): (Vec<_>, Vec<_>) =
+            unlisted.partition(|(_, mark)| mark.position.era < last.era);
+        let ended: BTreeSet<DomainId> = ended
+            .into_iter()
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        for (domain, _) in lost {
+            let until = now + REANNOUNCE_TIME;
+            self.unlisted.entry(domain.clone()).or_insert(until);
+        }
         let mut changed = Vec::new();
         for domain in ended {
             self.set(now, last, &domain, false);
@@ -89,6 +103,18 @@
         changed
     }
 
+    /// Ends the evacuations whose records the store has lost and has not got again, and returns their
+    /// domains.
+    pub fn expire(&mut self, now: Instant) -> Vec<DomainId> {
+        let due = self.unlisted.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<DomainId> = due.map(|(domain, _)| domain.clone()).collect();
+        for domain in &due {
+            let position = self.read_to.unwrap_or_default();
+            self.set(now, position, domain, false);
+        }
+        due
+    }
+
     /// Returns whether a domain is evacuated.
     pub fn is_evacuated(&self, domain: &DomainId) -> bool {
         self.marks.get(domain).is_some_and(|mark| mark.evacuated)
@@ -134,6 +160,7 @@
         domain: &DomainId,
         evacuated: bool,
     ) -> bool {
+        self.unlisted.remove(domain);
         let was_evacuated = self.is_evacuated(domain);
         let known = self.marks.get(domain);
         let read = known.map(|mark| mark.read);
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -10,6 +10,7 @@
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::prelude::StorePosition;
+use carobshore_lib::target_directory::REANNOUNCE_TIME;
 use proptest::prelude::*;
 
 fn at(offset: u64) -> StorePosition {
@@ -142,3 +143,24 @@
         DomainState::Open
     );
 }
+
+/// Guards against requests to a domain whose evacuation the store has lost with a restart, and which the
+/// operators write again.
+#[test]
+fn an_evacuation_that_the_store_has_lost_stays_for_a_while() {
+    let again = |offset| StorePosition::new("2".parse().expect("an era"), offset);
+    let now = Instant::now();
+    let mut evacuations = Evacuations::default();
+    for index in 0..4 {
+        evacuations.apply(now, at(90 + u64::from(index)), &domain(index), true);
+    }
+    // The copy has the first one. The second is written again, the third is withdrawn.
+    let listed = BTreeMap::from([(domain(0), again(7))]);
+    assert!(evacuations.replace(now, again(8), &listed).is_empty());
+    assert!(!evacuations.apply(now, again(9), &domain(1), true));
+    assert!(evacuations.apply(now, again(10), &domain(2), false));
+    assert!(evacuations.expire(now).is_empty());
+    assert_eq!(evacuated(&evacuations), [domain(0), domain(1), domain(3)]);
+    assert_eq!(evacuations.expire(now + REANNOUNCE_TIME), [domain(3)]);
+    assert_eq!(evacuated(&evacuations), [domain(0), domain(1)]);
+}
--- a/lib/tests/test_target_directory.rs
+++ b/lib/tests/test_target_directory.rs
@@ -12,6 +12,7 @@
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
 use carobshore_lib::target_directory::Announced;
+use carobshore_lib::target_directory::REANNOUNCE_TIME;
 use carobshore_lib::target_directory::TargetDirectory;
 
 fn id(name: &str) -> TargetId {
@@ -36,6 +37,112 @@
     StorePosition::new(StoreEra::default(), offset)
 }
 
+/// Returns a position after a restart of the store.
+fn again(offset: u64) -> StorePosition {
+    StorePosition::new("2".parse().expect("an era"), offset)
+}
+
+fn leaving(name: &str, started_ms: u64) -> AnnouncedTarget {
+    AnnouncedTarget {
+        state: TargetState::Leaving,
+        ..target(name, started_ms, 9)
+    }
+}
+
+fn state(directory: &TargetDirectory, name: &str) -> Option<TargetState> {
+    directory.get(&id(name)).map(|target| target.state)
+}
+
+/// Guards against requests to a target that has left, because the store has come back from an older copy
+/// and its offsets are lower than those of before.
+#[test]
+fn after_a_restart_of_the_store_a_lower_offset_is_no_older_announcement() {
+    let mut directory = TargetDirectory::default();
+    directory.announce(at(90), target("t", 5, 1));
+    directory.announce(at(91), target("u", 5, 1));
+    let now = Instant::now();
+    directory.store_restarted(now, again(40));
+    assert_eq!(
+        directory.announce(again(41), leaving("t", 5)),
+        Announced::Changed
+    );
+    assert_eq!(state(&directory, "t"), Some(TargetState::Leaving));
+    let later = now + REANNOUNCE_TIME;
+    assert!(directory.withdraw(later, again(42), &id("u")));
+    // A copy of the earlier era that arrives late.
+    assert_eq!(
+        directory.announce(at(95), target("t", 5, 1)),
+        Announced::Stale
+    );
+}
+
+/// Guards against requests to a target that leaves or has left, because the copy from which the store has
+/// come back says that it serves.
+#[test]
+fn what_leaves_stays_so_until_the_new_era_says_otherwise() {
+    let mut directory = TargetDirectory::default();
+    let now = Instant::now();
+    for (offset, name) in ["copied", "written", "gone", "started"]
+        .into_iter()
+        .enumerate()
+    {
+        directory.announce(at(offset as u64), target(name, 5, 1));
+    }
+    directory.announce(at(10), leaving("copied", 5));
+    directory.announce(at(11), leaving("written", 5));
+    directory.withdraw(now, at(12), &id("gone"));
+    directory.withdraw(now, at(13), &id("started"));
+    directory.store_restarted(now, again(9));
+    // Records of the copy, and one of a target that has been started again.
+    assert_eq!(
+        directory.announce(again(0), target("copied", 5, 1)),
+        Announced::Doubtful
+    );
+    assert_eq!(
+        directory.announce(again(2), target("gone", 5, 1)),
+        Announced::Doubtful
+    );
+    assert_eq!(
+        directory.announce(again(3), target("started", 6, 1)),
+        Announced::Joined
+    );
+    assert_eq!(state(&directory, "copied"), Some(TargetState::Leaving));
+    assert_eq!(state(&directory, "gone"), None);
+    // One that was written since.
+    assert_eq!(
+        directory.announce(again(9), target("written", 5, 1)),
+        Announced::Changed
+    );
+    assert_eq!(state(&directory, "written"), Some(TargetState::Serving));
+    assert!(directory.settle(now).is_empty(), "it may be written again");
+    let settled = directory.settle(now + REANNOUNCE_TIME);
+    assert_eq!(settled.len(), 2);
+    for (position, target) in settled {
+        directory.announce(position, target);
+    }
+    assert_eq!(state(&directory, "copied"), Some(TargetState::Serving));
+    assert_eq!(state(&directory, "gone"), Some(TargetState::Serving));
+}
+
+/// Guards against a target that serves again although what the copy says of it was replaced in time.
+#[test]
+fn a_doubtful_announcement_that_is_replaced_does_not_hold_later() {
+    let mut directory = TargetDirectory::default();
+    let now = Instant::now();
+    for (offset, name) in ["left", "gone", "unlisted"].into_iter().enumerate() {
+        directory.announce(at(offset as u64), leaving(name, 5));
+    }
+    directory.store_restarted(now, again(9));
+    for (offset, name) in ["left", "gone", "unlisted"].into_iter().enumerate() {
+        directory.announce(again(offset as u64), target(name, 5, 1));
+    }
+    directory.announce(again(9), leaving("left", 5));
+    directory.withdraw(now, again(10), &id("gone"));
+    directory.retain(now, again(11), &BTreeSet::from([id("left"), id("gone")]));
+    assert!(directory.settle(now + REANNOUNCE_TIME).is_empty());
+    assert_eq!(state(&directory, "left"), Some(TargetState::Leaving));
+}
+
 #[test]
 fn a_copy_of_an_older_announcement_does_not_undo_a_newer_one() {
     let mut directory = TargetDirectory::default();
