--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -211,6 +211,7 @@
         registered = asks && vm_registration::ask_others(&gateway).await
             || vm_registration::register(&gateway).await;
     }
+    spawn("registration", vm_registration::keep_registered(gateway));
     Ok(())
 }
 
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use carobshore_lib::prelude::DomainId;
 use carobshore_lib::prelude::RequestRate;
 use carobshore_lib::prelude::ServiceId;
+use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::prelude::StorePosition;
 use carobshore_lib::prelude::TargetId;
 use carobshore_lib::prelude::TargetState;
@@ -98,6 +99,8 @@
     /// The exported metrics.
     pub metrics: Metrics,
     roster: RefCell<VmRoster>,
+    /// The list of VMs as it stands in the store, and the era in which it was read.
+    listed: RefCell<(StoreEra, VmRoster)>,
     /// Whether VMs that have not started since this one registered do not know it.
     is_new: Cell<bool>,
     /// What is known of the limits of targets, from this VM and others.
@@ -187,6 +190,7 @@
             started: now,
             metrics,
             roster: RefCell::default(),
+            listed: RefCell::default(),
             is_new: Cell::new(true),
             limit_news: RefCell::default(),
             warmup: Warmups::new(now),
@@ -316,6 +320,25 @@
         self.roster.borrow()
     }
 
+    /// Sets the list of VMs as it stands in the store, as of an era.
+    pub(crate) fn set_listed(&self, era: StoreEra, listed: VmRoster) {
+        *self.listed.borrow_mut() = (era, listed);
+    }
+
+    /// Returns the era in which the list of VMs was last read.
+    pub(crate) fn listed_era(&self) -> StoreEra {
+        self.listed.borrow().0
+    }
+
+    /// Returns the VMs that the store lists in its newest era; none if that has not been read yet.
+    pub(crate) fn listed(&self) -> VmRoster {
+        let (era, listed) = &*self.listed.borrow();
+        match *era == self.eras.newest() {
+            true => listed.clone(),
+            false => VmRoster::default(),
+        }
+    }
+
     /// Returns what registers other VMs.
     pub(crate) fn registrar(&self) -> &Registrar {
         &self.registrar
--- a/gateway/src/registrar.rs
+++ b/gateway/src/registrar.rs
@@ -12,6 +12,7 @@
 use carobshore_http::head::RequestHead;
 use carobshore_http::persistent_client::PersistentClient;
 use carobshore_lib::join_queue::JoinQueue;
+use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use tokio::sync::Notify;
@@ -20,6 +21,7 @@
 
 use crate::compressed_body;
 use crate::compressed_body::CompressedBody;
+use crate::feed;
 use crate::gateway::Gateway;
 use crate::reply::Reply;
 use crate::vm_registration;
@@ -39,6 +41,8 @@
 pub(crate) struct Registration {
     /// All VMs.
     pub(crate) roster: VmRoster,
+    /// The era of the store in which the list was read; nothing from VMs of the release before.
+    pub(crate) era: Option<StoreEra>,
     /// Whether other VMs may have read the list without this VM.
     pub(crate) is_new: bool,
 }
@@ -108,15 +112,20 @@
     let Some(record) = record else {
         return Some(Reply::text(400, "no valid record of a VM\n"));
     };
+    if let Some(era) = era(&head.fields) {
+        gateway.eras.observe(era);
+    }
     let registrar = gateway.registrar();
     let until = Instant::now() + HOLD;
     let mut is_new = false;
     loop {
-        if gateway.roster().has(&record) {
+        if gateway.listed().has(&record) {
             let reply = registrar.reply(&gateway.roster(), is_new);
-            return Some(reply.unwrap_or_else(|error| Reply::text(500, error.to_string())));
+            let reply = reply.unwrap_or_else(|error| Reply::text(500, error.to_string()));
+            let era = gateway.listed_era().to_string();
+            return Some(reply.with_field(feed::ERA_FIELD, &era));
         }
-        is_new |= !gateway.roster().is_empty();
+        is_new |= !gateway.roster().is_empty() && !gateway.roster().has(&record);
         registrar.add(&record);
         let changed = registrar.changed.notified();
         if timeout_at(until.into(), changed).await.is_err() {
@@ -125,6 +134,11 @@
     }
 }
 
+/// Returns the newest era of the store that another VM knows.
+fn era(fields: &Fields) -> Option<StoreEra> {
+    fields.text(feed::ERA_FIELD)?.parse().ok()
+}
+
 /// Registers the VMs that ask, until the process exits.
 pub(crate) async fn serve(gateway: Rc<Gateway>) -> eyre::Result<()> {
     loop {
@@ -133,9 +147,14 @@
     }
 }
 
-/// Asks another VM to register this one. Returns nothing if it does not tell the list.
-pub(crate) async fn ask(mut client: PersistentClient, record: &VmRecord) -> Option<Registration> {
+/// Asks another VM to register this one, in the newest era or a later one. Returns nothing if it does not tell the list.
+pub(crate) async fn ask(
+    mut client: PersistentClient,
+    newest: StoreEra,
+    record: &VmRecord,
+) -> Option<Registration> {
     let mut fields = Fields::default();
+    fields.add(feed::ERA_FIELD, newest.to_string());
     fields.add(RECORD_FIELD, serde_json::to_string(record).ok()?);
     let response = client.call_with(fields, "GET", PATH, &[], HOLD + ANSWER_MARGIN);
     let response = response.await.ok()?;
@@ -143,6 +162,7 @@
     let roster = (response.head.status == 200).then(|| serde_json::from_slice(&body));
     Some(Registration {
         roster: roster?.ok()?,
+        era: era(&response.head.fields),
         is_new: response.head.fields.text(NEW_FIELD).is_some(),
     })
 }
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use carobshore_lib::preferred_targets;
+use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_platform::store_client::StoreClient;
@@ -39,6 +40,12 @@
 /// paused, or the store may refuse its calls.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(400);
 
+/// After a restart of the store, the VMs register again within this time, one after the other.
+const AGAIN_SPREAD: Duration = Duration::from_millis(300);
+/// How long other VMs are then asked before the store is called, and the pause before the next try.
+const AGAIN_TIMEOUT: Duration = Duration::from_millis(600);
+const AGAIN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Asks other VMs to register this one and to tell the list of VMs. Returns whether one has.
 pub async fn ask_others(gateway: &Rc<Gateway>) -> bool {
     let started = Instant::now();
@@ -74,9 +81,52 @@
     false
 }
 
+/// Registers this VM again whenever the store has come back from an older copy, which may lack its record,
+/// until the process exits.
+pub(crate) async fn keep_registered(gateway: Rc<Gateway>) -> eyre::Result<()> {
+    loop {
+        gateway.eras.risen_above(gateway.listed_era()).await;
+        let position = preferred_targets::rank(&own_record(&gateway).name, "") as f64;
+        sleep(AGAIN_SPREAD.mul_f64(position / u64::MAX as f64)).await;
+        if !register_again(&gateway).await {
+            sleep(AGAIN_PAUSE).await;
+        }
+    }
+}
+
+/// Registers this VM in the newest era: through a VM that the settings name, or else in the store.
+/// Returns whether it is registered.
+async fn register_again(gateway: &Rc<Gateway>) -> bool {
+    let record = own_record(gateway);
+    let asked = match gateway.is_seed() || gateway.seeds().is_empty() {
+        true => None,
+        false => timeout(AGAIN_TIMEOUT, ask_until_told(gateway, &record))
+            .await
+            .ok(),
+    };
+    let newest = Some(gateway.eras.newest());
+    let registration = match asked.filter(|registration| registration.era >= newest) {
+        Some(registration) => registration,
+        None => match timeout(STORE_TIMEOUT, read_and_append(gateway)).await {
+            Ok(Ok(registration)) => registration,
+            Ok(Err(_)) | Err(_) => return false,
+        },
+    };
+    // Other VMs that are known here may not be registered again yet.
+    let mut roster = registration.roster.clone();
+    roster.merge(&gateway.roster());
+    let era = registration.era.unwrap_or_default();
+    log::info!(vms = roster.len().unwrap_or(0), era = era.get(); "registered again after a restart of the store");
+    gateway.set_listed(era, registration.roster);
+    if roster != *gateway.roster() {
+        gateway.replace_roster(roster);
+    }
+    true
+}
+
 /// Registers the VMs that have asked this one to.
 pub(crate) async fn register_others(gateway: &Gateway) {
-    let records = gateway.registrar().take(&gateway.roster());
+    let records = gateway.registrar().take(&gateway.listed());
     if records.is_empty() {
         return gateway.registrar().list_changed();
     }
@@ -87,9 +137,10 @@
     };
     let vms = records.len();
     match registered.await {
-        Ok(mut roster) => {
-            roster.merge(&gateway.roster());
+        Ok((era, mut roster)) => {
             records.into_iter().for_each(|vm| roster.add(vm));
+            gateway.set_listed(era, roster.clone());
+            roster.merge(&gateway.roster());
             log::info!(vms; "other VMs registered");
             gateway.replace_roster(roster);
         }
@@ -98,8 +149,13 @@
 }
 
 fn accept(gateway: &Gateway, registration: Registration, ms: u64, from: &str) {
-    let Registration { roster, is_new } = registration;
+    let Registration {
+        roster,
+        is_new,
+        era,
+    } = registration;
     log::info!(vms = roster.len().unwrap_or(0), is_new, from, ms; "list of VMs read");
+    gateway.set_listed(era.unwrap_or_default(), roster.clone());
     gateway.set_roster(roster, is_new);
 }
 
@@ -137,7 +193,7 @@
             },
             client = next, if !others.is_empty() => {
                 others.retain(|addr| *addr != client.addr());
-                asked.push(registrar::ask(client, record));
+                asked.push(registrar::ask(client, gateway.eras.newest(), record));
             }
         }
         if asked.is_empty() {
@@ -149,27 +205,39 @@
 async fn register_and_read(gateway: &Gateway) -> Result<Registration, StoreFailure> {
     let record = own_record(gateway);
     let first_start = gateway.boot.borrow().first_start;
-    let mut client = store_client(gateway);
-    if first_start {
-        sleep(FIRST_ASKED_TIME).await;
-        let mut records = gateway.registrar().take(&VmRoster::default());
-        records.push(record.clone());
-        append(gateway, &mut client, &records).await?;
-        sleep(FIRST_OTHERS_TIME).await;
-        let mut roster = read(gateway, &mut client).await?;
-        roster.add(record);
-        return Ok(Registration {
-            roster,
-            is_new: false,
-        });
+    if !first_start {
+        return read_and_append(gateway).await;
     }
-    let mut roster = read(gateway, &mut client).await?;
+    let mut client = store_client(gateway);
+    sleep(FIRST_ASKED_TIME).await;
+    let mut records = gateway.registrar().take(&VmRoster::default());
+    records.push(record.clone());
+    append(gateway, &mut client, &records).await?;
+    sleep(FIRST_OTHERS_TIME).await;
+    let (era, mut roster) = read(gateway, &mut client).await?;
+    roster.add(record);
+    Ok(Registration {
+        roster,
+        is_new: false,
+        era: Some(era),
+    })
+}
+
+/// Reads the list of VMs, and registers this one if it is not on it.
+async fn read_and_append(gateway: &Gateway) -> Result<Registration, StoreFailure> {
+    let record = own_record(gateway);
+    let mut client = store_client(gateway);
+    let (era, mut roster) = read(gateway, &mut client).await?;
     let is_new = !roster.has(&record);
     if is_new {
         append(gateway, &mut client, std::slice::from_ref(&record)).await?;
         roster.add(record);
     }
-    Ok(Registration { roster, is_new })
+    Ok(Registration {
+        roster,
+        is_new,
+        era: Some(era),
+    })
 }
 
 /// Returns the record under which this VM registers.
@@ -203,7 +271,11 @@
     result
 }
 
-async fn read(gateway: &Gateway, client: &mut StoreClient) -> Result<VmRoster, StoreFailure> {
+/// Returns the list of VMs in the store, and the era in which it was read.
+async fn read(
+    gateway: &Gateway,
+    client: &mut StoreClient,
+) -> Result<(StoreEra, VmRoster), StoreFailure> {
     let newest = client.newest().await;
     gateway.metrics.store_call("list", &newest);
     let newest = newest?;
@@ -218,5 +290,5 @@
             Err(error) => log::warn!(reason:% = error; "malformed VM record"),
         }
     }
-    Ok(VmRoster::new(vms))
+    Ok((newest.end.era, VmRoster::new(vms)))
 }
--- a/gateway/tests/deployment/mod.rs
+++ b/gateway/tests/deployment/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) vms: Vec<Vm>,
     pub(crate) targets: Vec<SiteTarget>,
     pub(crate) record: Arc<Record>,
+    /// A copy of the store from before the VMs have started.
+    pub(crate) first_copy: StoreCopy,
 }
 
 /// What the operator has written, and since when each VM has been without trouble.
@@ -141,6 +143,7 @@
                 targets.push(target);
             }
         }
+        let first_copy = site.store.copy();
         let controls: Vec<SocketAddr> = DOMAINS.iter().map(|_| free_port()).collect();
         let mut vms = Vec::new();
         for (index, domain) in DOMAINS.iter().enumerate() {
@@ -165,6 +168,7 @@
             vms,
             targets,
             record: Arc::default(),
+            first_copy,
         };
         deployment.configure(1);
         for vm in &deployment.vms {
--- a/gateway/tests/test_store_restart.rs
+++ b/gateway/tests/test_store_restart.rs
@@ -23,6 +23,7 @@
 use carobshore_standin::server::ANY_PORT;
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_store::TARGETS;
+use carobshore_standin::site_store::VMS;
 use carobshore_standin::site_target::SiteTarget;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -43,6 +44,8 @@
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// `Drain` of the deployment.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Time within which the VMs are registered again.
+const REGISTER: Duration = Duration::from_secs(2);
 /// Threads that ask each VM on the newest routes.
 const PROBERS: usize = 5;
 /// Pause between two requests of a prober.
@@ -129,6 +132,26 @@
     assert!(failed.is_empty(), "seeds {failed:?} have violations");
 }
 
+/// Guards against a list of VMs that stays short after a drill of the store: a VM that starts later takes it
+/// for the whole list, and two sets of owners grant one quota (QUOTA).
+#[test]
+fn vms_register_again_after_a_restart_of_the_store() {
+    let deployment = Deployment::start("registered");
+    let store = &deployment.site.store;
+    let all = deployment.vms.len();
+    let registered = || store.newest(VMS).len();
+    common::wait("all VMs have registered", || registered() == all);
+    for _ in 0..2 {
+        let lost = deployment.drill(&deployment.first_copy, REGISTER / 4);
+        let back = Instant::now();
+        deployment.write_again(&lost);
+        assert_eq!(registered(), 0, "the copy is of the time before");
+        common::wait("all VMs have registered again", || registered() == all);
+        let took = back.elapsed();
+        assert!(took <= REGISTER, "{took:?}");
+    }
+}
+
 /// Clients and probers of a run, with what they have found.
 struct Traffic {
     ended: Arc<AtomicBool>,
--- a/standin/src/site_store.rs
+++ b/standin/src/site_store.rs
@@ -23,6 +23,8 @@
 
 /// The topic with the announcements of targets.
 pub const TARGETS: &str = "keyed.servers";
+/// The topic in which the VMs register.
+pub const VMS: &str = "keyed.vms";
 /// The topic with the operators' configuration.
 pub const OPERATORS: &str = "keyed.op";
 
