--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod feed;
 pub mod feed_client;
 pub mod feed_format;
+mod feed_peer;
 pub mod flags;
 pub mod gateway;
 mod health_check;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -10,7 +10,6 @@
 use carobshore_lib::keyed_record::KeyedRecord;
 use carobshore_lib::keyed_record::unseen;
 use carobshore_lib::long_poll::LongPoll;
-use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::prelude::StorePosition;
 use carobshore_lib::record_age::RecordAge;
 use carobshore_lib::source_selector::SourceFailure;
@@ -26,13 +25,14 @@
 use tokio::time::sleep_until;
 
 use crate::apply_records;
-use crate::feed::Poll;
 use crate::feed::SourceState;
 use crate::feed_client::CONNECT_TIMEOUT;
 use crate::feed_client::FeedClient;
 use crate::feed_client::PollFailure;
 use crate::feed_client::PolledChanges;
 use crate::feed_format::FeedFormat;
+use crate::feed_peer;
+use crate::feed_peer::Peer;
 use crate::gateway::Gateway;
 use crate::limits;
 use crate::record_source::RecordSource;
@@ -86,18 +86,6 @@
     start_failures: usize,
 }
 
-/// Another VM that is polled.
-struct Peer {
-    client: FeedClient,
-    /// Whether it is itself only waiting for the store to recover.
-    isolated: bool,
-    /// Whether it may read changes from this VM, or is in another failure domain. Its records are
-    /// used, but this VM keeps looking for a source.
-    indirect: bool,
-    /// The format in which it sends changes.
-    format: FeedFormat,
-}
-
 /// Follows a topic until the process exits.
 pub async fn follow(gateway: Rc<Gateway>, topic: Topic) -> eyre::Result<()> {
     let addr = gateway.boot.borrow().store;
@@ -256,6 +244,16 @@
             });
             return;
         };
+        let (next, newest) = (changes.position(), self.gateway.eras.newest());
+        let used = match (changes.complete, self.reader.known()) {
+            (true, _) => self.reader.take_snapshot(newest, next),
+            (false, Some(from)) => self.reader.take_page(from, next),
+            (false, None) => Use::Ignore,
+        };
+        if used == Use::Ignore {
+            self.peer = Some(peer);
+            return;
+        }
         if let Some(confirmed) = confirmed {
             self.record_age.confirm(confirmed);
         }
@@ -270,17 +268,10 @@
             format: FeedFormat::Compact,
             ..peer
         });
-        let (next, newest) = (changes.position(), self.gateway.eras.newest());
-        let used = match (changes.complete, self.reader.known()) {
-            (true, _) => self.reader.take_snapshot(newest, next),
-            (false, Some(from)) => self.reader.take_page(from, next),
-            (false, None) => Use::Ignore,
-        };
         match used {
             Use::Replace => self.apply_snapshot(changes.records, next, source),
             Use::Apply(_) => self.apply_changes(changes.records, next, source),
-            Use::Current => {}
-            Use::Ignore => return,
+            Use::Current | Use::Ignore => {}
         }
         if let Some(confirmed) = confirmed {
             let feed = self.gateway.feed(self.topic);
@@ -329,7 +320,7 @@
         let asked = asked.map(|peer| peer.client.addr());
         let news = limits::news(&self.gateway);
         let newest = self.gateway.eras.newest();
-        let mut other = pin!(poll_if_any(peer, self.topic, from, newest, news));
+        let mut other = pin!(feed_peer::poll_if_any(peer, self.topic, from, newest, news));
         let mut call_store = pin!(sleep_until(store_due.into()));
         let mut time_limit = pin!(sleep_until((store_due + time_limit).into()));
         let mut calls_store = false;
@@ -545,37 +536,3 @@
         feed.update(|mirror| mirror.extend(records, next));
     }
 }
-
-/// Polls the peer, or never completes if there is none.
-async fn poll_if_any(
-    peer: Option<Peer>,
-    topic: Topic,
-    from: Option<StorePosition>,
-    newest: StoreEra,
-    news: Option<String>,
-) -> (Peer, Result<PolledChanges, PollFailure>) {
-    let Some(mut peer) = peer else {
-        return std::future::pending().await;
-    };
-    let polled = peer.poll(topic, from, newest, news.as_deref()).await;
-    (peer, polled)
-}
-
-impl Peer {
-    async fn poll(
-        &mut self,
-        topic: Topic,
-        from: Option<StorePosition>,
-        newest: StoreEra,
-        news: Option<&str>,
-    ) -> Result<PolledChanges, PollFailure> {
-        let poll = Poll {
-            topic,
-            from,
-            newest: Some(newest),
-            patient: self.isolated,
-            format: self.format,
-        };
-        self.client.poll(poll, news).await
-    }
-}
--- a/gateway/tests/test_feed.rs
+++ b/gateway/tests/test_feed.rs
@@ -50,3 +50,37 @@
         assert!(started.elapsed() >= LOST_AFTER + SEARCH_TIME);
     });
 }
+
+/// Guards against VMs that take records of an earlier era of the store from each other, and with them an
+/// offset that the store gives out again.
+#[test]
+fn a_vm_hands_on_nothing_of_an_earlier_era_than_a_poll_states() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    let era = |number: &str| number.parse::<StoreEra>().expect("an era");
+    let feed = Feed::default();
+    let known = StorePosition::new(era("1"), 5);
+    feed.update(|mirror| mirror.load(Vec::new(), known));
+    feed.set_state(SourceState::Found);
+    let answer = |newest, from| {
+        let poll = Poll {
+            topic: Topic::Operators,
+            from,
+            newest: Some(newest),
+            patient: false,
+            format: FeedFormat::Plain,
+        };
+        runtime
+            .block_on(feed.answer(poll, &mut Told::default()))
+            .status
+    };
+    assert_eq!(answer(era("1"), Some(known)), 200);
+    let later = StorePosition::new(era("2"), 5);
+    assert_eq!(answer(era("2"), Some(later)), 503);
+    assert_eq!(answer(era("2"), None), 503);
+    feed.update(|mirror| mirror.load(Vec::new(), StorePosition::new(era("2"), 3)));
+    assert_eq!(answer(era("2"), Some(later)), 200);
+    assert_eq!(answer(era("1"), Some(known)), 200, "it gets all records");
+}
