--- a/gateway/tests/test_soak.rs
+++ b/gateway/tests/test_soak.rs
@@ -21,6 +21,7 @@
 use carobshore_standin::fault_proxy::ProxyFault;
 use carobshore_standin::odd_entry;
 use carobshore_standin::site_store::OPERATORS;
+use carobshore_standin::site_store::StoreCopy;
 use carobshore_standin::site_store::StoreFault;
 use carobshore_standin::site_store::TARGETS;
 use carobshore_standin::site_target::Behaviour;
@@ -60,6 +61,8 @@
     gateways: Vec<Gateway>,
     rng: StdRng,
     version: u64,
+    /// A copy of the store from which it may come back.
+    copy: Option<StoreCopy>,
 }
 
 fn seeds() -> Vec<u64> {
@@ -103,6 +106,7 @@
             gateways,
             rng: StdRng::seed_from_u64(seed),
             version: 1,
+            copy: None,
         }
     }
 
@@ -142,7 +146,7 @@
         let at = self.rng.random_range(0..4);
         let vm = self.rng.random_range(0..3);
         let millis = self.rng.random_range(10..200);
-        match self.rng.random_range(0..22) {
+        match self.rng.random_range(0..24) {
             0 => {
                 self.target_proxies[at].set_fault(ProxyFault::Delay(Duration::from_millis(millis)));
             }
@@ -172,10 +176,26 @@
             }
             19 => self.write_over(at, millis),
             20 => self.add_odd_entries(at, millis as usize),
+            21 | 22 => self.restart_store(millis),
             _ => self.clear_faults(),
         }
     }
 
+    /// Lets the store come back from an earlier copy, if there is one, or takes one. What the operator and
+    /// the targets have written since is written again a little later.
+    fn restart_store(&mut self, millis: u64) {
+        let Some(copy) = self.copy.take() else {
+            self.copy = Some(self.site.store.copy());
+            return;
+        };
+        let lost = self.site.store.restart_from(&copy);
+        thread::sleep(Duration::from_millis(millis));
+        for write in lost {
+            let value = write.value.as_deref();
+            self.site.store.put(&write.topic, &write.key, value);
+        }
+    }
+
     /// Writes a well-formed entry with large numbers under the key of a target, as another writer.
     fn write_over(&self, at: usize, number: u64) {
         let target = &self.site.targets[at];
