--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -155,7 +155,9 @@
     /// Answers a poll. `told` is what earlier answers on the same connection have said.
     pub async fn answer(&self, poll: Poll, told: &mut Told) -> Reply {
         let started = Instant::now();
-        poll.newest.map(|era| self.eras.observe(era));
+        if let Some(era) = poll.newest {
+            self.eras.observe(era);
+        }
         self.hold(poll, *told).await;
         told.0 = self.confirmed.get();
         let mirror = self.mirror.borrow();
--- a/gateway/src/registrar.rs
+++ b/gateway/src/registrar.rs
@@ -41,7 +41,7 @@
 pub(crate) struct Registration {
     /// All VMs.
     pub(crate) roster: VmRoster,
-    /// The era of the store in which the list was read; nothing from VMs of the release before.
+    /// The era of the store in which this VM is on its list; nothing from VMs of the release before.
     pub(crate) era: Option<StoreEra>,
     /// Whether other VMs may have read the list without this VM.
     pub(crate) is_new: bool,
@@ -112,14 +112,20 @@
     let Some(record) = record else {
         return Some(Reply::text(400, "no valid record of a VM\n"));
     };
-    if let Some(era) = era(&head.fields) {
+    let asked_era = era(&head.fields);
+    if let Some(era) = asked_era {
         gateway.eras.observe(era);
     }
+    // A VM that states no era only wants to know the list.
+    let is_registered = || match asked_era {
+        Some(_) => gateway.listed().has(&record),
+        None => gateway.roster().has(&record),
+    };
     let registrar = gateway.registrar();
     let until = Instant::now() + HOLD;
     let mut is_new = false;
     loop {
-        if gateway.listed().has(&record) {
+        if is_registered() {
             let reply = registrar.reply(&gateway.roster(), is_new);
             let reply = reply.unwrap_or_else(|error| Reply::text(500, error.to_string()));
             let era = gateway.listed_era().to_string();
@@ -147,14 +153,17 @@
     }
 }
 
-/// Asks another VM to register this one, in the newest era or a later one. Returns nothing if it does not tell the list.
+/// Asks another VM for the list of VMs, and to register this one in the era `newest` or a later one, if
+/// there is one. Returns nothing if it does not tell the list.
 pub(crate) async fn ask(
     mut client: PersistentClient,
-    newest: StoreEra,
+    newest: Option<StoreEra>,
     record: &VmRecord,
 ) -> Option<Registration> {
     let mut fields = Fields::default();
-    fields.add(feed::ERA_FIELD, newest.to_string());
+    if let Some(era) = newest {
+        fields.add(feed::ERA_FIELD, era.to_string());
+    }
     fields.add(RECORD_FIELD, serde_json::to_string(record).ok()?);
     let response = client.call_with(fields, "GET", PATH, &[], HOLD + ANSWER_MARGIN);
     let response = response.await.ok()?;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -16,6 +16,7 @@
 use carobshore_lib::source_selector::SourceSelector;
 use carobshore_lib::store_reader::StoreReader;
 use carobshore_lib::store_reader::Use;
+use carobshore_platform::era_watch::EraWatch;
 use carobshore_platform::store_client::NewestRecords;
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
@@ -112,18 +113,11 @@
     /// Gets changes once, from another VM, from the store, or from whichever responds first.
     async fn step(&mut self) {
         self.drop_outdated();
-        let eras = Rc::clone(&self.gateway.eras);
-        let known = self.reader.known();
-        let outdated = async {
-            match known {
-                Some(at) => eras.risen_above(at.era).await,
-                None => std::future::pending().await,
-            }
-        };
+        let outdated = era_risen(Rc::clone(&self.gateway.eras), self.reader.known());
         tokio::select! {
             biased;
             () = self.advance() => {}
-            _ = outdated => {}
+            () = outdated => {}
         }
     }
 
@@ -536,3 +530,13 @@
         feed.update(|mirror| mirror.extend(records, next));
     }
 }
+
+/// Waits until the store is in a later era than that of the position, if there is one.
+async fn era_risen(eras: Rc<EraWatch>, known: Option<StorePosition>) {
+    match known {
+        Some(known) => {
+            eras.risen_above(known.era).await;
+        }
+        None => std::future::pending().await,
+    }
+}
--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -50,8 +50,7 @@
 async fn exchange(gateway: &Gateway, source: SocketAddr) {
     let client = || PersistentClient::new(source, CONNECT_TIMEOUT);
     let record = vm_registration::own_record(gateway);
-    let newest = gateway.eras.newest();
-    let Some(told) = registrar::ask(client(), newest, &record).await else {
+    let Some(told) = registrar::ask(client(), None, &record).await else {
         return;
     };
     let known = gateway.roster().clone();
@@ -64,6 +63,6 @@
     }
     if let Some(unknown) = roster_sync::lacking(&known, &told.roster) {
         // The answer is the list that the source has read; the next poll compares it.
-        let _ = registrar::ask(client(), newest, unknown).await;
+        let _ = registrar::ask(client(), None, unknown).await;
     }
 }
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -132,8 +132,9 @@
     }
     let mut client = store_client(gateway);
     let registered = async {
-        append(gateway, &mut client, &records).await?;
-        read(gateway, &mut client).await
+        let appended = append(gateway, &mut client, &records).await?;
+        let (read, roster) = read(gateway, &mut client).await?;
+        Ok::<_, StoreFailure>((appended.min(read), roster))
     };
     let vms = records.len();
     match registered.await {
@@ -193,7 +194,8 @@
             },
             client = next, if !others.is_empty() => {
                 others.retain(|addr| *addr != client.addr());
-                asked.push(registrar::ask(client, gateway.eras.newest(), record));
+                let newest = Some(gateway.eras.newest());
+                asked.push(registrar::ask(client, newest, record));
             }
         }
         if asked.is_empty() {
@@ -212,14 +214,14 @@
     sleep(FIRST_ASKED_TIME).await;
     let mut records = gateway.registrar().take(&VmRoster::default());
     records.push(record.clone());
-    append(gateway, &mut client, &records).await?;
+    let appended = append(gateway, &mut client, &records).await?;
     sleep(FIRST_OTHERS_TIME).await;
-    let (era, mut roster) = read(gateway, &mut client).await?;
+    let (read, mut roster) = read(gateway, &mut client).await?;
     roster.add(record);
     Ok(Registration {
         roster,
         is_new: false,
-        era: Some(era),
+        era: Some(appended.min(read)),
     })
 }
 
@@ -256,11 +258,12 @@
     StoreClient::new(addr, Topic::Vms, Rc::clone(&gateway.eras))
 }
 
+/// Registers VMs in the store. Returns the era in which they are.
 async fn append(
     gateway: &Gateway,
     client: &mut StoreClient,
     vms: &[VmRecord],
-) -> Result<(), StoreFailure> {
+) -> Result<StoreEra, StoreFailure> {
     let encoded = vms
         .iter()
         .map(|vm| Ok((&*vm.name, serde_json::to_vec(vm)?)));
