--- a/gateway/tests/test_lost_orders.rs
+++ b/gateway/tests/test_lost_orders.rs
@@ -82,6 +82,16 @@
         site.store.put(&write.topic, &write.key, value);
     }
     check(&gateways, evacuated, WATCHED, "again");
+    for gateway in &gateways {
+        gateway.wait_for_line(&["the store has come back from an older copy", "\"era\":2"]);
+        let metrics = gateway.metrics();
+        let mut lines = metrics.lines();
+        let counted = lines.find(|line| line.starts_with("carobshore_store_restarts_total"));
+        assert!(
+            counted.is_some_and(|line| line.ends_with(" 1")),
+            "{counted:?}"
+        );
+    }
     site.store.put(OPERATORS, &key, None);
     let before = evacuated.arrivals();
     let mut number = 0;
