--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -457,6 +457,16 @@
     (child, Some(reader))
 }
 
+/// Returns the seeds that a variable names, as in `1..50`, or else the given ones.
+pub(crate) fn seeds(variable: &str, usual: &[u64]) -> Vec<u64> {
+    let Ok(text) = std::env::var(variable) else {
+        return usual.to_vec();
+    };
+    let (first, last) = text.split_once("..").expect("a range such as 1..50");
+    let bound = |text: &str| text.parse::<u64>().expect("a number");
+    (bound(first)..=bound(last)).collect()
+}
+
 /// Sends bytes on a new connection and reads one response.
 pub(crate) fn call(addr: SocketAddr, text: &str) -> Response {
     try_call(addr, text).expect("a response")
--- a/gateway/tests/deployment/mod.rs
+++ b/gateway/tests/deployment/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -61,6 +62,8 @@
     acks: Mutex<Vec<(u64, Instant)>>,
     /// When the last trouble of each VM has ended; nothing if it has had none.
     troubles: Mutex<BTreeMap<usize, Instant>>,
+    /// VMs whose process is started again.
+    restarted: Mutex<BTreeSet<usize>>,
 }
 
 impl Record {
@@ -94,6 +97,16 @@
         *known = end.max(*known);
     }
 
+    /// Records that the process of a VM is started again, and knows nothing of before.
+    pub(crate) fn restarts(&self, vm: usize) {
+        lock(&self.restarted).insert(vm);
+    }
+
+    /// Returns whether the process of a VM has been the same all the time.
+    pub(crate) fn is_same_process(&self, vm: usize) -> bool {
+        !lock(&self.restarted).contains(&vm)
+    }
+
     /// Returns when the last trouble of any VM has ended.
     pub(crate) fn calm_since(&self) -> Option<Instant> {
         lock(&self.troubles).values().max().copied()
--- a/gateway/tests/test_soak.rs
+++ b/gateway/tests/test_soak.rs
@@ -65,18 +65,9 @@
     copy: Option<StoreCopy>,
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("CAROBSHORE_SOAK_SEEDS") else {
-        return SEEDS.to_vec();
-    };
-    let (first, last) = text.split_once("..").expect("a range such as 1..50");
-    let bound = |text: &str| text.parse::<u64>().expect("a number");
-    (bound(first)..=bound(last)).collect()
-}
-
 #[test]
 fn promises_hold_while_faults_overlap() {
-    for seed in seeds() {
+    for seed in common::seeds("CAROBSHORE_SOAK_SEEDS", &SEEDS) {
         println!("seed {seed}");
         Soak::start(seed).run(seed);
     }
--- a/gateway/tests/test_store_answers.rs
+++ b/gateway/tests/test_store_answers.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use carobshore_lib::prelude::StoreEra;
+use carobshore_lib::prelude::StorePosition;
 use carobshore_platform::store_client::NewestRecords;
 use carobshore_platform::store_client::StoreClient;
 use carobshore_platform::store_client::StoreFailure;
@@ -78,7 +80,8 @@
         json!({"items": [item(&key, "MQ==")], "HasMore": call < 3, "End": 9 + call})
     });
     let newest = read(store.addr()).expect("the records");
-    assert_eq!((newest.records.len(), newest.end.offset.0), (4, 9));
+    let end = StorePosition::new(StoreEra::default(), 9);
+    assert_eq!((newest.records.len(), newest.end), (4, end));
 }
 
 /// The number of targets of the largest deployment, and the length of the entry of one, in bytes.
--- a/gateway/tests/test_store_restart.rs
+++ b/gateway/tests/test_store_restart.rs
@@ -24,6 +24,7 @@
 use carobshore_standin::site_store::OPERATORS;
 use carobshore_standin::site_store::TARGETS;
 use carobshore_standin::site_store::VMS;
+use carobshore_standin::site_target::Run;
 use carobshore_standin::site_target::SiteTarget;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -40,6 +41,8 @@
 
 /// Seeds that always run.
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// A seed of a run in which the store turns a third of the VMs away.
+const TURNED_AWAY_SEED: u64 = 13;
 /// `ConfigApply` of the deployment.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// `Drain` of the deployment.
@@ -105,22 +108,13 @@
 
 const LENGTHS: [Length; 3] = [Length::Same, Length::Shorter, Length::Longer];
 
-fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("CAROBSHORE_RESTART_SEEDS") else {
-        return SEEDS.to_vec();
-    };
-    let (first, last) = text.split_once("..").expect("a range such as 1..50");
-    let bound = |text: &str| text.parse::<u64>().expect("a number");
-    (bound(first)..=bound(last)).collect()
-}
-
 /// Guards against a deployment of which all VMs go on with an offset from before a drill of the store:
 /// routes that were acknowledged are refused, and targets that leave get requests.
 #[test]
 fn what_is_written_after_a_restart_of_the_store_is_in_force_on_all_vms() {
     let mut failed = Vec::new();
-    for seed in seeds() {
-        let violations = Run::start(seed).play();
+    for seed in common::seeds("CAROBSHORE_RESTART_SEEDS", &SEEDS) {
+        let violations = Scenario::start(seed).play();
         violations.iter().take(PRINTED).for_each(|violation| {
             println!("seed {seed}: {violation}");
         });
@@ -132,6 +126,16 @@
     assert!(failed.is_empty(), "seeds {failed:?} have violations");
 }
 
+/// Guards against targets that get requests for longer than `Drain` after they left, from VMs that the store
+/// serves, but which wait behind others that it turns away.
+#[test]
+fn a_vm_behind_others_that_are_turned_away_learns_in_time_who_leaves() {
+    let mut run = Scenario::start(TURNED_AWAY_SEED);
+    run.run_strictly = true;
+    let violations = run.play();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Guards against a list of VMs that stays short after a drill of the store: a VM that starts later takes it
 /// for the whole list, and two sets of owners grant one quota (QUOTA).
 #[test]
@@ -143,16 +147,26 @@
     common::wait("all VMs have registered", || registered() == all);
     for _ in 0..2 {
         let lost = deployment.drill(&deployment.first_copy, REGISTER / 4);
-        let (back, calls) = (Instant::now(), store.calls());
+        let back = Instant::now();
+        let (calls, sent) = (store.calls(), store.sent());
         deployment.write_again(&lost);
         assert_eq!(registered(), 0, "the copy is of the time before");
         common::wait("all VMs have registered again", || registered() == all);
         let took = back.elapsed();
-        println!("{all} VMs, {} calls, {took:?}", store.calls() - calls);
+        let (calls, sent) = (store.calls() - calls, store.sent() - sent);
+        println!("{all} VMs, {calls} calls, {sent} bytes, {took:?}");
         assert!(took <= REGISTER, "{took:?}");
+        thread::sleep(REGISTER);
+        assert_eq!(store.end(VMS), all as u64, "each record is written once");
     }
 }
 
+/// Returns the VM to which a request was sent: the second part of its id.
+fn vm_of(id: &str) -> usize {
+    let part = id.split('-').nth(1).and_then(|part| part.parse().ok());
+    part.expect("an id with the number of a VM")
+}
+
 /// Clients and probers of a run, with what they have found.
 struct Traffic {
     ended: Arc<AtomicBool>,
@@ -178,7 +192,7 @@
     known_before: bool,
 }
 
-struct Run {
+struct Scenario {
     seed: u64,
     rng: StdRng,
     deployment: Deployment,
@@ -186,21 +200,25 @@
     /// Targets that have left, with when the store acknowledged that.
     left: Vec<Left>,
     trouble: Trouble,
+    /// The VMs that have the trouble.
+    troubled: Vec<usize>,
+    /// Whether VMs that the store serves are bound also while it turns others away. The rules excuse them.
+    run_strictly: bool,
     version: u64,
 }
 
-impl Run {
+impl Scenario {
     fn start(seed: u64) -> Self {
         let deployment = Deployment::start(&format!("restart-{seed}"));
-        let addrs = deployment.vms.iter().map(|vm| vm.gateway.callers);
-        let addrs: Vec<SocketAddr> = addrs.collect();
-        let traffic = Traffic::start(seed, &addrs, &deployment.record);
+        let traffic = Traffic::start(seed, &deployment);
         Self {
             seed,
             rng: StdRng::seed_from_u64(seed),
             deployment,
             traffic,
             left: Vec::new(),
+            troubled: Vec::new(),
+            run_strictly: false,
             trouble: TROUBLES[seed as usize % TROUBLES.len()],
             version: 1,
         }
@@ -222,7 +240,7 @@
         let joined = self.join();
         self.pause(300, 900);
         let known = [OPERATORS, TARGETS].map(|topic| self.deployment.site.store.end(topic));
-        let troubled = self.begin(trouble);
+        self.troubled = self.begin(trouble);
         let away = Duration::from_millis(self.rng.random_range(200..1_000));
         let first = self.rng.random_range(0..2);
         let mut again = self.deployment.drill(&copies[first], away);
@@ -236,7 +254,7 @@
         self.deployment.write_again(&again);
         self.leave("i-status-c-0", false);
         self.fill(length, known);
-        self.end(trouble, &troubled);
+        self.end(trouble);
         self.settle();
         self.leave("i-rack-c-1", false);
         self.change(2, 400);
@@ -315,6 +333,9 @@
         }
         for vm in &troubled {
             self.deployment.record.in_trouble(*vm, Instant::now());
+            if [Trouble::Kill, Trouble::Terminate].contains(&trouble) {
+                self.deployment.record.restarts(*vm);
+            }
             let gateway = &mut self.deployment.vms[*vm].gateway;
             match trouble {
                 Trouble::None | Trouble::Twice => {}
@@ -328,12 +349,12 @@
     }
 
     /// Ends the trouble, some time after the store is back.
-    fn end(&mut self, trouble: Trouble, troubled: &[usize]) {
-        if troubled.is_empty() {
+    fn end(&mut self, trouble: Trouble) {
+        if self.troubled.is_empty() {
             return;
         }
         self.pause(0, 2_500);
-        for vm in troubled {
+        for vm in &self.troubled {
             let gateway = &mut self.deployment.vms[*vm].gateway;
             match trouble {
                 Trouble::None | Trouble::Twice | Trouble::Kill => {}
@@ -386,41 +407,43 @@
         }
     }
 
-    /// Returns when the last request may reach a target that has left: [`DRAIN`] after the store's
-    /// acknowledgement, or in the case of VMs that were not in touch, once they are again.
-    fn last_request(&self, left: &Left) -> Instant {
-        let excuses = match self.trouble {
+    /// Returns when the last request of a VM may reach a target that has left: [`DRAIN`] after the store's
+    /// acknowledgement, or if the VM was not in touch, once it is again.
+    fn last_request(&self, vm: usize, left: &Left) -> Instant {
+        let is_excused = match self.trouble {
             Trouble::None | Trouble::Twice => false,
             // What a VM has acknowledged itself binds it also while the store turns it away.
-            Trouble::TurnedAway | Trouble::Freeze => !left.known_before,
+            Trouble::Freeze => !left.known_before && self.troubled.contains(&vm),
+            Trouble::TurnedAway if self.run_strictly => {
+                !left.known_before && self.troubled.contains(&vm)
+            }
+            // The store is not stable while it turns some VMs away, and no VM is in touch.
+            Trouble::TurnedAway => !left.known_before,
             // The new process knows nothing of before.
-            Trouble::Kill | Trouble::Terminate => true,
+            Trouble::Kill | Trouble::Terminate => self.troubled.contains(&vm),
         };
-        let calm = self.deployment.record.calm_since().filter(|_| excuses);
-        let in_touch = calm.map(|calm| calm + deployment::CONTACT);
+        let calm = self.deployment.record.calm_since();
+        let in_touch = calm.filter(|_| is_excused);
+        let in_touch = in_touch.map(|calm| calm + deployment::CONTACT);
         (left.ack + DRAIN).max(in_touch.unwrap_or(left.ack))
     }
 
     /// Checks that targets that left got no request too late.
     fn check_left(&self) {
         for left in &self.left {
-            let target = self.deployment.target(&left.id);
-            let last = self.last_request(left);
-            let late = target.arrival_times().into_iter().filter(|at| *at > last);
-            let late: Vec<Duration> = late.map(|at| at - left.ack).collect();
-            if let (Some(first), Some(last)) = (late.first(), late.last()) {
-                let (count, runs) = (late.len(), target.runs());
-                let ids = runs
-                    .iter()
-                    .rev()
-                    .take(count.min(PRINTED))
-                    .map(|run| &*run.id);
-                let ids: Vec<&str> = ids.collect();
-                self.violation(format!(
-                    "{} gets {count} requests, {first:?} to {last:?} after it left: {ids:?}",
-                    left.id
-                ));
-            }
+            let runs = self.deployment.target(&left.id).runs();
+            let is_late = |run: &&Run| run.began > self.last_request(vm_of(&run.id), left);
+            let late: Vec<&Run> = runs.iter().filter(is_late).collect();
+            let (Some(first), Some(last)) = (late.first(), late.last()) else {
+                continue;
+            };
+            let times = [first, last].map(|run| run.began - left.ack);
+            let vms: BTreeSet<usize> = late.iter().map(|run| vm_of(&run.id)).collect();
+            self.violation(format!(
+                "{} gets {} requests of the VMs {vms:?}, {times:?} after it left",
+                left.id,
+                late.len()
+            ));
         }
     }
 
@@ -446,7 +469,14 @@
 }
 
 impl Traffic {
-    fn start(seed: u64, addrs: &[SocketAddr], record: &Arc<Record>) -> Self {
+    fn start(seed: u64, deployment: &Deployment) -> Self {
+        let gateways = deployment.vms.iter().map(|vm| &vm.gateway);
+        let vms = gateways.map(|gateway| (gateway.callers, gateway.admin));
+        let vms: Vec<_> = vms
+            .enumerate()
+            .map(|(vm, (callers, admin))| (vm, callers, admin))
+            .collect();
+        let addrs: Vec<SocketAddr> = vms.iter().map(|(_, callers, _)| *callers).collect();
         let mut traffic = Self {
             ended: Arc::default(),
             violations: Arc::default(),
@@ -455,16 +485,15 @@
         };
         for client in 0..CLIENTS as u64 {
             let rng = StdRng::seed_from_u64(seed * 1_000 + client);
-            let (addrs, ended) = (addrs.to_vec(), Arc::clone(&traffic.ended));
+            let (addrs, ended) = (addrs.clone(), Arc::clone(&traffic.ended));
             let thread = thread::spawn(move || send_requests(client, &addrs, &ended, rng));
             traffic.threads.push(thread);
         }
         for prober in 0..PROBERS {
-            let vms: Vec<_> = addrs.iter().copied().enumerate().collect();
-            let vms = vms.into_iter().skip(prober).step_by(PROBERS).collect();
+            let asked = vms.iter().copied().skip(prober).step_by(PROBERS);
             let prober = Prober {
-                vms,
-                record: Arc::clone(record),
+                vms: asked.collect(),
+                record: Arc::clone(&deployment.record),
                 violations: Arc::clone(&traffic.violations),
                 moved: Arc::clone(&traffic.moved),
             };
@@ -486,7 +515,8 @@
 
 /// Asks VMs on the routes that were added or moved last.
 struct Prober {
-    vms: Vec<(usize, SocketAddr)>,
+    /// Each with its number, its address for callers and the one for its state.
+    vms: Vec<(usize, SocketAddr, SocketAddr)>,
     record: Arc<Record>,
     violations: Arc<Mutex<Vec<String>>>,
     moved: Arc<Mutex<Vec<Moved>>>,
@@ -495,9 +525,11 @@
 impl Prober {
     fn run(&self, ended: &AtomicBool) {
         let mut number = 0;
+        let mut versions = vec![0; self.vms.len()];
         while !ended.load(Ordering::SeqCst) {
-            for (vm, addr) in &self.vms {
+            for ((vm, addr, admin), version) in self.vms.iter().zip(&mut versions) {
                 number += 1;
+                self.check_kept(*vm, *admin, version);
                 self.ask_added(*vm, *addr, number);
                 self.ask_moved(*vm, *addr, number);
                 thread::sleep(PROBE_PAUSE);
@@ -512,6 +544,24 @@
             .acknowledged_before(now.checked_sub(CONFIG_APPLY).unwrap_or(now))
     }
 
+    /// Checks that the VM neither goes back to an earlier version nor forgets all targets. `version` is the
+    /// newest one that it has had.
+    fn check_kept(&self, vm: usize, admin: SocketAddr, version: &mut u64) {
+        let answer = try_call(admin, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n");
+        let dump = answer.and_then(|answer| serde_json::from_str::<Value>(&answer.body).ok());
+        // A process that starts again may know an earlier version, and no targets at first.
+        let Some(dump) = dump.filter(|_| self.record.is_same_process(vm)) else {
+            return;
+        };
+        let (known, targets) = (dump["version"].as_u64(), dump["targets"].as_array());
+        if known < Some(*version) || targets.is_none_or(Vec::is_empty) {
+            lock(&self.violations).push(format!(
+                "VM {vm} has version {known:?} after {version}, and targets {targets:?}"
+            ));
+        }
+        *version = known.unwrap_or_default().max(*version);
+    }
+
     fn ask_added(&self, vm: usize, addr: SocketAddr, number: usize) {
         let (version, in_touch) = (self.in_force(), self.record.is_in_touch(vm));
         let id = format!("added-{vm}-{number}");
@@ -544,7 +594,8 @@
     use std::io::Write;
     let mut number = 0;
     while !ended.load(Ordering::SeqCst) {
-        let addr = addrs[rng.random_range(0..addrs.len())];
+        let vm = rng.random_range(0..addrs.len());
+        let addr = addrs[vm];
         let Some(mut stream) = connect(addr) else {
             thread::sleep(PROBE_PAUSE);
             continue;
@@ -553,7 +604,7 @@
         for _ in 0..rng.random_range(1..60) {
             number += 1;
             let kind = ["safe", "unsafe"][rng.random_range(0..2)];
-            let text = request(kind, &format!("c{client}-{number}"), 1_500, "");
+            let text = request(kind, &format!("c{client}-{vm}-{number}"), 1_500, "");
             let answer = match stream.write_all(text.as_bytes()) {
                 Ok(()) => read_response(&mut stream, &mut buffer),
                 Err(_) => None,
--- a/lib/tests/test_text_patch.rs
+++ b/lib/tests/test_text_patch.rs
@@ -85,7 +85,7 @@
             if step == 1 || !is_polled {
                 continue;
             }
-            let from = reader.next();
+            let from = Some(reader.next().expect("records"));
             let changes = source.patches_since(from);
             let changes = reader.restore(changes).unwrap_or_else(|| source.since(from));
             match changes.complete {
--- a/standin/src/site_store.rs
+++ b/standin/src/site_store.rs
@@ -79,6 +79,8 @@
     era: u64,
     fault: StoreFault,
     calls: u64,
+    /// The bytes of all answers.
+    sent: u64,
     /// The number of records on a page of the newest ones; all if there is none.
     page: Option<usize>,
 }
@@ -90,6 +92,7 @@
             era: 1,
             fault: StoreFault::default(),
             calls: 0,
+            sent: 0,
             page: None,
         }
     }
@@ -148,6 +151,11 @@
         }
     }
 
+    /// Returns the number of bytes of all answers.
+    pub fn sent(&self) -> u64 {
+        lock(&self.state.0).sent
+    }
+
     /// Returns a copy of all records.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(lock(&self.state.0).topics.clone())
@@ -229,6 +237,14 @@
 }
 
 fn handle(shared: &(Mutex<State>, Condvar), call: &ReceivedRequest) -> ServerAction {
+    let action = respond(shared, call);
+    if let ServerAction::Send(bytes) = &action {
+        lock(&shared.0).sent += bytes.len() as u64;
+    }
+    action
+}
+
+fn respond(shared: &(Mutex<State>, Condvar), call: &ReceivedRequest) -> ServerAction {
     let (state, changed) = shared;
     let (fault, era) = {
         let mut state = lock(state);
--- a/standin/src/site_target.rs
+++ b/standin/src/site_target.rs
@@ -105,6 +105,8 @@
     pub body: usize,
     /// Whether the caller disconnected before the request finished.
     pub caller_left: bool,
+    /// When the request began to run.
+    pub began: Instant,
 }
 
 #[derive(Debug)]
@@ -462,6 +464,7 @@
         has_key: fields.count("Authorization") > 0,
         body: call.body.len(),
         caller_left: false,
+        began: Instant::now(),
     };
     let at = {
         let mut runs = lock(&state.runs);
