gateway: regression test of QUOTA after a drill, counted at targets; the dump shows the list

What would bring it back: a VM that takes a list without the others for the whole one and grants by it.

The new one counts what the targets run for the organisation in each window, over all nine VMs. The dump now shows the number of VMs on the list, the era in which it was read, and whether the VM is new; without that, a short list shows only by its owners.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -339,6 +339,15 @@
         }
     }
 
+    /// Returns what the state dump shows of the list of VMs.
+    pub(crate) fn dump_list(&self) -> serde_json::Value {
+        serde_json::json!({
+            "vms": self.roster().len(),
+            "era": self.listed_era(),
+            "new": self.is_new(),
+        })
+    }
+
     /// Returns what registers other VMs.
     pub(crate) fn registrar(&self) -> &Registrar {
         &self.registrar
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -257,12 +257,26 @@
 
     /// Changes the settings of later starts: the system does not start for the first time any more.
     pub(crate) fn end_first_start(&self) {
+        self.change_settings(|settings| settings["Bootstrap"] = false.into());
+    }
+
+    /// Changes the settings of later starts.
+    pub(crate) fn change_settings(&self, change: impl FnOnce(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).expect("the settings");
         let mut settings: Value = serde_json::from_str(&text).expect("settings");
-        settings["Bootstrap"] = false.into();
+        change(&mut settings);
         std::fs::write(&self.settings, settings.to_string()).expect("a settings file");
     }
 
+    /// Adds bounds of quotas to the settings of later starts, with a window of 5 s.
+    pub(crate) fn bound_quotas(&self, over: f64, slack: f64) {
+        self.change_settings(|settings| {
+            settings["Bounds"]["QuotaWindow"] = "5s".into();
+            settings["Bounds"]["QuotaOver"] = over.into();
+            settings["Bounds"]["QuotaSlack"] = slack.into();
+        });
+    }
+
     /// Starts the process again after it has exited.
     pub(crate) fn start_again(&mut self) {
         (self.child, self.reader) = spawn(&self.settings, &self.lines);
@@ -301,6 +315,12 @@
         response.map(|response| response.body).unwrap_or_default()
     }
 
+    /// Returns the number of VMs on the list of this one.
+    pub(crate) fn listed_vms(&self) -> usize {
+        let dump: Value = serde_json::from_str(&self.dump()).unwrap_or_default();
+        dump["list"]["vms"].as_u64().unwrap_or(0) as usize
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -54,13 +54,8 @@
     let names = (0..domains.len()).map(|index| format!("edge-{index}"));
     let mut gateways: Vec<_> = names.map(|name| site.gateway(&name)).collect();
     for (gateway, domain) in gateways.iter_mut().zip(domains) {
-        let text = std::fs::read(&gateway.settings).expect("settings");
-        let mut settings: Value = serde_json::from_slice(&text).expect("JSON");
-        settings["Zone"] = (*domain).into();
-        settings["Bounds"]["QuotaWindow"] = "5s".into();
-        settings["Bounds"]["QuotaOver"] = OVER.into();
-        settings["Bounds"]["QuotaSlack"] = SLACK.into();
-        std::fs::write(&gateway.settings, settings.to_string()).expect("written");
+        gateway.change_settings(|settings| settings["Zone"] = (*domain).into());
+        gateway.bound_quotas(OVER, SLACK);
         restart(gateway);
     }
     // Each one has registered in its domain now. From their next start on, they are not new.
--- /dev/null
+++ b/gateway/tests/test_quota_restart.rs
@@ -0,0 +1,267 @@
+//! Guards against quotas that two sets of owners grant after the store has come back from an older copy,
+//! because some VMs take a list without the others for the whole one (QUOTA). What counts is what targets
+//! run, over all VMs.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobshore_lib::access::organisation_id::OrganisationId;
+use carobshore_lib::prelude::DomainId;
+use carobshore_lib::quota::owner_pools::OwnerPools;
+use carobshore_lib::vm_roster::VmRecord;
+use carobshore_lib::vm_roster::VmRoster;
+use carobshore_standin::fault_proxy::FaultProxy;
+use carobshore_standin::site_store::StoreCopy;
+use carobshore_standin::site_store::StoreFault;
+use carobshore_standin::site_target::SiteTarget;
+use carobshore_standin::site_wire;
+
+use crate::common::Gateway;
+use crate::common::Site;
+use crate::common::VmPlan;
+use crate::common::free_port;
+use crate::common::request;
+use crate::common::routes;
+use crate::common::site;
+use crate::common::try_call;
+use crate::common::wait;
+
+/// The settings that bound what is sent over a quota.
+const WINDOW: Duration = Duration::from_secs(5);
+const OVER: f64 = 0.1;
+const SLACK: f64 = 20.0;
+/// The quota: requests per second, and those that may have been saved.
+const RATE: f64 = 100.0;
+const BURST: f64 = 10.0;
+/// Requests per second to each VM, which are 3.6 times the quota.
+const SENT_PER_VM: u32 = 40;
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// VMs that join in each failure domain after the copy was made.
+const JOINING: usize = 2;
+const TARGETS: usize = 8;
+/// How long the store is away.
+const AWAY: Duration = Duration::from_millis(500);
+/// Time within which VMs that reach the store are registered again.
+const REGISTER: Duration = Duration::from_secs(2);
+/// The VMs of a deployment. The first one of each failure domain is on the list of VMs in the copy of the
+/// store, and the others have joined since.
+struct QuotaSite {
+    site: Site,
+    /// The VMs in the order of their start.
+    vms: Vec<Vm>,
+    copy: StoreCopy,
+    /// An organisation whose owners have all joined since the copy.
+    organisation: String,
+}
+
+struct Vm {
+    gateway: Gateway,
+    /// Its path to the store.
+    _store_path: FaultProxy,
+}
+
+impl QuotaSite {
+    /// Starts the VMs, and waits until each of them has the list of all.
+    fn start(name: &str, seeds: Seeds) -> Self {
+        let site = site(name, TARGETS);
+        let organisation = owned_by_joined();
+        let mut resources = routes(1_500, "status");
+        let limited = site_wire::organisation(&organisation, &["key"]);
+        resources.push(site_wire::with_quota(limited, RATE, BURST));
+        site.configure(2, &resources);
+        let addrs: Vec<SocketAddr> = DOMAINS.iter().map(|_| free_port()).collect();
+        let mut deployment = Self {
+            copy: site.store.copy(),
+            site,
+            vms: Vec::new(),
+            organisation,
+        };
+        for index in 0..DOMAINS.len() {
+            let control = (seeds == Seeds::First).then_some(addrs[index]);
+            deployment.add(index, &addrs, control);
+        }
+        deployment.restart_all();
+        deployment.copy = deployment.site.store.copy();
+        for index in DOMAINS.len()..DOMAINS.len() * (1 + JOINING) {
+            deployment.add(index, &addrs, None);
+        }
+        deployment.restart_all();
+        deployment
+    }
+
+    /// Starts the VMs again one after the other, so that each reads the list of all and does not count as
+    /// new.
+    fn restart_all(&mut self) {
+        for vm in &mut self.vms {
+            vm.gateway.restart();
+            wait("it is ready again", || vm.gateway.is_ready());
+        }
+        self.wait_for_list();
+    }
+
+    fn add(&mut self, index: usize, seeds: &[SocketAddr], control: Option<SocketAddr>) {
+        let (name, domain) = vm_name(index);
+        let store_path = FaultProxy::start(self.site.store.addr()).expect("a proxy");
+        let mut gateway = self.site.start_planned(VmPlan {
+            name: &name,
+            domain,
+            store: store_path.addr(),
+            seeds,
+            control,
+            first_start: false,
+        });
+        gateway.bound_quotas(OVER, SLACK);
+        gateway.restart();
+        wait("the gateway is ready", || gateway.is_ready());
+        self.vms.push(Vm {
+            gateway,
+            _store_path: store_path,
+        });
+    }
+
+    /// Waits until each VM has the list of all.
+    fn wait_for_list(&self) {
+        let all = self.vms.len();
+        for vm in &self.vms {
+            wait("it has the list of all VMs", || {
+                vm.gateway.listed_vms() == all
+            });
+        }
+    }
+
+    fn go_away(&self) {
+        self.site.store.set_fault(StoreFault::Reset);
+        thread::sleep(AWAY);
+    }
+
+    /// Lets the store come back from the copy. What the operators and the targets wrote is written again.
+    fn come_back(&self) {
+        let lost = self.site.store.restart_from(&self.copy);
+        self.site.store.set_fault(StoreFault::None);
+        for write in lost {
+            let value = write.value.as_deref();
+            self.site.store.put(&write.topic, &write.key, value);
+        }
+    }
+
+    fn traffic(&self) -> Traffic {
+        let ended = Arc::new(AtomicBool::new(false));
+        let threads = self.vms.iter().enumerate().map(|(vm, to)| {
+            let (ended, callers) = (Arc::clone(&ended), to.gateway.callers);
+            thread::spawn(move || send_requests(vm, callers, &ended))
+        });
+        Traffic {
+            threads: threads.collect(),
+            ended,
+        }
+    }
+
+    /// Checks the bound in each window, by what the targets have run for the organisation.
+    fn assert_bound(&self) {
+        let runs = self.site.targets.iter().flat_map(SiteTarget::runs);
+        let mut began: Vec<Instant> = runs
+            .filter(|run| run.organisation.as_deref() == Some(&*self.organisation))
+            .map(|run| run.began)
+            .collect();
+        began.sort_unstable();
+        let in_window = |first: usize| {
+            let end = began[first] + WINDOW;
+            began[first..].partition_point(|at| *at < end)
+        };
+        let most = (0..began.len()).map(in_window).max().unwrap_or(0);
+        let allowed = (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + OVER) + SLACK;
+        println!("at most {most} requests in {WINDOW:?}, {allowed} are allowed");
+        assert!(most > 100, "{most} requests were served in the best window");
+        assert!(most as f64 <= allowed, "{most} of {allowed} requests run");
+    }
+}
+
+/// Which VMs the settings name, for others to ask first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seeds {
+    /// The first one of each failure domain.
+    First,
+}
+
+struct Traffic {
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Traffic {
+    fn stop(self) {
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            thread.join().expect("a client");
+        }
+    }
+}
+
+/// Sends requests to a VM at a steady rate.
+fn send_requests(vm: usize, callers: SocketAddr, ended: &AtomicBool) {
+    let mut number = 0;
+    let mut next = Instant::now();
+    while !ended.load(Ordering::SeqCst) {
+        number += 1;
+        let text = request("safe", &format!("q-{vm}-{number}"), 1_500, "");
+        let text = text.replacen("Host:", "Authorization: Bearer key\r\nHost:", 1);
+        let _ = try_call(callers, &text);
+        next = (next + Duration::from_secs(1) / SENT_PER_VM).max(Instant::now());
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Returns the name and the failure domain of a VM. The first ones are in different domains.
+fn vm_name(index: usize) -> (String, &'static str) {
+    let domain = DOMAINS[index % DOMAINS.len()];
+    (format!("edge-{domain}-{}", index / DOMAINS.len()), domain)
+}
+
+/// Returns an organisation whose owners, by the list of all VMs, have all joined after the copy was made.
+fn owned_by_joined() -> String {
+    let record = |index| {
+        let (name, domain) = vm_name(index);
+        VmRecord {
+            name: name.into(),
+            domain: domain.parse::<DomainId>().expect("a domain"),
+            feed: ([127, 0, 0, 1], 1).into(),
+            link: 0,
+        }
+    };
+    let vms = (0..DOMAINS.len() * (1 + JOINING)).map(record);
+    let pools = OwnerPools::new(&VmRoster::new(vms.collect()));
+    let is_owned = |name: &String| {
+        let organisation: OrganisationId = name.parse().expect("an organisation");
+        let owners = pools.owners(&organisation);
+        owners.iter().all(|owner| !owner.name.ends_with("-0"))
+    };
+    let mut names = (0..).map(|number| format!("org-{number}"));
+    names.find(is_owned).expect("an organisation")
+}
+
+/// Guards against registrations that a drill of the store has lost and that nobody writes again: VMs that are
+/// restarted later take the short list for the whole one, and two sets of owners grant one quota (QUOTA).
+#[test]
+fn a_quota_holds_when_vms_are_restarted_after_a_drill() {
+    let mut deployment = QuotaSite::start("quota-restart", Seeds::First);
+    deployment.go_away();
+    deployment.come_back();
+    thread::sleep(REGISTER);
+    let traffic = deployment.traffic();
+    thread::sleep(REGISTER);
+    for vm in &mut deployment.vms[..DOMAINS.len()] {
+        vm.gateway.restart();
+        wait("it is ready again", || vm.gateway.is_ready());
+    }
+    thread::sleep(WINDOW + REGISTER);
+    traffic.stop();
+    deployment.assert_bound();
+}
