gateway: a VM that follows the store reads the list of VMs there, too

What callers see: an organisation is refused (503) by VMs whose owners are new for good, or two sets of owners grant its quota, each by another list.

Cause: lists are compared with that of the VM that is polled. A VM whose list lacks those before it polls nobody, and if it is not the first one of its failure domain by the others' lists, nobody polls it. So it kept its list until it started again (docs/design/quotas.md, "Not covered"). After a drill the store's list is short for some time, so that this is no rare case.

Change: with quotas, a VM that follows the store itself also reads there every 3 s what was added to the list (one call, as a rule an empty page), or all of it in a new era. It extends its own list, or takes it for confirmed, as it does with that of its source. All others follow some VM that does so.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::registrar;
 use crate::store_restart;
 use crate::store_watch;
+use crate::vm_list_sync;
 use crate::vm_registration;
 
 /// Interval of periodic work.
@@ -211,6 +212,7 @@
         registered = asks && vm_registration::ask_others(&gateway).await
             || vm_registration::register(&gateway).await;
     }
+    spawn("list", vm_list_sync::follow_store(Rc::clone(&gateway)));
     spawn("registration", vm_registration::keep_registered(gateway));
     Ok(())
 }
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -136,6 +136,11 @@
         self.source.set(Some(source));
     }
 
+    /// Returns whether this VM reads the topic from the store itself.
+    pub(crate) fn is_read_from_store(&self) -> bool {
+        *self.state.borrow() == SourceState::Found && self.source.get() == Some(RecordSource::Store)
+    }
+
     /// Returns what the state dump shows.
     pub(crate) fn dump(&self, now: Instant) -> serde_json::Value {
         let age = self.age(now);
--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -1,22 +1,36 @@
 //! Keeps the lists of VMs alike. VMs read the list when they start; with quotas, those that run must
-//! learn of later VMs, because owners follow from the list.
+//! learn of later VMs, because owners follow from the list. A VM that follows another one compares its list
+//! with that of its source; one that follows the store reads the list there.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use carobshore_http::persistent_client::PersistentClient;
+use carobshore_lib::prelude::StorePosition;
 use carobshore_lib::roster_digest::RosterDigest;
 use carobshore_lib::roster_sync;
+use carobshore_lib::vm_roster::VmRoster;
+use carobshore_platform::store_client::StoreFailure;
+use carobshore_platform::store_client::Topic;
+use tokio::time::sleep;
 
 use crate::feed_client::CONNECT_TIMEOUT;
 use crate::gateway::Gateway;
+use crate::record_source::RecordSource;
 use crate::registrar;
 use crate::vm_registration;
 
 /// Header field of an answer to a poll: the digest of the sender's list of VMs.
 pub(crate) const LIST_FIELD: &str = "Vm-List";
 
+/// Pause between two reads of the list in the store. A VM that joins grants tokens 10 s later at the earliest;
+/// by then all others have to know it, through two VMs at most, each of which compares lists every 2 s.
+const STORE_PAUSE: Duration = Duration::from_secs(3);
+/// Time limit of a read of what was added to the list.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Returns the digest of this VM's list; nothing if the settings call for no quotas, or there is no list.
 pub(crate) fn digest(gateway: &Gateway) -> Option<RosterDigest> {
     let is_used = gateway.boot.borrow().quota.is_some() && !gateway.roster().is_empty();
@@ -53,16 +67,74 @@
     let Some(told) = registrar::ask(client(), None, &record).await else {
         return;
     };
-    let known = gateway.roster().clone();
-    let mut merged = known.clone();
-    merged.merge(&told.roster);
-    if merged != known {
-        let vms = merged.len().unwrap_or(0);
-        log::info!(vms, from:% = source; "list of VMs extended");
-        return gateway.replace_roster(merged);
+    if extend(gateway, &told.roster, RecordSource::Vm(source)) {
+        return;
     }
+    let known = gateway.roster().clone();
     if let Some(unknown) = roster_sync::lacking(&known, &told.roster) {
         // The answer is the list that the source has read; the next poll compares it.
         let _ = registrar::ask(client(), None, unknown).await;
     }
 }
+
+/// Adds VMs that this VM's list lacks. Returns whether there are any.
+fn extend(gateway: &Gateway, told: &VmRoster, from: RecordSource) -> bool {
+    let known = gateway.roster().clone();
+    let mut merged = known.clone();
+    merged.merge(told);
+    if merged == known {
+        return false;
+    }
+    let vms = merged.len().unwrap_or(0);
+    log::info!(vms, from:%; "list of VMs extended");
+    gateway.replace_roster(merged);
+    true
+}
+
+/// Reads the list in the store again and again while this VM follows the store itself, until the process
+/// exits. Nobody else tells such a VM of those that its list lacks.
+pub(crate) async fn follow_store(gateway: Rc<Gateway>) -> eyre::Result<()> {
+    let mut known = None;
+    loop {
+        sleep(STORE_PAUSE).await;
+        let is_due = gateway.feed(Topic::Operators).is_read_from_store();
+        if !is_due || digest(&gateway).is_none() {
+            continue;
+        }
+        known = match read_from(&gateway, known).await {
+            Ok((told, end)) => {
+                if !extend(&gateway, &told, RecordSource::Store) {
+                    let mut table = gateway.quotas.table.borrow_mut();
+                    table.list_confirmed(Instant::now());
+                }
+                Some(end)
+            }
+            Err(failure) => {
+                log::debug!(reason:% = failure; "the list of VMs cannot be read again");
+                known.filter(|_| failure != StoreFailure::Expired)
+            }
+        };
+    }
+}
+
+/// Reads what was added to the list in the store since a position, or all of it if there is none or it is of
+/// an earlier era. Returns it with the position up to which the list is known.
+async fn read_from(
+    gateway: &Gateway,
+    known: Option<StorePosition>,
+) -> Result<(VmRoster, StorePosition), StoreFailure> {
+    let mut client = vm_registration::store_client(gateway);
+    if let Some(from) = known.filter(|known| known.era == gateway.eras.newest()) {
+        let page = client.read(from.offset.0, Duration::ZERO, READ_TIMEOUT);
+        let page = page.await;
+        gateway.metrics.store_call("list", &page);
+        let page = page?;
+        if page.next.era == from.era {
+            return Ok((vm_registration::decode(&page.records), page.next));
+        }
+    }
+    let newest = client.newest().await;
+    gateway.metrics.store_call("list", &newest);
+    let newest = newest?;
+    Ok((vm_registration::decode(&newest.records), newest.end))
+}
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::keyed_record::KeyedRecord;
 use carobshore_lib::preferred_targets;
 use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::vm_roster::VmRecord;
@@ -253,7 +254,8 @@
     }
 }
 
-fn store_client(gateway: &Gateway) -> StoreClient {
+/// Returns a client of the list of VMs in the store.
+pub(crate) fn store_client(gateway: &Gateway) -> StoreClient {
     let addr = gateway.boot.borrow().store;
     StoreClient::new(addr, Topic::Vms, Rc::clone(&gateway.eras))
 }
@@ -282,16 +284,17 @@
     let newest = client.newest().await;
     gateway.metrics.store_call("list", &newest);
     let newest = newest?;
-    let values = newest
-        .records
-        .iter()
-        .filter_map(|record| record.value.as_deref());
-    let mut vms = Vec::new();
-    for value in values {
+    Ok((newest.end.era, decode(&newest.records)))
+}
+
+/// Returns the VMs of records of the store. Malformed ones are left out.
+pub(crate) fn decode(records: &[KeyedRecord]) -> VmRoster {
+    let mut roster = VmRoster::default();
+    for value in records.iter().filter_map(|record| record.value.as_deref()) {
         match serde_json::from_str::<VmRecord>(value) {
-            Ok(vm) => vms.push(vm),
+            Ok(vm) => roster.add(vm),
             Err(error) => log::warn!(reason:% = error; "malformed VM record"),
         }
     }
-    Ok((newest.end.era, VmRoster::new(vms)))
+    roster
 }
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -262,6 +262,25 @@
     }
 }
 
+/// Guards against a VM whose list lacks the VMs before it, so that it polls none of them, and which nobody
+/// polls: it would keep its list, and with it other owners of quotas than the others have (QUOTA).
+#[test]
+fn a_vm_that_follows_the_store_learns_of_one_that_registers_there() {
+    // In one of both orders, the VM that joins is the one that reads the store for both.
+    for names in [["edge-0", "edge-1"], ["edge-1", "edge-0"]] {
+        let site = site(&format!("quota-registering-{}", names[0]), 1);
+        let gateways = names.map(|name| {
+            let mut gateway = site.gateway(name);
+            gateway.bound_quotas(OVER, SLACK);
+            restart(&mut gateway);
+            gateway
+        });
+        for gateway in &gateways {
+            wait("it has the list of both", || gateway.listed_vms() == 2);
+        }
+    }
+}
+
 /// The settings of older platforms name no bounds, and a quota means nothing without them.
 #[test]
 fn without_bounds_in_the_settings_quotas_do_not_count() {
