gateway: a VM whose registration is of an earlier era counts as new

What targets saw: more requests of an organisation than its quota allows, when VMs start after a drill before the others are registered again. The store turns these away for some seconds, and the VMs that the settings name are gone.

Cause: a VM that finds its record on the list takes itself for known by all others, and grants tokens at once. But that record may be one of the copy. The list then lacks VMs that own the quota by the list of those that run on, and both sets of owners grant it.

Change: a record states the era in which the VM registered. Records without an era, of the release before, count as known, and are written again with the era once.

Cost: the VMs that the settings name make one call more at the first start of the whole system, to learn the era. After a drill all VMs write their record again, also those that the copy still has.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -101,6 +101,8 @@
     roster: RefCell<VmRoster>,
     /// The list of VMs as it stands in the store, and the era in which it was read.
     listed: RefCell<(StoreEra, VmRoster)>,
+    /// The era in which this process first read the list of VMs; nothing before.
+    first_listed: Cell<Option<StoreEra>>,
     /// Whether VMs that have not started since this one registered do not know it.
     is_new: Cell<bool>,
     /// What is known of the limits of targets, from this VM and others.
@@ -191,6 +193,7 @@
             metrics,
             roster: RefCell::default(),
             listed: RefCell::default(),
+            first_listed: Cell::default(),
             is_new: Cell::new(true),
             limit_news: RefCell::default(),
             warmup: Warmups::new(now),
@@ -322,6 +325,7 @@
 
     /// Sets the list of VMs as it stands in the store, as of an era.
     pub(crate) fn set_listed(&self, era: StoreEra, listed: VmRoster) {
+        self.first_listed.set(self.first_listed.get().or(Some(era)));
         *self.listed.borrow_mut() = (era, listed);
     }
 
@@ -330,15 +334,23 @@
         self.listed.borrow().0
     }
 
-    /// Returns the VMs that the store lists in its newest era; none if that has not been read yet.
+    /// Returns the VMs that have registered in the store in its newest era; none if the list has not been
+    /// read in that era yet.
     pub(crate) fn listed(&self) -> VmRoster {
         let (era, listed) = &*self.listed.borrow();
         match *era == self.eras.newest() {
-            true => listed.clone(),
+            true => listed.registered_in(*era),
             false => VmRoster::default(),
         }
     }
 
+    /// Returns whether the other VMs know a VM. A record of an earlier era than that in which this process
+    /// first read the list does not prove that: it is of a copy of the store that may lack some of them.
+    pub(crate) fn is_known_to_others(&self, vm: &VmRecord) -> bool {
+        let first_listed = self.first_listed.get().unwrap_or_default();
+        self.roster().has_since(first_listed, vm)
+    }
+
     /// Returns what the state dump shows of the list of VMs.
     pub(crate) fn dump_list(&self) -> serde_json::Value {
         serde_json::json!({
--- a/gateway/src/registrar.rs
+++ b/gateway/src/registrar.rs
@@ -131,7 +131,7 @@
             let era = gateway.listed_era().to_string();
             return Some(reply.with_field(feed::ERA_FIELD, &era));
         }
-        is_new |= !gateway.roster().is_empty() && !gateway.roster().has(&record);
+        is_new |= !gateway.roster().is_empty() && !gateway.is_known_to_others(&record);
         registrar.add(&record);
         let changed = registrar.changed.notified();
         if timeout_at(until.into(), changed).await.is_err() {
--- a/gateway/src/vm_registration.rs
+++ b/gateway/src/vm_registration.rs
@@ -140,7 +140,8 @@
     let vms = records.len();
     match registered.await {
         Ok((era, mut roster)) => {
-            records.into_iter().for_each(|vm| roster.add(vm));
+            let records = records.into_iter().map(|vm| stamped(vm, era));
+            records.for_each(|vm| roster.add(vm));
             gateway.set_listed(era, roster.clone());
             roster.merge(&gateway.roster());
             log::info!(vms; "other VMs registered");
@@ -213,28 +214,31 @@
     }
     let mut client = store_client(gateway);
     sleep(FIRST_ASKED_TIME).await;
+    // The first answer of the store states the era in which the records are.
+    read(gateway, &mut client).await?;
     let mut records = gateway.registrar().take(&VmRoster::default());
     records.push(record.clone());
     let appended = append(gateway, &mut client, &records).await?;
     sleep(FIRST_OTHERS_TIME).await;
     let (read, mut roster) = read(gateway, &mut client).await?;
-    roster.add(record);
+    let era = appended.min(read);
+    roster.add(stamped(record, era));
     Ok(Registration {
         roster,
         is_new: false,
-        era: Some(appended.min(read)),
+        era: Some(era),
     })
 }
 
-/// Reads the list of VMs, and registers this one if it is not on it.
+/// Reads the list of VMs, and registers this one if it has not registered in that era.
 async fn read_and_append(gateway: &Gateway) -> Result<Registration, StoreFailure> {
     let record = own_record(gateway);
     let mut client = store_client(gateway);
     let (era, mut roster) = read(gateway, &mut client).await?;
-    let is_new = !roster.has(&record);
-    if is_new {
+    let is_new = !roster.has_since(era, &record);
+    if !roster.registered_in(era).has(&record) {
         append(gateway, &mut client, std::slice::from_ref(&record)).await?;
-        roster.add(record);
+        roster.add(stamped(record, era));
     }
     Ok(Registration {
         roster,
@@ -243,6 +247,14 @@
     })
 }
 
+/// Returns the record of a VM as it registers in an era.
+fn stamped(record: VmRecord, era: StoreEra) -> VmRecord {
+    VmRecord {
+        era: Some(era),
+        ..record
+    }
+}
+
 /// Returns the record under which this VM registers.
 pub(crate) fn own_record(gateway: &Gateway) -> VmRecord {
     let boot = gateway.boot.borrow();
@@ -251,6 +263,7 @@
         domain: boot.domain.clone(),
         feed: boot.admin(),
         link: boot.link,
+        era: None,
     }
 }
 
@@ -266,9 +279,11 @@
     client: &mut StoreClient,
     vms: &[VmRecord],
 ) -> Result<StoreEra, StoreFailure> {
-    let encoded = vms
-        .iter()
-        .map(|vm| Ok((&*vm.name, serde_json::to_vec(vm)?)));
+    let era = gateway.eras.newest();
+    let encoded = vms.iter().map(|vm| {
+        let record = stamped(vm.clone(), era);
+        Ok((&*vm.name, serde_json::to_vec(&record)?))
+    });
     let records: Result<Vec<_>, serde_json::Error> = encoded.collect();
     let records = records.map_err(|_| StoreFailure::Malformed("VM record"))?;
     let result = client.append(&records).await;
--- a/gateway/tests/test_quota_restart.rs
+++ b/gateway/tests/test_quota_restart.rs
@@ -19,6 +19,7 @@
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
 use carobshore_standin::fault_proxy::FaultProxy;
+use carobshore_standin::fault_proxy::ProxyFault;
 use carobshore_standin::site_store::StoreCopy;
 use carobshore_standin::site_store::StoreFault;
 use carobshore_standin::site_target::SiteTarget;
@@ -51,6 +52,9 @@
 const AWAY: Duration = Duration::from_millis(500);
 /// Time within which VMs that reach the store are registered again.
 const REGISTER: Duration = Duration::from_secs(2);
+/// How long VMs that a new list makes owners of a quota grant nothing, with time to learn of the list.
+const HANDOVER: Duration = Duration::from_secs(17);
+
 /// The VMs of a deployment. The first one of each failure domain is on the list of VMs in the copy of the
 /// store, and the others have joined since.
 struct QuotaSite {
@@ -64,8 +68,7 @@
 
 struct Vm {
     gateway: Gateway,
-    /// Its path to the store.
-    _store_path: FaultProxy,
+    store_path: FaultProxy,
 }
 
 impl QuotaSite {
@@ -123,7 +126,7 @@
         wait("the gateway is ready", || gateway.is_ready());
         self.vms.push(Vm {
             gateway,
-            _store_path: store_path,
+            store_path,
         });
     }
 
@@ -189,6 +192,8 @@
 enum Seeds {
     /// The first one of each failure domain.
     First,
+    /// VMs that are gone for good.
+    Gone,
 }
 
 struct Traffic {
@@ -234,6 +239,7 @@
             domain: domain.parse::<DomainId>().expect("a domain"),
             feed: ([127, 0, 0, 1], 1).into(),
             link: 0,
+            era: None,
         }
     };
     let vms = (0..DOMAINS.len() * (1 + JOINING)).map(record);
@@ -265,3 +271,29 @@
     traffic.stop();
     deployment.assert_bound();
 }
+
+/// Guards against VMs that start while a list of the store lacks the others, and grant a quota by that list
+/// beside the owners by the whole one (QUOTA). The store turns the others away meanwhile.
+#[test]
+fn a_quota_holds_when_vms_start_before_the_others_are_registered_again() {
+    let mut deployment = QuotaSite::start("quota-short-list", Seeds::Gone);
+    let traffic = deployment.traffic();
+    deployment.go_away();
+    for vm in &deployment.vms[DOMAINS.len()..] {
+        vm.store_path.set_fault(ProxyFault::Reset);
+    }
+    let first = &mut deployment.vms[..DOMAINS.len()];
+    Gateway::kill_all(first.iter_mut().map(|vm| &mut vm.gateway));
+    deployment.come_back();
+    for vm in &mut deployment.vms[..DOMAINS.len()] {
+        vm.gateway.start_again();
+    }
+    thread::sleep(WINDOW + REGISTER);
+    for vm in &deployment.vms {
+        vm.store_path.set_fault(ProxyFault::None);
+    }
+    thread::sleep(HANDOVER);
+    traffic.stop();
+    deployment.assert_bound();
+    deployment.wait_for_list();
+}
--- a/lib/src/vm_roster.rs
+++ b/lib/src/vm_roster.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::domain_id::DomainId;
+use crate::store_era::StoreEra;
 
 /// A VM as it registers itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,24 @@
     /// The bandwidth of its link in Mbit/s; 0 if it does not say.
     #[serde(default)]
     pub link: u32,
+    /// The era of the store in which it registered last; nothing if it does not say, as in the release
+    /// before. In a later era the record is one of the copy from which the store came back.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<StoreEra>,
+}
+
+impl VmRecord {
+    /// Returns whether both are of one VM with the same failure domain, address and link.
+    fn is_same(&self, other: &Self) -> bool {
+        let Self {
+            name,
+            domain,
+            feed,
+            link,
+            era: _,
+        } = self;
+        (name, domain, feed, link) == (&other.name, &other.domain, &other.feed, &other.link)
+    }
 }
 
 /// All VMs that have ever registered. Some may be gone, so their number is an upper bound, which is
@@ -68,9 +87,26 @@
         self.vms.is_empty()
     }
 
-    /// Returns whether the roster has exactly this record.
+    /// Returns whether the roster has this VM as it is, whenever it registered.
     pub fn has(&self, vm: &VmRecord) -> bool {
-        self.vms.contains(vm)
+        self.vms.iter().any(|known| known.is_same(vm))
+    }
+
+    /// Returns whether the roster has this VM as it is, and no earlier era than `era` is named for it. VMs
+    /// that read the list in that era then know it.
+    pub fn has_since(&self, era: StoreEra, vm: &VmRecord) -> bool {
+        let is_since = |known: &VmRecord| known.era.is_none_or(|registered| registered >= era);
+        self.vms
+            .iter()
+            .any(|known| known.is_same(vm) && is_since(known))
+    }
+
+    /// Returns the VMs that have registered in an era or a later one.
+    pub fn registered_in(&self, era: StoreEra) -> Self {
+        let vms = self.vms.iter().filter(|vm| vm.era >= Some(era));
+        Self {
+            vms: vms.cloned().collect(),
+        }
     }
 
     /// Returns the VMs from which `me` may take changes, the preferred one first: the VMs of its
--- a/lib/tests/test_joining.rs
+++ b/lib/tests/test_joining.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use carobshore_lib::join_queue::JoinQueue;
+use carobshore_lib::prelude::StoreEra;
 use carobshore_lib::record_age::RecordAge;
 use carobshore_lib::vm_roster::VmRecord;
 use carobshore_lib::vm_roster::VmRoster;
@@ -21,6 +22,7 @@
         domain: domain.parse().expect("a domain"),
         feed: ([10, 0, 0, 1], port).into(),
         link: if index < 3 * DOMAINS { 200 } else { 20 },
+        era: None,
     }
 }
 
@@ -138,3 +140,36 @@
         }
     }
 }
+
+fn era(number: &str) -> StoreEra {
+    number.parse().expect("an era")
+}
+
+/// Guards against a VM that takes a list from before a restart of the store for one that all others know.
+#[test]
+fn a_record_of_an_earlier_era_is_listed_but_not_registered() {
+    let [first, second] = ["1", "2"].map(era);
+    let registered = |index, era| VmRecord {
+        era: Some(era),
+        ..vm(index)
+    };
+    // The second record is from the copy, and the third one from a VM that states no era.
+    let vms = vec![registered(0, second), registered(1, first), vm(2)];
+    let roster = VmRoster::new(vms);
+    assert!((0..3).all(|index| roster.has(&vm(index))));
+    let since = |era| (0..3).map(move |index| (index, era));
+    let known = |(index, era)| roster.has_since(era, &vm(index));
+    assert_eq!(
+        since(second).map(known).collect::<Vec<_>>(),
+        [true, false, true]
+    );
+    assert_eq!(since(first).map(known).collect::<Vec<_>>(), [true; 3]);
+    let registered = roster.registered_in(second);
+    assert!(registered.has(&vm(0)));
+    assert_eq!(registered.len(), Some(1));
+    let moved = VmRecord {
+        feed: ([10, 0, 0, 2], 10_000).into(),
+        ..vm(0)
+    };
+    assert!(!roster.has(&moved));
+}
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -51,6 +51,7 @@
         domain: domain(index),
         feed: ([127, 0, 0, 1], FIRST_PORT + index as u16).into(),
         link: 10,
+        era: None,
     };
     VmRoster::new((0..vms).map(record).collect())
 }
--- a/lib/tests/test_quotas.rs
+++ b/lib/tests/test_quotas.rs
@@ -156,6 +156,7 @@
         domain: format!("d{}", index % 3).parse().expect("a domain"),
         feed: ([127, 0, 0, 1], 7_000 + index as u16).into(),
         link: [10, 50, 200][index % 7 % 3],
+        era: None,
     };
     VmRoster::new((0..vms).map(record).collect())
 }
--- a/lib/tests/test_shares.rs
+++ b/lib/tests/test_shares.rs
@@ -198,6 +198,7 @@
         domain: domain.parse().expect("a domain"),
         feed: "127.0.0.1:7000".parse().expect("an address"),
         link: 0,
+        era: None,
     }
 }
 
--- a/lib/tests/test_warmup.rs
+++ b/lib/tests/test_warmup.rs
@@ -52,6 +52,7 @@
         domain: domain(index),
         feed: ([127, 0, 0, 1], FIRST_PORT + index as u16).into(),
         link: 10,
+        era: None,
     };
     VmRoster::new(vms.map(record).collect())
 }
