--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -25,6 +25,7 @@
 use crate::limits;
 use crate::limits::NEWS_FIELD;
 use crate::quota_server;
+use crate::recovery_news;
 use crate::registrar;
 use crate::reply::Reply;
 use crate::state_dump;
@@ -118,6 +119,9 @@
         gateway.metrics.feed_bytes("sent", reply.body_len());
         return reply;
     }
+    if let Some(reply) = recovery_news::answer(gateway, head) {
+        return reply;
+    }
     if let Some(reply) = registrar::answer(gateway, head).await {
         return reply;
     }
--- a/gateway/src/feed.rs
+++ b/gateway/src/feed.rs
@@ -27,6 +27,7 @@
 use crate::feed_format;
 use crate::feed_format::FeedFormat;
 use crate::record_source::RecordSource;
+use crate::recovery_news::SAME_NEWS;
 use crate::reply::Reply;
 
 /// How long a poll is held while there is no change. It is longer than the VM's own read waits.
@@ -46,6 +47,11 @@
 pub const AGE_FIELD: &str = "Feed-Age";
 /// Header field of an answer: milliseconds for which the poll was held.
 pub const HELD_FIELD: &str = "Feed-Held";
+/// Header field of an answer without changes: the store answers others, as this VM has heard.
+pub(crate) const RECOVERED_FIELD: &str = "Store-Recovered";
+/// How long a VM that has heard that the store answers others has for an answer of its own, before it passes
+/// the news on.
+const RECOVERY_PATIENCE: Duration = Duration::from_millis(150);
 /// Header field of a poll: the newest era of the store that the VM knows.
 pub(crate) const ERA_FIELD: &str = "Feed-Era";
 
@@ -84,6 +90,8 @@
     confirmed: Cell<Option<Instant>>,
     /// Where the records were last confirmed or changed from.
     source: Cell<Option<RecordSource>>,
+    /// When this VM last heard that the store answers others.
+    recovered: Cell<Option<Instant>>,
     /// Answers since the last change of the records, most of which are asked for by many VMs.
     encoded: RefCell<Vec<(Option<StorePosition>, FeedFormat, CompressedBody)>>,
 }
@@ -103,6 +111,7 @@
             state: watch::channel(SourceState::default()).0,
             confirmed: Cell::default(),
             source: Cell::default(),
+            recovered: Cell::default(),
             encoded: RefCell::default(),
         }
     }
@@ -126,6 +135,29 @@
         self.state.send_modify(|_| {});
     }
 
+    /// Records that the store answers others.
+    pub(crate) fn hear_recovery(&self, now: Instant) {
+        if !self.has_heard_recovery(now) {
+            self.recovered.set(Some(now));
+            self.state.send_modify(|_| {});
+        }
+    }
+
+    /// Returns whether this VM has just heard that the store answers others.
+    pub(crate) fn has_heard_recovery(&self, now: Instant) -> bool {
+        let heard = self.recovered.get();
+        heard.is_some_and(|at| now.saturating_duration_since(at) < SAME_NEWS)
+    }
+
+    /// Waits until this VM hears that the store answers others, later than `since`.
+    pub(crate) async fn recovery_heard(&self, since: Instant) {
+        let mut changed = self.state.subscribe();
+        // The sender lives as long as this future.
+        let _ = changed
+            .wait_for(|_| self.recovered.get() > Some(since))
+            .await;
+    }
+
     /// Returns the position up to which the topic is known; nothing before the first read.
     pub fn next(&self) -> Option<StorePosition> {
         self.mirror.borrow().next()
@@ -171,7 +203,11 @@
         // A VM without any records is better off with those from before the store was lost.
         let from_before = poll.from.is_none() && !poll.knows_later_than(known);
         if known.is_none() || !(found || from_before) {
-            return Reply::text(503, "this VM does not follow the store now\n");
+            let reply = Reply::text(503, "this VM does not follow the store now\n");
+            return match self.has_heard_recovery(Instant::now()) {
+                true => reply.with_field(RECOVERED_FIELD, "1"),
+                false => reply,
+            };
         }
         let reply = match self.encode(&mirror, poll) {
             Ok(reply) => reply,
@@ -236,10 +272,14 @@
             let is_current = poll.from.is_some()
                 && poll.position(known) == known
                 && told == Told(self.confirmed.get());
+            let heard = self.recovered.get().filter(|heard| *heard > started);
             let end = match state {
                 SourceState::Found if !self.is_newest(known) => state_since + SEARCH_HOLD,
                 SourceState::Found if is_current => started + POLL_HOLD,
-                SourceState::Lost if poll.patient => started + POLL_HOLD,
+                SourceState::Lost if poll.patient => {
+                    let end = started + POLL_HOLD;
+                    heard.map_or(end, |heard| end.min(heard + RECOVERY_PATIENCE))
+                }
                 SourceState::Searching if known.is_none() => state_since + START_HOLD,
                 SourceState::Searching => state_since + SEARCH_HOLD,
                 SourceState::Found | SourceState::Lost => return,
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -15,6 +15,7 @@
 use crate::feed::HELD_FIELD;
 use crate::feed::POLL_HOLD;
 use crate::feed::Poll;
+use crate::feed::RECOVERED_FIELD;
 use crate::feed_format;
 use crate::limits::NEWS_FIELD;
 use crate::vm_list_sync::LIST_FIELD;
@@ -29,6 +30,8 @@
 pub struct PollFailure {
     /// What the failure implies about the other VM.
     pub kind: SourceFailure,
+    /// Whether the other VM has heard that the store answers others.
+    pub(crate) recovered: bool,
     /// The cause, for the log.
     pub reason: Box<str>,
 }
@@ -38,6 +41,7 @@
     pub(crate) fn earlier_era() -> Self {
         Self {
             kind: SourceFailure::Isolated,
+            recovered: false,
             reason: "its records are of an earlier era".into(),
         }
     }
@@ -45,6 +49,7 @@
     fn silent(reason: impl Into<Box<str>>) -> Self {
         Self {
             kind: SourceFailure::NoResponse,
+            recovered: false,
             reason: reason.into(),
         }
     }
@@ -134,6 +139,7 @@
             }
             status => Err(PollFailure {
                 kind: SourceFailure::Isolated,
+                recovered: response.head.fields.text(RECOVERED_FIELD).is_some(),
                 reason: format!("status {status}").into(),
             }),
         }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod quota_server;
 mod quotas;
 pub mod record_source;
+mod recovery_news;
 mod registrar;
 pub mod reply;
 mod reply_writer;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -37,6 +37,7 @@
 use crate::gateway::Gateway;
 use crate::limits;
 use crate::record_source::RecordSource;
+use crate::recovery_news;
 use crate::store_probes::ProbeAnswer;
 use crate::store_probes::ProbeResult;
 use crate::store_probes::StoreProbes;
@@ -81,6 +82,8 @@
     reader: StoreReader,
     /// Since when no source has responded; nothing while one does.
     lost_since: Option<Instant>,
+    /// When this VM last called the store because it had heard that the store answers others.
+    called_on_news: Instant,
     /// Until when a failed poll is retried; nothing after the first response of another VM.
     start_end: Option<Instant>,
     /// The number of polls that have failed since the start.
@@ -101,6 +104,7 @@
         record_age: RecordAge::new(Instant::now()),
         reader: StoreReader::default(),
         lost_since: None,
+        called_on_news: Instant::now(),
         start_end: Some(Instant::now() + START_TIME),
         start_failures: 0,
     };
@@ -114,13 +118,24 @@
     async fn step(&mut self) {
         self.drop_outdated();
         let outdated = era_risen(Rc::clone(&self.gateway.eras), self.reader.known());
+        let gateway = Rc::clone(&self.gateway);
+        let lost_since = self.lost_since.map(|lost| lost.max(self.called_on_news));
+        let recovered = recovery_heard(&gateway, self.topic, lost_since);
         tokio::select! {
             biased;
             () = self.advance() => {}
             () = outdated => {}
+            () = recovered => self.call_on_news(),
         }
     }
 
+    /// Calls the store at once, because it answers others.
+    fn call_on_news(&mut self) {
+        log::info!(topic:? = self.topic; "the store answers others; it is called at once");
+        self.called_on_news = Instant::now();
+        self.probes = Some(self.new_probes());
+    }
+
     /// Gives up the position if the store is in a later era, in which offsets stand for other records.
     /// What is known stays in use until the records of that era are read.
     fn drop_outdated(&mut self) {
@@ -282,6 +297,10 @@
         if self.lost_since.is_none() {
             self.set_state(SourceState::Searching);
         }
+        let is_told = self.called_on_news.elapsed() < recovery_news::SAME_NEWS;
+        if failure.recovered && !is_told && self.lost_since.is_some() {
+            return self.call_on_news();
+        }
         // The connection to the store has not been used while this VM polled the peer.
         let probes = self.probes.take();
         self.probes = Some(probes.unwrap_or_else(|| self.new_probes()));
@@ -379,6 +398,9 @@
 
     /// Processes the response of the store to a probe.
     fn on_probe_result(&mut self, result: ProbeResult) {
+        if self.lost_since.is_some() && self.topic == Topic::Operators {
+            recovery_news::tell(&self.gateway);
+        }
         self.on_response();
         match result {
             // Another VM may have sent later records since the call began.
@@ -531,6 +553,14 @@
     }
 }
 
+/// Waits until this VM hears that the store answers others, if it has been lost since some time.
+async fn recovery_heard(gateway: &Gateway, topic: Topic, lost_since: Option<Instant>) {
+    match lost_since {
+        Some(since) => gateway.feed(topic).recovery_heard(since).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the store is in a later era than that of the position, if there is one.
 async fn era_risen(eras: Rc<EraWatch>, known: Option<StorePosition>) {
     match known {
--- a/gateway/tests/deployment/mod.rs
+++ b/gateway/tests/deployment/mod.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_lib::vm_roster::VmRecord;
+use carobshore_lib::vm_roster::VmRoster;
 use carobshore_standin::fault_proxy::FaultProxy;
 use carobshore_standin::fault_proxy::ProxyFault;
 use carobshore_standin::raw_server::lock;
@@ -123,6 +125,11 @@
     pub(crate) store_path: FaultProxy,
 }
 
+/// Returns the name of a VM by the number of its failure domain and its own there.
+fn vm_name(domain: usize, number: usize) -> String {
+    format!("edge-{}-{number}", DOMAINS[domain])
+}
+
 /// Returns the service to which a version leads the route `/moved/`.
 pub(crate) fn moved_to(version: u64) -> &'static str {
     SERVICES[version as usize % SERVICES.len()]
@@ -166,7 +173,7 @@
             for number in 0..count {
                 let store_path = FaultProxy::start(site.store.addr()).expect("a proxy");
                 let gateway = site.start_planned(VmPlan {
-                    name: &format!("edge-{domain}-{number}"),
+                    name: &vm_name(index, number),
                     domain,
                     store: store_path.addr(),
                     seeds: &controls,
@@ -233,6 +240,24 @@
         self.vms[vm].store_path.set_fault(fault);
     }
 
+    /// Returns the VMs of a failure domain without the last one in the order in which they follow each
+    /// other.
+    pub(crate) fn all_but_last(&self, domain: usize) -> Vec<usize> {
+        let per_domain = self.vms.len() / DOMAINS.len();
+        let record = |number| VmRecord {
+            name: vm_name(domain, number).into(),
+            domain: DOMAINS[domain].parse().expect("a domain"),
+            feed: ([127, 0, 0, 1], 1).into(),
+            link: 0,
+            era: None,
+        };
+        let roster = VmRoster::new((0..per_domain).map(record).collect());
+        let order = roster.domains().swap_remove(0);
+        let last = order.last().expect("a VM").name.clone();
+        let others = (0..per_domain).filter(|number| *vm_name(domain, *number) != *last);
+        others.map(|number| domain * per_domain + number).collect()
+    }
+
     /// Returns the target with the id.
     pub(crate) fn target(&self, id: &str) -> &SiteTarget {
         let mut targets = self.targets.iter();
--- a/gateway/tests/test_store_restart.rs
+++ b/gateway/tests/test_store_restart.rs
@@ -2,7 +2,7 @@
 //! copy, and lack what was written since (CONFIG, DRAIN).
 //!
 //! `CAROBSHORE_RESTART_SEEDS=1..50 cargo test -p carobshore-gateway --test test_store_restart` runs
-//! other seeds.
+//! other seeds, and `CAROBSHORE_TURNED_AWAY_SEEDS` those of the test in which the store turns VMs away.
 
 mod common;
 mod deployment;
@@ -41,8 +41,10 @@
 
 /// Seeds that always run.
 const SEEDS: [u64; 3] = [1, 2, 3];
-/// A seed of a run in which the store turns a third of the VMs away.
-const TURNED_AWAY_SEED: u64 = 13;
+/// Seeds of runs in which the store turns a third of the VMs away.
+const TURNED_AWAY_SEEDS: [u64; 1] = [13];
+/// Seeds of runs in which it turns all VMs of a failure domain away but the last one.
+const LAST_SEEDS: [u64; 3] = [1, 2, 3];
 /// `ConfigApply` of the deployment.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// `Drain` of the deployment.
@@ -114,7 +116,7 @@
 fn what_is_written_after_a_restart_of_the_store_is_in_force_on_all_vms() {
     let mut failed = Vec::new();
     for seed in common::seeds("CAROBSHORE_RESTART_SEEDS", &SEEDS) {
-        let violations = Scenario::start(seed).play();
+        let violations = Scenario::start("restart", seed).play();
         violations.iter().take(PRINTED).for_each(|violation| {
             println!("seed {seed}: {violation}");
         });
@@ -130,10 +132,26 @@
 /// serves, but which wait behind others that it turns away.
 #[test]
 fn a_vm_behind_others_that_are_turned_away_learns_in_time_who_leaves() {
-    let mut run = Scenario::start(TURNED_AWAY_SEED);
-    run.run_strictly = true;
-    let violations = run.play();
-    assert!(violations.is_empty(), "{violations:#?}");
+    for seed in common::seeds("CAROBSHORE_TURNED_AWAY_SEEDS", &TURNED_AWAY_SEEDS) {
+        let mut run = Scenario::start("turned-away", seed);
+        run.trouble = Trouble::TurnedAway;
+        run.run_strictly = true;
+        let violations = run.play();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// The same where all other VMs of its failure domain are turned away, so that it waits longest.
+#[test]
+fn the_only_vm_of_a_domain_that_the_store_serves_learns_in_time_who_leaves() {
+    for seed in LAST_SEEDS {
+        let mut run = Scenario::start("only-served", seed);
+        run.trouble = Trouble::TurnedAway;
+        run.run_strictly = true;
+        run.chosen = run.deployment.all_but_last(1);
+        let violations = run.play();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
 }
 
 /// Guards against a list of VMs that stays short after a drill of the store: a VM that starts later takes it
@@ -200,6 +218,8 @@
     /// Targets that have left, with when the store acknowledged that.
     left: Vec<Left>,
     trouble: Trouble,
+    /// The VMs that get the trouble; drawn if there are none.
+    chosen: Vec<usize>,
     /// The VMs that have the trouble.
     troubled: Vec<usize>,
     /// Whether VMs that the store serves are bound also while it turns others away. The rules excuse them.
@@ -208,8 +228,9 @@
 }
 
 impl Scenario {
-    fn start(seed: u64) -> Self {
-        let deployment = Deployment::start(&format!("restart-{seed}"));
+    /// Starts a deployment. `name` is that of the test, which may run beside others with the same seed.
+    fn start(name: &str, seed: u64) -> Self {
+        let deployment = Deployment::start(&format!("{name}-{seed}"));
         let traffic = Traffic::start(seed, &deployment);
         Self {
             seed,
@@ -217,6 +238,7 @@
             deployment,
             traffic,
             left: Vec::new(),
+            chosen: Vec::new(),
             troubled: Vec::new(),
             run_strictly: false,
             trouble: TROUBLES[seed as usize % TROUBLES.len()],
@@ -327,8 +349,8 @@
             Trouble::TurnedAway => self.deployment.vms.len() / 3,
             Trouble::Kill | Trouble::Terminate | Trouble::Freeze => self.rng.random_range(1..4),
         };
-        let mut troubled = BTreeSet::new();
-        while troubled.len() < count {
+        let mut troubled = BTreeSet::from_iter(self.chosen.iter().copied());
+        while troubled.len() < count && self.chosen.is_empty() {
             troubled.insert(self.rng.random_range(0..self.deployment.vms.len()));
         }
         for vm in &troubled {
