--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -107,6 +107,7 @@
         if let Some(message) = head.fields.text(NEWS_FIELD) {
             limits::read_news(gateway, "a follower", message);
         }
+        vm_list_sync::hear(gateway, head);
         let reply = gateway.feed(poll.topic).answer(poll, told).await;
         let reply = match limits::news(gateway) {
             Some(message) => reply.with_field(NEWS_FIELD, &message),
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -32,6 +32,8 @@
     pub kind: SourceFailure,
     /// Whether the other VM has heard that the store answers others.
     pub(crate) recovered: bool,
+    /// The digest of its list of VMs, if it tells that.
+    pub(crate) list: Option<RosterDigest>,
     /// The cause, for the log.
     pub reason: Box<str>,
 }
@@ -42,6 +44,7 @@
         Self {
             kind: SourceFailure::Isolated,
             recovered: false,
+            list: None,
             reason: "its records are of an earlier era".into(),
         }
     }
@@ -50,6 +53,7 @@
         Self {
             kind: SourceFailure::NoResponse,
             recovered: false,
+            list: None,
             reason: reason.into(),
         }
     }
@@ -65,6 +69,15 @@
     }
 }
 
+/// What a VM tells another one with a poll.
+#[derive(Clone, Debug, Default)]
+pub struct PollNews {
+    /// What it knows of the limits of targets.
+    pub limits: Option<Box<str>>,
+    /// The digest of its list of VMs, if that is compared.
+    pub list: Option<RosterDigest>,
+}
+
 /// The answer of another VM to a poll.
 #[derive(Clone, Debug)]
 pub struct PolledChanges {
@@ -95,25 +108,29 @@
         self.0.addr()
     }
 
-    /// Requests changes, and waits for them as long as the other VM holds the poll. `news` is what
-    /// this VM knows of the limits of targets.
+    /// Requests changes, and waits for them as long as the other VM holds the poll.
     pub async fn poll(
         &mut self,
         poll: Poll,
-        news: Option<&str>,
+        news: &PollNews,
     ) -> Result<PolledChanges, PollFailure> {
         let path = poll
             .path()
             .ok_or_else(|| PollFailure::silent("the topic has no feed"))?;
         let mut fields = poll.fields();
-        if let Some(news) = news {
-            fields.add(NEWS_FIELD, news);
+        if let Some(limits) = &news.limits {
+            fields.add(NEWS_FIELD, &**limits);
+        }
+        if let Some(list) = news.list {
+            fields.add(LIST_FIELD, list.to_string());
         }
         let sent = Instant::now();
         let response = self
             .0
             .call_with(fields, "GET", &path, &[], POLL_HOLD + RESPONSE_MARGIN)
             .await?;
+        let list = response.head.fields.text(LIST_FIELD);
+        let list = list.and_then(|list| list.parse().ok());
         match response.head.status {
             200 => {
                 let changes = feed_format::decode(&response.head.fields, &response.body)
@@ -130,16 +147,13 @@
                     }),
                     bytes: response.body.len(),
                     news: response.head.fields.text(NEWS_FIELD).map(Box::from),
-                    list: response
-                        .head
-                        .fields
-                        .text(LIST_FIELD)
-                        .and_then(|list| list.parse().ok()),
+                    list,
                 })
             }
             status => Err(PollFailure {
                 kind: SourceFailure::Isolated,
                 recovered: response.head.fields.text(RECOVERED_FIELD).is_some(),
+                list,
                 reason: format!("status {status}").into(),
             }),
         }
--- a/gateway/src/feed_peer.rs
+++ b/gateway/src/feed_peer.rs
@@ -7,6 +7,7 @@
 use crate::feed::Poll;
 use crate::feed_client::FeedClient;
 use crate::feed_client::PollFailure;
+use crate::feed_client::PollNews;
 use crate::feed_client::PolledChanges;
 use crate::feed_format::FeedFormat;
 
@@ -29,7 +30,7 @@
         topic: Topic,
         from: Option<StorePosition>,
         newest: StoreEra,
-        news: Option<&str>,
+        news: &PollNews,
     ) -> Result<PolledChanges, PollFailure> {
         let poll = Poll {
             topic,
@@ -48,11 +49,11 @@
     topic: Topic,
     from: Option<StorePosition>,
     newest: StoreEra,
-    news: Option<String>,
+    news: PollNews,
 ) -> (Peer, Result<PolledChanges, PollFailure>) {
     let Some(mut peer) = peer else {
         return std::future::pending().await;
     };
-    let polled = peer.poll(topic, from, newest, news.as_deref()).await;
+    let polled = peer.poll(topic, from, newest, &news).await;
     (peer, polled)
 }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -30,6 +30,7 @@
 use crate::feed_client::CONNECT_TIMEOUT;
 use crate::feed_client::FeedClient;
 use crate::feed_client::PollFailure;
+use crate::feed_client::PollNews;
 use crate::feed_client::PolledChanges;
 use crate::feed_format::FeedFormat;
 use crate::feed_peer;
@@ -294,6 +295,9 @@
         let level = self.level();
         log::log!(level, topic:? = self.topic, from:% = addr, reason = &*failure.reason; "another VM does not hand changes on");
         self.choice.failed(Instant::now(), addr, failure.kind);
+        if let Some(list) = failure.list {
+            vm_list_sync::compare(&self.gateway, addr, list);
+        }
         if self.lost_since.is_none() {
             self.set_state(SourceState::Searching);
         }
@@ -331,7 +335,10 @@
         let waiting = self.choice.waiting(Instant::now(), &sources);
         let asked = peer.as_ref().filter(|peer| !peer.isolated);
         let asked = asked.map(|peer| peer.client.addr());
-        let news = limits::news(&self.gateway);
+        let news = PollNews {
+            limits: limits::news(&self.gateway).map(Box::from),
+            list: vm_list_sync::digest(&self.gateway),
+        };
         let newest = self.gateway.eras.newest();
         let mut other = pin!(feed_peer::poll_if_any(peer, self.topic, from, newest, news));
         let mut call_store = pin!(sleep_until(store_due.into()));
--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_http::head::RequestHead;
 use carobshore_http::persistent_client::PersistentClient;
 use carobshore_lib::prelude::StorePosition;
 use carobshore_lib::roster_digest::RosterDigest;
@@ -22,7 +23,7 @@
 use crate::registrar;
 use crate::vm_registration;
 
-/// Header field of an answer to a poll: the digest of the sender's list of VMs.
+/// Header field of a poll and of its answer: the digest of the sender's list of VMs.
 pub(crate) const LIST_FIELD: &str = "Vm-List";
 
 /// Pause between two reads of the list in the store. A VM that joins grants tokens 10 s later at the earliest;
@@ -59,6 +60,18 @@
     }
 }
 
+/// Records the digest of the list of a VM that polls this one. One that differs says nothing: the other VM
+/// compares the lists itself.
+pub(crate) fn hear(gateway: &Gateway, head: &RequestHead) {
+    let told = head.fields.text(LIST_FIELD).map(str::parse);
+    if let Some(Ok(other)) = told
+        && digest(gateway) == Some(other)
+    {
+        let mut table = gateway.quotas.table.borrow_mut();
+        table.list_covered(Instant::now());
+    }
+}
+
 /// Adds the VMs that only the source knows, or else tells the source of one that it lacks: it then reads
 /// the list in the store.
 async fn exchange(gateway: &Gateway, source: SocketAddr) {
@@ -70,6 +83,11 @@
     if extend(gateway, &told.roster, RecordSource::Vm(source)) {
         return;
     }
+    gateway
+        .quotas
+        .table
+        .borrow_mut()
+        .list_covered(Instant::now());
     let known = gateway.roster().clone();
     if let Some(unknown) = roster_sync::lacking(&known, &told.roster) {
         // The answer is the list that the source has read; the next poll compares it.
--- a/gateway/tests/test_quota.rs
+++ b/gateway/tests/test_quota.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use carobshore_standin::site_store::StoreFault;
 use carobshore_standin::site_wire;
 
 use crate::common::Gateway;
@@ -28,6 +29,8 @@
 const WINDOW: Duration = Duration::from_secs(5);
 const OVER: f64 = 0.1;
 const SLACK: f64 = 12.0;
+/// How long the store is away: longer than owners grant tokens without news of the list.
+const AWAY: Duration = Duration::from_secs(12);
 /// What the others wait for an owner that does not answer, with a margin for a busy machine.
 const QUICKLY: Duration = Duration::from_millis(35);
 
@@ -262,6 +265,24 @@
     }
 }
 
+/// Guards against owners that stop for want of news of the list, although they reach each other: while the
+/// store is away, no VM can join.
+#[test]
+fn owners_grant_on_while_the_store_is_away() {
+    let site = site("quota-store-away", 2);
+    site.configure(2, &resources(30.0, 10));
+    let gateways = gateways(&site, &["a", "b", "c"]);
+    site.store.set_fault(StoreFault::Silent);
+    thread::sleep(AWAY);
+    let mut served = 0;
+    for count in 0..30 {
+        let response = send(&gateways[count % 3], &format!("away-{count}"));
+        served += usize::from(response.head.status == 200);
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(served, 30, "requests within the quota");
+}
+
 /// Guards against a VM whose list lacks the VMs before it, so that it polls none of them, and which nobody
 /// polls: it would keep its list, and with it other owners of quotas than the others have (QUOTA).
 #[test]
--- a/lib/src/quota/quota_table.rs
+++ b/lib/src/quota/quota_table.rs
@@ -22,6 +22,10 @@
 /// How long a VM that a new list makes an owner grants nothing: meanwhile other VMs may ask the owner
 /// of the old list. Connected VMs learn of a new list within a few seconds.
 const HANDOVER: Duration = Duration::from_secs(10);
+/// How long an owner grants tokens after another VM, or the store, has last told a list that adds nothing to
+/// its own. One that is cut off stops before the owner by a later list begins, which is after [`HANDOVER`], and
+/// its last tokens have expired by then.
+const LIST_LEASE: Duration = Duration::from_secs(8);
 /// An account without requests is dropped after this time.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -35,6 +39,10 @@
     is_new: bool,
     /// When other VMs that are connected know this one, if it is new.
     known_from: Option<Instant>,
+    /// When this VM last learned that its list lacks no VM; nothing before it has a list.
+    covered: Option<Instant>,
+    /// Whether the list names other VMs.
+    has_others: bool,
     pools: OwnerPools,
     /// Lists that other VMs may still use, and until when.
     earlier: Vec<(Instant, OwnerPools)>,
@@ -50,6 +58,8 @@
             domain,
             is_new: true,
             known_from: None,
+            covered: None,
+            has_others: false,
             pools: OwnerPools::default(),
             earlier: Vec::new(),
             accounts: HashMap::new(),
@@ -61,6 +71,8 @@
     pub fn set_roster(&mut self, now: Instant, roster: &VmRoster, is_new: bool) {
         let pools = OwnerPools::new(roster);
         self.is_new = is_new;
+        self.covered = Some(now);
+        self.has_others = roster.iter().any(|vm| vm.name != self.me);
         if pools == self.pools {
             return;
         }
@@ -79,6 +91,12 @@
     /// until then others may ask the owners of an older list.
     pub fn list_confirmed(&mut self, now: Instant) {
         self.known_from.get_or_insert(now + HANDOVER);
+        self.list_covered(now);
+    }
+
+    /// Records that another VM, or the store, lists no VM that this one does not know.
+    pub fn list_covered(&mut self, now: Instant) {
+        self.covered = self.covered.max(Some(now));
     }
 
     /// Grants tokens as an owner. Returns [`OwnerAnswer::NotOwner`] if this VM is none.
@@ -156,7 +174,7 @@
 
     /// Returns the number of owners of the quota if this VM is one by all lists that VMs may use now.
     fn owners_with_me(&self, now: Instant, organisation: &OrganisationId) -> Option<usize> {
-        if self.is_new && self.known_from.is_none_or(|from| now < from) {
+        if self.is_new && self.known_from.is_none_or(|from| now < from) || !self.has_lease(now) {
             return None;
         }
         let owners = self.pools.owners(organisation);
@@ -169,6 +187,13 @@
         most.filter(|_| is_owner)
     }
 
+    /// Returns whether the list is recent enough to grant tokens by it. A VM that knows no other one cannot
+    /// hear of any.
+    fn has_lease(&self, now: Instant) -> bool {
+        let is_recent = |covered| now.saturating_duration_since(covered) < LIST_LEASE;
+        !self.has_others || self.covered.is_some_and(is_recent)
+    }
+
     fn has_me(&self, owners: &[&Owner]) -> bool {
         owners.iter().any(|owner| owner.name == self.me)
     }
--- a/lib/tests/test_quotas.rs
+++ b/lib/tests/test_quotas.rs
@@ -42,6 +42,8 @@
 const CONFIG: Duration = Duration::from_millis(2_500);
 /// Within this time all VMs learn of those that join.
 const SPREAD: Duration = Duration::from_secs(4);
+/// VMs compare their lists at this interval.
+const COMPARE: Duration = Duration::from_secs(1);
 const RUN: Duration = Duration::from_secs(40);
 /// Requests are counted for the share after this time: until then the owners have saved nothing.
 const START: Duration = Duration::from_secs(5);
@@ -96,6 +98,8 @@
     Start(usize),
     Learn(usize),
     Confirm(usize),
+    /// The VMs that are not cut off compare their lists with those that they poll.
+    Compare,
 }
 
 #[derive(Default)]
@@ -212,6 +216,7 @@
         }
         (0..ORGANISATIONS).for_each(|organisation| world.next_request(organisation));
         world.add(Duration::from_secs(1), Event::Kill);
+        world.add(COMPARE, Event::Compare);
         world.join();
         world
     }
@@ -226,7 +231,7 @@
                 self.vms[index].knows_all = true;
                 self.add(RUN / 3, Event::Start(index));
                 self.add(RUN / 3 + SPREAD, Event::Confirm(index));
-            } else if self.faults.joining > 0 {
+            } else if self.faults.joining > 0 && !self.is_cut_off(index) {
                 let after = self.rng.random_range(0.0..SPREAD.as_secs_f64());
                 self.add(
                     RUN / 3 + Duration::from_secs_f64(after),
@@ -345,6 +350,14 @@
                 self.add(Duration::from_secs(1), Event::Kill);
             }
             Event::Start(vm) => self.restart(vm),
+            Event::Compare => {
+                for vm in 0..VMS {
+                    if !self.is_cut_off(vm) {
+                        self.vms[vm].table.list_covered(self.now);
+                    }
+                }
+                self.add(COMPARE, Event::Compare);
+            }
             Event::Confirm(vm) => self.vms[vm].table.list_confirmed(self.now),
             Event::Learn(vm) => {
                 self.vms[vm].knows_all = true;
@@ -593,3 +606,58 @@
         "the pools have the square root of 131 VMs"
     );
 }
+
+/// Guards against an owner that is cut off and goes on by an old list, while the owner by the later list grants
+/// the same part of the quota.
+#[test]
+fn an_owner_that_is_cut_off_stops_before_the_one_by_a_later_list_begins() {
+    const JOINING: usize = 9;
+    let start = Instant::now();
+    let id = &ids(JOINING)[0];
+    let [before, after] = [VMS - JOINING, VMS].map(roster);
+    let owners = |roster: &VmRoster| {
+        let pools = OwnerPools::new(roster);
+        let owners = pools.owners(id).into_iter();
+        owners.map(|owner| owner.name.clone()).collect::<Vec<_>>()
+    };
+    let (old, new) = (owners(&before), owners(&after));
+    let cut_off = old.iter().find(|name| !new.contains(name));
+    let joined = new.iter().find(|name| !old.contains(name));
+    let mut tables = [cut_off, joined].map(|name| {
+        let name = name.expect("an owner by one of the lists only");
+        QuotaTable::new(name, "d0".parse().expect("a domain"))
+    });
+    tables[0].set_roster(start, &before, false);
+    let join = start + Duration::from_secs(1);
+    let mut first = [None; 2];
+    let mut last = [None; 2];
+    for step in 0..400 {
+        let now = start + Duration::from_millis(100 * step);
+        if now < join {
+            tables[0].list_confirmed(now);
+        }
+        if now == join {
+            tables[1].set_roster(now, &after, true);
+        }
+        if now > join {
+            tables[1].list_confirmed(now);
+        }
+        for (table, (first, last)) in tables.iter_mut().zip(first.iter_mut().zip(&mut last)) {
+            let terms = (quota(100.0), &BOUNDS);
+            let answer = table.grant(now, id, terms, TokenCount::nearest(1.0));
+            if matches!(answer, OwnerAnswer::Granted(_)) {
+                first.get_or_insert(now);
+                *last = Some(now);
+            }
+        }
+    }
+    let [cut_off, later] = [last[0], first[1]].map(|at| at.expect("tokens") - start);
+    assert!(
+        cut_off + BOUNDS.lifetime() <= later,
+        "the old owner grants until {cut_off:?}, the new one from {later:?} on"
+    );
+    assert!(
+        last[1] > Some(start + Duration::from_secs(39)),
+        "it goes on"
+    );
+}
