gateway: the time in which VMs start has a type of its own; the dump shows the age of the list

Change: lib::start_phase decides what the start means for polls; the dump's list also tells how long ago it was last found to lack no VM, by which the lease of owners goes. No change of behaviour. Measured: test_start, test_feed, test_site and test_store_answers pass (35 tests).

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -352,11 +352,13 @@
     }
 
     /// Returns what the state dump shows of the list of VMs.
-    pub(crate) fn dump_list(&self) -> serde_json::Value {
+    pub(crate) fn dump_list(&self, now: Instant) -> serde_json::Value {
+        let age = self.quotas.table.borrow().list_age(now);
         serde_json::json!({
             "vms": self.roster().len(),
             "era": self.listed_era(),
             "new": self.is_new(),
+            "age_ms": age.map(|age| age.as_millis() as u64),
         })
     }
 
--- a/gateway/src/state_dump.rs
+++ b/gateway/src/state_dump.rs
@@ -53,7 +53,7 @@
             "operators": gateway.feed(Topic::Operators).dump(now),
             "targets": gateway.feed(Topic::Targets).dump(now),
         },
-        "list": gateway.dump_list(),
+        "list": gateway.dump_list(now),
         "refused_config": *gateway.refused_config.borrow(),
         "routes": routes.config().routes.len(),
         "organisations": organisations(routes.config()),
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -14,6 +14,7 @@
 use carobshore_lib::record_age::RecordAge;
 use carobshore_lib::source_selector::SourceFailure;
 use carobshore_lib::source_selector::SourceSelector;
+use carobshore_lib::start_phase::StartPhase;
 use carobshore_lib::store_reader::StoreReader;
 use carobshore_lib::store_reader::Use;
 use carobshore_platform::era_watch::EraWatch;
@@ -54,14 +55,8 @@
 /// How long the store and another VM are both queried without a response before another VM is
 /// chosen.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long after the start of this VM failed polls are retried, because the other VMs may be
-/// starting too, the number of VMs that are polled in turn, and the pause before each retry.
-const START_TIME: Duration = Duration::from_millis(1_500);
-const START_SOURCES: usize = 3;
+/// Pause before a failed poll is retried while VMs start.
 const START_PAUSE: Duration = Duration::from_millis(40);
-/// Time limit for opening a connection in the first round of polls after the start. A VM that has no
-/// power yet does not answer. It grows with each round, for VMs that are far away.
-const START_CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// The follower of one topic.
 struct Watch {
@@ -85,10 +80,8 @@
     lost_since: Option<Instant>,
     /// When this VM last called the store because it had heard that the store answers others.
     called_on_news: Instant,
-    /// Until when a failed poll is retried; nothing after the first response of another VM.
-    start_end: Option<Instant>,
-    /// The number of polls that have failed since the start.
-    start_failures: usize,
+    /// The time in which other VMs may be starting as well.
+    start: StartPhase,
 }
 
 /// Follows a topic until the process exits.
@@ -106,8 +99,7 @@
         reader: StoreReader::default(),
         lost_since: None,
         called_on_news: Instant::now(),
-        start_end: Some(Instant::now() + START_TIME),
-        start_failures: 0,
+        start: StartPhase::new(Instant::now()),
     };
     loop {
         watch.step().await;
@@ -173,21 +165,6 @@
         }
     }
 
-    /// Returns whether this VM has just started and got no response of another VM yet.
-    fn is_starting(&self) -> bool {
-        self.start_end.is_some_and(|end| Instant::now() < end)
-    }
-
-    /// Returns the time limit for opening a connection to another VM.
-    fn connect_timeout(&self) -> Duration {
-        if !self.is_starting() {
-            return CONNECT_TIMEOUT;
-        }
-        let rounds = 1 + self.start_failures / START_SOURCES;
-        let limit = START_CONNECT_TIMEOUT * u32::try_from(rounds).unwrap_or(u32::MAX);
-        limit.min(CONNECT_TIMEOUT)
-    }
-
     fn new_probes(&self) -> StoreProbes {
         let addr = self.gateway.boot.borrow().store;
         StoreProbes::new(addr, self.topic, Rc::clone(&self.gateway.eras))
@@ -206,11 +183,8 @@
         if self.lost_since.is_some() && self.reader.known().is_none() {
             sources.extend(self.gateway.seeds());
         }
-        if self.is_starting() && direct_count > 0 {
-            let first = self.start_failures % direct_count.min(START_SOURCES);
-            sources[..direct_count].rotate_left(first);
-        }
         let now = Instant::now();
+        self.start.rotate(now, &mut sources[..direct_count]);
         let Some(source) = self.choice.choose(now, &sources, self.lost_since.is_some()) else {
             return;
         };
@@ -219,7 +193,7 @@
         let level = self.level();
         log::log!(level, topic:? = self.topic, from:% = addr, cut = isolated; "another VM is asked for changes");
         self.peer = Some(Peer {
-            client: FeedClient::new(addr, self.connect_timeout()),
+            client: FeedClient::new(addr, self.start.connect_timeout(now, CONNECT_TIMEOUT)),
             isolated,
             indirect: !sources[..direct_count].contains(&addr),
             format: FeedFormat::Compact,
@@ -245,7 +219,7 @@
         if self.gateway.eras.observe(changes.era).is_none() {
             return self.on_poll_failure(&peer, &PollFailure::earlier_era());
         }
-        self.start_end = None;
+        self.start.answered();
         let Some(changes) = self.gateway.feed(self.topic).restore(changes) else {
             log::info!(topic:? = self.topic, from:% = source; "changes of unknown records; reading them whole");
             self.peer = Some(Peer {
@@ -394,9 +368,9 @@
     async fn on_polled(&mut self, peer: Peer, polled: Result<PolledChanges, PollFailure>) {
         match polled {
             Ok(polled) => self.apply_polled(peer, polled),
-            Err(failure) if self.is_starting() => {
+            Err(failure) if self.start.is_active(Instant::now()) => {
                 log::debug!(topic:? = self.topic, reason = &*failure.reason; "another VM is not ready yet");
-                self.start_failures += 1;
+                self.start.failed();
                 sleep(START_PAUSE).await;
             }
             Err(failure) => self.on_poll_failure(&peer, &failure),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -140,6 +140,7 @@
 mod snapshot_schedule;
 mod snapshot_search;
 pub mod source_selector;
+pub mod start_phase;
 pub mod store_era;
 pub mod store_mirror;
 pub mod store_position;
--- a/lib/src/quota/quota_table.rs
+++ b/lib/src/quota/quota_table.rs
@@ -167,6 +167,11 @@
         self.buckets.iter()
     }
 
+    /// Returns how long ago this VM learned that its list lacks no VM; nothing before it has a list.
+    pub fn list_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.covered?))
+    }
+
     /// Returns the name of this VM.
     pub fn me(&self) -> &str {
         &self.me
