gateway: the callers of the restart tests have a module of their own

Change: clients and probers move to deployment/traffic.rs as they are, ConfigApply to the deployment.

--- a/gateway/tests/deployment/mod.rs
+++ b/gateway/tests/deployment/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod traffic;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -34,6 +36,8 @@
 
 /// `Contact` of the deployment: a VM is in touch if nothing has been wrong for this long.
 pub(crate) const CONTACT: Duration = Duration::from_secs(3);
+/// `ConfigApply` of the deployment.
+pub(crate) const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
 /// The failure domains.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
