gateway: a VM that counts as new reads the list of VMs in the store, also without quotas

What targets may see: more retries and health checks than all VMs together are allowed (BUDGET), from VMs that start after a drill before the others are registered again.

Cause: without quotas no lists are compared. A VM that starts by a short list keeps it until it starts again, and takes its shares of retries, of checks and of what targets limit for those of a much smaller deployment.

Change: a VM that counts as new reads every 3 s what was added to the list, whomever it follows and whether there are quotas or not, for 15 s after its start.

Cost: five calls of the store for each VM that joins.

--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -29,6 +29,9 @@
 /// Pause between two reads of the list in the store. A VM that joins grants tokens 10 s later at the earliest;
 /// by then all others have to know it, through two VMs at most, each of which compares lists every 2 s.
 const STORE_PAUSE: Duration = Duration::from_secs(3);
+/// How long after its start a VM that counts as new reads the list there, whomever it follows and whether
+/// there are quotas or not. After a restart of the store, others may have registered again only later.
+const NEW_TIME: Duration = Duration::from_secs(15);
 /// Time limit of a read of what was added to the list.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -109,14 +112,12 @@
     true
 }
 
-/// Reads the list in the store again and again while this VM follows the store itself, until the process
-/// exits. Nobody else tells such a VM of those that its list lacks.
+/// Reads the list in the store again and again while this VM needs it, until the process exits.
 pub(crate) async fn follow_store(gateway: Rc<Gateway>) -> eyre::Result<()> {
     let mut known = None;
     loop {
         sleep(STORE_PAUSE).await;
-        let is_due = gateway.feed(Topic::Operators).is_read_from_store();
-        if !is_due || digest(&gateway).is_none() {
+        if !needs_list(&gateway) {
             continue;
         }
         known = match read_from(&gateway, known).await {
@@ -135,6 +136,13 @@
     }
 }
 
+/// Returns whether nobody else tells this VM of those that its list lacks.
+fn needs_list(gateway: &Gateway) -> bool {
+    let is_new = gateway.is_new() && gateway.uptime() < NEW_TIME;
+    let follows_store = gateway.feed(Topic::Operators).is_read_from_store();
+    is_new || follows_store && digest(gateway).is_some()
+}
+
 /// Reads what was added to the list in the store since a position, or all of it if there is none or it is of
 /// an earlier era. Returns it with the position up to which the list is known.
 async fn read_from(
--- a/gateway/tests/test_store_restart.rs
+++ b/gateway/tests/test_store_restart.rs
@@ -162,6 +162,34 @@
     }
 }
 
+/// Guards against a VM that starts by a list without the others and keeps it, also without quotas: its shares of
+/// the retries and of the health checks of all VMs would be those of a much smaller deployment (BUDGET).
+#[test]
+fn a_vm_that_starts_by_a_short_list_learns_of_the_others() {
+    let mut deployment = Deployment::start("short-list");
+    let per_domain = deployment.vms.len() / 3;
+    // The VMs that the settings name are gone.
+    for vm in deployment.vms.iter_mut().step_by(per_domain) {
+        vm.gateway.kill();
+    }
+    let turned_away = per_domain..deployment.vms.len();
+    turned_away
+        .clone()
+        .for_each(|vm| deployment.turn_away(vm, true));
+    let lost = deployment.drill(&deployment.first_copy, REGISTER / 4);
+    deployment.write_again(&lost);
+    deployment.vms[1].gateway.restart();
+    let started = &deployment.vms[1].gateway;
+    common::wait("it has a list", || started.listed_vms() > 0);
+    assert!(started.listed_vms() < per_domain + 1, "the list is short");
+    thread::sleep(REGISTER);
+    turned_away.for_each(|vm| deployment.turn_away(vm, false));
+    let running = deployment.vms.len() - 3;
+    common::wait("it has the list of all that run", || {
+        started.listed_vms() >= running
+    });
+}
+
 /// Returns the VM to which a request was sent: the second part of its id.
 fn vm_of(id: &str) -> usize {
     let part = id.split('-').nth(1).and_then(|part| part.parse().ok());
