gateway: VMs that nobody knows yet do not confirm each other's lists

What targets saw: more requests of an organisation than its quota allows, when VMs join while the store turns the others away for 14 s.

The others do not know these VMs then, and their owners grant the same quota.

Change: a new VM whose own list nobody has confirmed says so in answers to polls, and its list confirms no other. The store confirms the list of a new VM only 15 s after its start. What counts for the lease of owners is as before.

Only code for quotas changes: without bounds in the settings no list is compared.

The tests write settings beside the file and rename it: a process that started meanwhile read half of it and ended.

--- a/gateway/src/admin_server.rs
+++ b/gateway/src/admin_server.rs
@@ -30,7 +30,6 @@
 use crate::reply::Reply;
 use crate::state_dump;
 use crate::vm_list_sync;
-use crate::vm_list_sync::LIST_FIELD;
 
 /// Largest request head, in bytes.
 const MAX_REQUEST: usize = 8 << 10;
@@ -113,10 +112,7 @@
             Some(message) => reply.with_field(NEWS_FIELD, &message),
             None => reply,
         };
-        let reply = match vm_list_sync::digest(gateway) {
-            Some(digest) => reply.with_field(LIST_FIELD, &digest.to_string()),
-            None => reply,
-        };
+        let reply = vm_list_sync::with_list(gateway, reply);
         gateway.metrics.feed_bytes("sent", reply.body_len());
         return reply;
     }
--- a/gateway/src/feed_client.rs
+++ b/gateway/src/feed_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use carobshore_http::fields::Fields;
 use carobshore_http::persistent_client::CallFailure;
 use carobshore_http::persistent_client::PersistentClient;
 use carobshore_lib::record_age;
@@ -18,6 +19,7 @@
 use crate::feed::RECOVERED_FIELD;
 use crate::feed_format;
 use crate::limits::NEWS_FIELD;
+use crate::registrar::NEW_FIELD;
 use crate::vm_list_sync::LIST_FIELD;
 
 /// Time allowed for the response in addition to [`POLL_HOLD`].
@@ -32,8 +34,8 @@
     pub kind: SourceFailure,
     /// Whether the other VM has heard that the store answers others.
     pub(crate) recovered: bool,
-    /// The digest of its list of VMs, if it tells that.
-    pub(crate) list: Option<RosterDigest>,
+    /// Its list of VMs, if it tells that.
+    pub(crate) list: Option<ToldList>,
     /// The cause, for the log.
     pub reason: Box<str>,
 }
@@ -69,6 +71,25 @@
     }
 }
 
+/// What another VM tells of its list of VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldList {
+    /// The digest of the list.
+    pub digest: RosterDigest,
+    /// Whether it may confirm the list of this VM. One that is new, and whose own list nobody has
+    /// confirmed, may not.
+    pub may_confirm: bool,
+}
+
+impl ToldList {
+    fn new(fields: &Fields) -> Option<Self> {
+        Some(Self {
+            digest: fields.text(LIST_FIELD)?.parse().ok()?,
+            may_confirm: fields.text(NEW_FIELD).is_none(),
+        })
+    }
+}
+
 /// What a VM tells another one with a poll.
 #[derive(Clone, Debug, Default)]
 pub struct PollNews {
@@ -89,8 +110,8 @@
     pub bytes: usize,
     /// What the other VM knows of the limits of targets.
     pub news: Option<Box<str>>,
-    /// The digest of its list of VMs, if it tells that.
-    pub list: Option<RosterDigest>,
+    /// Its list of VMs, if it tells that.
+    pub list: Option<ToldList>,
 }
 
 /// Client of the feed of one VM.
@@ -129,8 +150,7 @@
             .0
             .call_with(fields, "GET", &path, &[], POLL_HOLD + RESPONSE_MARGIN)
             .await?;
-        let list = response.head.fields.text(LIST_FIELD);
-        let list = list.and_then(|list| list.parse().ok());
+        let list = ToldList::new(&response.head.fields);
         match response.head.status {
             200 => {
                 let changes = feed_format::decode(&response.head.fields, &response.body)
--- a/gateway/src/registrar.rs
+++ b/gateway/src/registrar.rs
@@ -29,8 +29,9 @@
 /// The path at which a VM asks to be registered, and the header field with its record.
 const PATH: &str = "/vms";
 const RECORD_FIELD: &str = "Vm-Record";
-/// Header field of an answer, set if other VMs may have read the list without the VM that asks.
-const NEW_FIELD: &str = "Vm-New";
+/// Header field of an answer, set if other VMs may have read the list without the VM that asks; in answers to
+/// polls, without the VM that answers.
+pub(crate) const NEW_FIELD: &str = "Vm-New";
 /// How long a VM that asks is kept waiting for the list.
 const HOLD: Duration = Duration::from_millis(2_000);
 /// Time allowed for an answer in addition to [`HOLD`].
--- a/gateway/src/vm_list_sync.rs
+++ b/gateway/src/vm_list_sync.rs
@@ -18,9 +18,12 @@
 use tokio::time::sleep;
 
 use crate::feed_client::CONNECT_TIMEOUT;
+use crate::feed_client::ToldList;
 use crate::gateway::Gateway;
 use crate::record_source::RecordSource;
 use crate::registrar;
+use crate::registrar::NEW_FIELD;
+use crate::reply::Reply;
 use crate::vm_registration;
 
 /// Header field of a poll and of its answer: the digest of the sender's list of VMs.
@@ -30,7 +33,8 @@
 /// by then all others have to know it, through two VMs at most, each of which compares lists every 2 s.
 const STORE_PAUSE: Duration = Duration::from_secs(3);
 /// How long after its start a VM that counts as new reads the list there, whomever it follows and whether
-/// there are quotas or not. After a restart of the store, others may have registered again only later.
+/// there are quotas or not. Others may register again, or learn of this VM, only later, because the store turns
+/// them away.
 const NEW_TIME: Duration = Duration::from_secs(15);
 /// Time limit of a read of what was added to the list.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -41,22 +45,30 @@
     is_used.then(|| gateway.quotas.sync.borrow().own())
 }
 
-/// Compares this VM's list with the digest that its source has told, and reads the list of the source if
-/// they differ.
-pub(crate) fn compare(gateway: &Rc<Gateway>, source: SocketAddr, other: RosterDigest) {
+/// Adds to the answer to a poll what this VM tells of its list.
+pub(crate) fn with_list(gateway: &Gateway, reply: Reply) -> Reply {
+    let Some(digest) = digest(gateway) else {
+        return reply;
+    };
+    let reply = reply.with_field(LIST_FIELD, &digest.to_string());
+    match gateway.quotas.table.borrow().may_confirm() {
+        true => reply,
+        false => reply.with_field(NEW_FIELD, "1"),
+    }
+}
+
+/// Compares this VM's list with what its source has told, and reads the list of the source if they differ.
+pub(crate) fn compare(gateway: &Rc<Gateway>, source: SocketAddr, told: ToldList) {
     match digest(gateway) {
         None => return,
-        Some(own) if own == other => {
-            let mut table = gateway.quotas.table.borrow_mut();
-            return table.list_confirmed(Instant::now());
-        }
+        Some(own) if own == told.digest => return confirm(gateway, told.may_confirm),
         Some(_) => {}
     }
     let due = gateway
         .quotas
         .sync
         .borrow_mut()
-        .begin(Instant::now(), other);
+        .begin(Instant::now(), told.digest);
     if due {
         let gateway = Rc::clone(gateway);
         ntex::rt::spawn(async move { exchange(&gateway, source).await });
@@ -70,8 +82,7 @@
     if let Some(Ok(other)) = told
         && digest(gateway) == Some(other)
     {
-        let mut table = gateway.quotas.table.borrow_mut();
-        table.list_covered(Instant::now());
+        confirm(gateway, false);
     }
 }
 
@@ -86,11 +97,7 @@
     if extend(gateway, &told.roster, RecordSource::Vm(source)) {
         return;
     }
-    gateway
-        .quotas
-        .table
-        .borrow_mut()
-        .list_covered(Instant::now());
+    confirm(gateway, false);
     let known = gateway.roster().clone();
     if let Some(unknown) = roster_sync::lacking(&known, &told.roster) {
         // The answer is the list that the source has read; the next poll compares it.
@@ -123,8 +130,9 @@
         known = match read_from(&gateway, known).await {
             Ok((told, end)) => {
                 if !extend(&gateway, &told, RecordSource::Store) {
-                    let mut table = gateway.quotas.table.borrow_mut();
-                    table.list_confirmed(Instant::now());
+                    // The store may turn some of the others away.
+                    let is_known = !gateway.is_new() || gateway.uptime() >= NEW_TIME;
+                    confirm(&gateway, is_known);
                 }
                 Some(end)
             }
@@ -136,6 +144,16 @@
     }
 }
 
+/// Records that another VM, or the store, lists no VM that this one does not know, and whether that also means
+/// that the others know this VM.
+fn confirm(gateway: &Gateway, is_known: bool) {
+    let mut table = gateway.quotas.table.borrow_mut();
+    match is_known {
+        true => table.list_confirmed(Instant::now()),
+        false => table.list_covered(Instant::now()),
+    }
+}
+
 /// Returns whether nobody else tells this VM of those that its list lacks.
 fn needs_list(gateway: &Gateway) -> bool {
     let is_new = gateway.is_new() && gateway.uptime() < NEW_TIME;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -265,7 +265,10 @@
         let text = std::fs::read_to_string(&self.settings).expect("the settings");
         let mut settings: Value = serde_json::from_str(&text).expect("settings");
         change(&mut settings);
-        std::fs::write(&self.settings, settings.to_string()).expect("a settings file");
+        // A process that starts must not read half of the file.
+        let written = self.settings.with_extension("new");
+        std::fs::write(&written, settings.to_string()).expect("a settings file");
+        std::fs::rename(&written, &self.settings).expect("a settings file");
     }
 
     /// Adds bounds of quotas to the settings of later starts, with a window of 5 s.
--- a/gateway/tests/test_quota_restart.rs
+++ b/gateway/tests/test_quota_restart.rs
@@ -47,6 +47,8 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// VMs that join in each failure domain after the copy was made.
 const JOINING: usize = 2;
+/// All of these VMs.
+const VMS: usize = DOMAINS.len() * (1 + JOINING);
 const TARGETS: usize = 8;
 /// How long the store is away.
 const AWAY: Duration = Duration::from_millis(500);
@@ -55,6 +57,9 @@
 /// How long VMs that a new list makes owners of a quota grant nothing, with time to learn of the list.
 const HANDOVER: Duration = Duration::from_secs(17);
 
+/// How long the store turns VMs away.
+const TURNED_AWAY: Duration = Duration::from_secs(14);
+
 /// The VMs of a deployment. The first one of each failure domain is on the list of VMs in the copy of the
 /// store, and the others have joined since.
 struct QuotaSite {
@@ -62,7 +67,7 @@
     /// The VMs in the order of their start.
     vms: Vec<Vm>,
     copy: StoreCopy,
-    /// An organisation whose owners have all joined since the copy.
+    /// The organisation that has a quota.
     organisation: String,
 }
 
@@ -73,9 +78,8 @@
 
 impl QuotaSite {
     /// Starts the VMs, and waits until each of them has the list of all.
-    fn start(name: &str, seeds: Seeds) -> Self {
+    fn start(name: &str, seeds: Seeds, organisation: String) -> Self {
         let site = site(name, TARGETS);
-        let organisation = owned_by_joined();
         let mut resources = routes(1_500, "status");
         let limited = site_wire::organisation(&organisation, &["key"]);
         resources.push(site_wire::with_quota(limited, RATE, BURST));
@@ -93,7 +97,7 @@
         }
         deployment.restart_all();
         deployment.copy = deployment.site.store.copy();
-        for index in DOMAINS.len()..DOMAINS.len() * (1 + JOINING) {
+        for index in DOMAINS.len()..VMS {
             deployment.add(index, &addrs, None);
         }
         deployment.restart_all();
@@ -230,8 +234,9 @@
     (format!("edge-{domain}-{}", index / DOMAINS.len()), domain)
 }
 
-/// Returns an organisation whose owners, by the list of all VMs, have all joined after the copy was made.
-fn owned_by_joined() -> String {
+/// Returns an organisation whose owners, by the list of the first `vms` VMs, are of those that joined after the
+/// first `earlier` ones.
+fn owned_by_later(vms: usize, earlier: usize) -> String {
     let record = |index| {
         let (name, domain) = vm_name(index);
         VmRecord {
@@ -242,12 +247,14 @@
             era: None,
         }
     };
-    let vms = (0..DOMAINS.len() * (1 + JOINING)).map(record);
-    let pools = OwnerPools::new(&VmRoster::new(vms.collect()));
+    let pools = OwnerPools::new(&VmRoster::new((0..vms).map(record).collect()));
+    let later: Vec<String> = (earlier..vms).map(|index| vm_name(index).0).collect();
     let is_owned = |name: &String| {
         let organisation: OrganisationId = name.parse().expect("an organisation");
         let owners = pools.owners(&organisation);
-        owners.iter().all(|owner| !owner.name.ends_with("-0"))
+        owners
+            .iter()
+            .all(|owner| later.contains(&owner.name.to_string()))
     };
     let mut names = (0..).map(|number| format!("org-{number}"));
     names.find(is_owned).expect("an organisation")
@@ -257,7 +264,11 @@
 /// restarted later take the short list for the whole one, and two sets of owners grant one quota (QUOTA).
 #[test]
 fn a_quota_holds_when_vms_are_restarted_after_a_drill() {
-    let mut deployment = QuotaSite::start("quota-restart", Seeds::First);
+    let mut deployment = QuotaSite::start(
+        "quota-restart",
+        Seeds::First,
+        owned_by_later(VMS, DOMAINS.len()),
+    );
     deployment.go_away();
     deployment.come_back();
     thread::sleep(REGISTER);
@@ -276,7 +287,11 @@
 /// beside the owners by the whole one (QUOTA). The store turns the others away meanwhile.
 #[test]
 fn a_quota_holds_when_vms_start_before_the_others_are_registered_again() {
-    let mut deployment = QuotaSite::start("quota-short-list", Seeds::Gone);
+    let mut deployment = QuotaSite::start(
+        "quota-short-list",
+        Seeds::Gone,
+        owned_by_later(VMS, DOMAINS.len()),
+    );
     let traffic = deployment.traffic();
     deployment.go_away();
     for vm in &deployment.vms[DOMAINS.len()..] {
@@ -297,3 +312,28 @@
     deployment.assert_bound();
     deployment.wait_for_list();
 }
+
+/// Guards against VMs that join while the store turns the others away, and grant a quota before these know them
+/// (QUOTA).
+#[test]
+fn a_quota_holds_when_vms_join_while_the_store_turns_the_others_away() {
+    let vms = VMS + DOMAINS.len();
+    let organisation = owned_by_later(vms, VMS);
+    let mut deployment = QuotaSite::start("quota-joined", Seeds::Gone, organisation);
+    for vm in &deployment.vms {
+        vm.store_path.set_fault(ProxyFault::Reset);
+    }
+    let gone: Vec<SocketAddr> = DOMAINS.iter().map(|_| free_port()).collect();
+    for index in VMS..vms {
+        deployment.add(index, &gone, None);
+    }
+    let traffic = deployment.traffic();
+    thread::sleep(TURNED_AWAY);
+    for vm in &deployment.vms {
+        vm.store_path.set_fault(ProxyFault::None);
+    }
+    thread::sleep(HANDOVER);
+    traffic.stop();
+    deployment.assert_bound();
+    deployment.wait_for_list();
+}
--- a/lib/src/quota/quota_table.rs
+++ b/lib/src/quota/quota_table.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Records that another VM has the same list. A VM that is new may own quotas some time after that;
+    /// Records that another VM, which [may confirm](Self::may_confirm) it, has the same list. A VM that is new may own quotas some time after that;
     /// until then others may ask the owners of an older list.
     pub fn list_confirmed(&mut self, now: Instant) {
         self.known_from.get_or_insert(now + HANDOVER);
@@ -99,6 +99,12 @@
         self.covered = self.covered.max(Some(now));
     }
 
+    /// Returns whether this VM may confirm the lists of others: it is not new, or a VM that may has confirmed its
+    /// own. New VMs that confirm each other would begin to grant before the others know them.
+    pub fn may_confirm(&self) -> bool {
+        !self.is_new || self.known_from.is_some()
+    }
+
     /// Grants tokens as an owner. Returns [`OwnerAnswer::NotOwner`] if this VM is none.
     pub fn grant(
         &mut self,
